--- /dev/null
+++ b/app/http_server.cc
@@ -0,0 +1,271 @@
+#include "app/http_server.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <optional>
+#include <set>
+
+#include "bilberrycourse/result_code.h"
+
+namespace bilberrycourse {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+http_response Problem(result_code code) {
+  const result_code_info& info = Describe(code);
+  boost::json::object body{{"type", "about:blank"},
+                           {"title", info.explanation},
+                           {"status", info.http_status},
+                           {"code", info.number},
+                           {"name", info.name}};
+  return {static_cast<unsigned>(info.http_status), "application/problem+json",
+          boost::json::serialize(body), 0};
+}
+
+result_code CodeOfReadError(const beast::error_code& error) {
+  if (error == http::error::body_limit || error == http::error::header_limit) {
+    return result_code::kRequestTooLarge;
+  }
+  if (error == beast::error::timeout) return result_code::kRequestTimeout;
+  return result_code::kMalformedRequest;
+}
+
+std::string Field(const http::request<http::string_body>& message,
+                  std::string_view name) {
+  const auto found = message.find(name);
+  return found == message.end() ? std::string() : std::string(found->value());
+}
+
+}  // namespace
+
+class http_server::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(asio::any_io_executor executor, http_server_options options,
+       http_handler handler)
+      : executor_(std::move(executor)),
+        acceptor_(executor_),
+        options_(std::move(options)),
+        handler_(std::move(handler)) {}
+
+  boost::leaf::result<void> Listen();
+  void Accept();
+
+  asio::any_io_executor executor_;
+  tcp::acceptor acceptor_;
+  http_server_options options_;
+  http_handler handler_;
+  std::set<std::shared_ptr<session>> sessions_;
+  std::size_t pending_ = 0;
+  bool stopping_ = false;
+};
+
+class http_server::session : public std::enable_shared_from_this<session> {
+ public:
+  session(std::shared_ptr<impl> server, tcp::socket socket)
+      : server_(std::move(server)), stream_(std::move(socket)) {
+    boost::system::error_code ignored;
+    stream_.socket().set_option(tcp::no_delay(true), ignored);
+  }
+
+  void Read() {
+    parser_.emplace();
+    parser_->body_limit(server_->options_.max_request_bytes);
+    reading_head_ = true;
+    // An idle keep-alive connection may stay open; the timeout starts with
+    // the first byte of a request.
+    stream_.expires_never();
+    if (buffer_.size() > 0) return ReadRequest();
+    stream_.socket().async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this()](const beast::error_code& error) {
+          if (error) return self->Close();
+          self->ReadRequest();
+        });
+  }
+
+  void CloseIfIdle() {
+    if (reading_head_) Close();
+  }
+
+  void Close() {
+    if (closed_) return;
+    closed_ = true;
+    beast::error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    stream_.close();
+    server_->sessions_.erase(shared_from_this());
+  }
+
+ private:
+  void ReadRequest() {
+    stream_.expires_after(server_->options_.read_timeout);
+    http::async_read(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](const beast::error_code& error,
+                                    std::size_t) { self->ReadDone(error); });
+  }
+
+  void ReadDone(const beast::error_code& error) {
+    reading_head_ = false;
+    if (closed_) return;
+    if (error == http::error::end_of_stream ||
+        (error && !IsInputError(error))) {
+      return Close();
+    }
+    if (error) {
+      keep_alive_ = false;
+      ++server_->pending_;
+      return Write(Problem(CodeOfReadError(error)));
+    }
+    stream_.expires_never();
+    Handle();
+  }
+
+  static bool IsInputError(const beast::error_code& error) {
+    return error.category() ==
+               http::make_error_code(http::error::bad_target).category() ||
+           error == beast::error::timeout;
+  }
+
+  void Handle() {
+    auto message = parser_->release();
+    keep_alive_ = message.keep_alive();
+    http_request request;
+    request.method = std::string(message.method_string());
+    const std::string target(message.target());
+    const std::size_t mark = target.find('?');
+    request.path = target.substr(0, mark);
+    if (mark != std::string::npos) request.query = target.substr(mark + 1);
+    request.idempotency_key = Field(message, "Idempotency-Key");
+    request.traceparent = Field(message, "traceparent");
+    request.authorization = Field(message, "Authorization");
+    request.body = std::move(message.body());
+    request.on_disconnect = std::make_shared<std::function<void()>>();
+    on_disconnect_ = request.on_disconnect;
+    ++server_->pending_;
+    WatchDisconnect();
+    server_->handler_(std::move(request),
+                      [self = shared_from_this()](http_response response) {
+                        self->Write(std::move(response));
+                      });
+  }
+
+  // Notices a caller that closes its connection while its request runs.
+  void WatchDisconnect() {
+    stream_.socket().async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this()](const beast::error_code& error) {
+          if (error || self->on_disconnect_ == nullptr) return;
+          beast::error_code ignored;
+          if (self->stream_.socket().available(ignored) > 0) return;
+          const auto call = self->on_disconnect_;
+          if (*call) (*call)();
+        });
+  }
+
+  void Write(http_response response) {
+    on_disconnect_.reset();
+    if (closed_) {
+      --server_->pending_;
+      return;
+    }
+    response_ = {};
+    response_.result(response.status);
+    response_.version(11);
+    response_.set(http::field::content_type, response.content_type);
+    if (response.retry_after > 0) {
+      response_.set(http::field::retry_after,
+                    std::to_string(response.retry_after));
+    }
+    response_.keep_alive(keep_alive_ && !server_->stopping_);
+    response_.body() = std::move(response.body);
+    response_.prepare_payload();
+    stream_.expires_after(server_->options_.read_timeout);
+    http::async_write(
+        stream_, response_,
+        [self = shared_from_this()](const beast::error_code& error,
+                                    std::size_t) { self->WriteDone(error); });
+  }
+
+  void WriteDone(const beast::error_code& error) {
+    --server_->pending_;
+    if (error || !response_.keep_alive()) return Close();
+    Read();
+  }
+
+  std::shared_ptr<impl> server_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  http::response<http::string_body> response_;
+  std::shared_ptr<std::function<void()>> on_disconnect_;
+  bool keep_alive_ = true;
+  bool reading_head_ = false;
+  bool closed_ = false;
+};
+
+boost::leaf::result<void> http_server::impl::Listen() {
+  beast::error_code error;
+  const tcp::endpoint endpoint(asio::ip::make_address(options_.listen.ip),
+                               options_.listen.port);
+  acceptor_.open(endpoint.protocol(), error);
+  if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor_.bind(endpoint, error);
+  if (!error) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return boost::leaf::new_error(result_code::kAddressInUse,
+                                  options_.listen.ToText());
+  }
+  Accept();
+  return {};
+}
+
+void http_server::impl::Accept() {
+  acceptor_.async_accept(
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  tcp::socket socket) {
+        if (self->stopping_) return;
+        if (!error && self->sessions_.size() < self->options_.max_connections) {
+          auto accepted = std::make_shared<session>(self, std::move(socket));
+          self->sessions_.insert(accepted);
+          accepted->Read();
+        }
+        self->Accept();
+      });
+}
+
+http_server::http_server(asio::any_io_executor executor,
+                         http_server_options options, http_handler handler)
+    : impl_(std::make_shared<impl>(std::move(executor), std::move(options),
+                                   std::move(handler))) {}
+
+http_server::~http_server() { Close(); }
+
+boost::leaf::result<void> http_server::Listen() { return impl_->Listen(); }
+
+void http_server::StopAccepting() {
+  impl_->stopping_ = true;
+  boost::system::error_code ignored;
+  impl_->acceptor_.close(ignored);
+  const auto sessions = impl_->sessions_;
+  for (const auto& each : sessions) each->CloseIfIdle();
+}
+
+std::size_t http_server::pending() const { return impl_->pending_; }
+
+void http_server::Close() {
+  StopAccepting();
+  const auto sessions = impl_->sessions_;
+  for (const auto& each : sessions) each->Close();
+}
+
+}  // namespace bilberrycourse
--- /dev/null
+++ b/app/http_server.h
@@ -0,0 +1,84 @@
+#ifndef APP_HTTP_SERVER_H_
+#define APP_HTTP_SERVER_H_
+
+// HTTP/1.1 server for callers, backend servers, operators and the platform.
+//
+//   http_server server(executor, options, [](http_request request,
+//                                            http_responder respond) {
+//     respond({.status = 200, .body = "{}"});
+//   });
+//   server.Listen();
+//
+// The handler must call the responder exactly once, at once or later. Input
+// that is not valid HTTP, too large or too slow is answered with a numbered
+// problem before the connection is closed.
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/leaf/result.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "app/settings.h"
+
+namespace bilberrycourse {
+
+struct http_request {
+  std::string method;
+  // Path without the query string.
+  std::string path;
+  // Query string without the question mark.
+  std::string query;
+  std::string body;
+  std::string idempotency_key;
+  std::string traceparent;
+  std::string authorization;
+  // Set if the caller closes its connection before the answer.
+  std::shared_ptr<std::function<void()>> on_disconnect;
+};
+
+struct http_response {
+  unsigned status = 200;
+  std::string content_type = "application/json";
+  std::string body;
+  // Seconds; 0 leaves the header out.
+  unsigned retry_after = 0;
+};
+
+using http_responder = std::function<void(http_response)>;
+using http_handler = std::function<void(http_request, http_responder)>;
+
+struct http_server_options {
+  socket_address listen;
+  std::uint64_t max_request_bytes = 1 << 20;
+  std::uint64_t max_connections = 10000;
+  std::chrono::milliseconds read_timeout{10000};
+};
+
+class http_server {
+ public:
+  http_server(boost::asio::any_io_executor executor,
+              http_server_options options, http_handler handler);
+  ~http_server();
+
+  boost::leaf::result<void> Listen();
+  // Takes no new connection and asks callers to close theirs: each further
+  // answer carries `Connection: close`, idle connections are closed.
+  void StopAccepting();
+  // Requests whose answer has not been written completely.
+  std::size_t pending() const;
+  void Close();
+
+ private:
+  class impl;
+  class session;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace bilberrycourse
+
+#endif  // APP_HTTP_SERVER_H_
--- /dev/null
+++ b/app/peer_transport.cc
@@ -0,0 +1,498 @@
+#include "app/peer_transport.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+#include <deque>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "bilberrycourse/result_code.h"
+
+namespace bilberrycourse {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using bytes = std::vector<std::uint8_t>;
+
+constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kNonceBytes = 32;
+constexpr std::size_t kMaxHandshakeFrameBytes = 1024;
+
+bytes RandomNonce() {
+  bytes nonce(kNonceBytes);
+  RAND_bytes(nonce.data(), static_cast<int>(nonce.size()));
+  return nonce;
+}
+
+void AppendField(std::string* text, std::string_view field) {
+  std::uint32_t size = static_cast<std::uint32_t>(field.size());
+  boost::endian::native_to_little_inplace(size);
+  text->append(reinterpret_cast<const char*>(&size), sizeof(size));
+  text->append(field);
+}
+
+std::string_view AsText(const bytes& data) {
+  return {reinterpret_cast<const char*>(data.data()), data.size()};
+}
+
+struct handshake_facts {
+  std::string dialer;
+  std::string acceptor;
+  bytes dialer_nonce;
+  bytes acceptor_nonce;
+};
+
+bytes Mac(const std::string& key, std::string_view role,
+          const handshake_facts& facts) {
+  std::string text;
+  AppendField(&text, role);
+  AppendField(&text, facts.dialer);
+  AppendField(&text, facts.acceptor);
+  AppendField(&text, AsText(facts.dialer_nonce));
+  AppendField(&text, AsText(facts.acceptor_nonce));
+  bytes mac(EVP_MAX_MD_SIZE);
+  unsigned int size = 0;
+  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+       reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+       mac.data(), &size);
+  mac.resize(size);
+  return mac;
+}
+
+bool EqualMac(const bytes& expected, const std::uint8_t* data,
+              std::size_t size) {
+  return expected.size() == size &&
+         CRYPTO_memcmp(expected.data(), data, size) == 0;
+}
+
+using encoded_frame = std::shared_ptr<const std::string>;
+
+encoded_frame Encode(const wire::peer_frameT& frame) {
+  flatbuffers::FlatBufferBuilder builder(512);
+  builder.Finish(wire::peer_frame::Pack(builder, &frame));
+  std::uint32_t size = builder.GetSize();
+  boost::endian::native_to_little_inplace(size);
+  auto out = std::make_shared<std::string>();
+  out->reserve(kLengthBytes + builder.GetSize());
+  out->append(reinterpret_cast<const char*>(&size), kLengthBytes);
+  out->append(reinterpret_cast<const char*>(builder.GetBufferPointer()),
+              builder.GetSize());
+  return out;
+}
+
+}  // namespace
+
+enum class link_state : std::uint8_t {
+  kAwaitHello,
+  kAwaitProof,
+  kOpen,
+  kClosed
+};
+
+class peer_transport::impl : public std::enable_shared_from_this<impl> {
+ public:
+  class link;
+  using link_pointer = std::shared_ptr<link>;
+
+  impl(asio::any_io_executor executor, peer_transport_options options,
+       peer_transport_handler* handler)
+      : executor_(std::move(executor)),
+        acceptor_(executor_),
+        options_(std::move(options)),
+        handler_(handler) {}
+
+  boost::leaf::result<void> Listen();
+  void Accept();
+  void Dial(const std::string& address);
+  void Remove(const link_pointer& closed);
+  void Opened(const link_pointer& opened);
+  void Close();
+
+  link_pointer FindOpen(const instance_name& peer) const {
+    const auto found = open_.find(peer);
+    return found == open_.end() ? nullptr : found->second;
+  }
+
+  asio::any_io_executor executor_;
+  tcp::acceptor acceptor_;
+  peer_transport_options options_;
+  peer_transport_handler* handler_;
+  peer_transport_counters counters_;
+  std::map<instance_name, link_pointer> open_;
+  // Every link that is not closed, so that Close() reaches all of them.
+  std::set<link_pointer> links_;
+  std::map<std::string, link_pointer> dialed_;
+  std::size_t unauthenticated_ = 0;
+  bool closing_ = false;
+};
+
+class peer_transport::impl::link : public std::enable_shared_from_this<link> {
+ public:
+  link(std::shared_ptr<impl> owner, tcp::socket socket, bool dialer,
+       std::string address)
+      : owner_(std::move(owner)),
+        socket_(std::move(socket)),
+        timer_(owner_->executor_),
+        dialer_(dialer),
+        address_(std::move(address)) {}
+
+  void StartDial(const tcp::endpoint& endpoint) {
+    ArmHandshakeTimer();
+    auto self = shared_from_this();
+    socket_.async_connect(endpoint,
+                          [self](const boost::system::error_code& error) {
+                            if (error) return self->Close();
+                            self->StartHandshake();
+                          });
+  }
+
+  void StartAccepted() {
+    ArmHandshakeTimer();
+    StartHandshake();
+  }
+
+  void SendFrame(const wire::peer_frameT& frame) { Queue(Encode(frame)); }
+
+  void Close() {
+    if (state_ == link_state::kClosed) return;
+    const bool was_open = state_ == link_state::kOpen;
+    state_ = link_state::kClosed;
+    timer_.cancel();
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    if (!was_open) {
+      if (!dialer_) {
+        --owner_->unauthenticated_;
+        ++owner_->counters_.rejected_links;
+      }
+    }
+    owner_->Remove(shared_from_this());
+  }
+
+  const instance_name& peer() const { return peer_; }
+  const std::string& address() const { return address_; }
+  bool open() const { return state_ == link_state::kOpen; }
+  bool dialer() const { return dialer_; }
+
+  // Name of the instance that dialed this link.
+  const instance_name& dialed_by() const {
+    return dialer_ ? owner_->options_.self : peer_;
+  }
+
+ private:
+  void ArmHandshakeTimer() {
+    timer_.expires_after(owner_->options_.handshake_timeout);
+    timer_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error) {
+          if (!error && !self->open()) self->Close();
+        });
+  }
+
+  void StartHandshake() {
+    boost::system::error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    if (dialer_) {
+      facts_.dialer = owner_->options_.self;
+      facts_.dialer_nonce = RandomNonce();
+      SendHello(facts_.dialer_nonce);
+    }
+    ReadLength();
+  }
+
+  void SendHello(const bytes& nonce) {
+    wire::helloT hello;
+    hello.name = owner_->options_.self;
+    hello.nonce = nonce;
+    wire::peer_frameT frame;
+    frame.payload.Set(std::move(hello));
+    SendFrame(frame);
+  }
+
+  void SendProof(std::string_view role) {
+    wire::proofT proof;
+    proof.mac = Mac(owner_->options_.shared_key, role, facts_);
+    wire::peer_frameT frame;
+    frame.payload.Set(std::move(proof));
+    SendFrame(frame);
+  }
+
+  void Queue(encoded_frame frame) {
+    if (state_ == link_state::kClosed) return;
+    backlog_bytes_ += frame->size();
+    if (backlog_bytes_ > owner_->options_.max_backlog_bytes) return Close();
+    ++owner_->counters_.frames_sent;
+    owner_->counters_.bytes_sent += frame->size();
+    queue_.push_back(std::move(frame));
+    if (!writing_) Write();
+  }
+
+  // Writes all queued frames with one call, so that a burst of small frames
+  // costs one system call.
+  void Write() {
+    writing_ = true;
+    in_write_.assign(queue_.begin(), queue_.end());
+    queue_.clear();
+    std::vector<asio::const_buffer> buffers;
+    buffers.reserve(in_write_.size());
+    for (const encoded_frame& frame : in_write_) {
+      buffers.push_back(asio::buffer(*frame));
+    }
+    asio::async_write(socket_, buffers,
+                      [self = shared_from_this()](
+                          const boost::system::error_code& error, std::size_t) {
+                        if (error) return self->Close();
+                        self->WriteDone();
+                      });
+  }
+
+  void WriteDone() {
+    for (const encoded_frame& frame : in_write_) {
+      backlog_bytes_ -= frame->size();
+    }
+    in_write_.clear();
+    writing_ = false;
+    if (!queue_.empty()) Write();
+  }
+
+  void ReadLength() {
+    asio::async_read(socket_, asio::buffer(length_),
+                     [self = shared_from_this()](
+                         const boost::system::error_code& error, std::size_t) {
+                       if (error) return self->Close();
+                       self->ReadBody();
+                     });
+  }
+
+  void ReadBody() {
+    const std::uint32_t size = boost::endian::load_little_u32(length_.data());
+    const std::size_t limit =
+        open() ? owner_->options_.max_frame_bytes : kMaxHandshakeFrameBytes;
+    if (size == 0 || size > limit) return Close();
+    body_.resize(size);
+    asio::async_read(socket_, asio::buffer(body_),
+                     [self = shared_from_this()](
+                         const boost::system::error_code& error, std::size_t) {
+                       if (error) return self->Close();
+                       self->HandleBody();
+                     });
+  }
+
+  void HandleBody() {
+    ++owner_->counters_.frames_received;
+    owner_->counters_.bytes_received += kLengthBytes + body_.size();
+    flatbuffers::Verifier verifier(body_.data(), body_.size());
+    if (!verifier.VerifyBuffer<wire::peer_frame>()) return Close();
+    const auto* frame = flatbuffers::GetRoot<wire::peer_frame>(body_.data());
+    if (open()) {
+      owner_->handler_->OnPeerFrame(peer_, *frame);
+    } else {
+      HandleHandshake(*frame);
+    }
+    if (state_ != link_state::kClosed) ReadLength();
+  }
+
+  void HandleHandshake(const wire::peer_frame& frame) {
+    if (state_ == link_state::kAwaitHello) {
+      HandleHello(frame.payload_as_hello());
+    } else {
+      HandleProof(frame.payload_as_proof());
+    }
+  }
+
+  void HandleHello(const wire::hello* hello) {
+    if (hello == nullptr || hello->name() == nullptr ||
+        hello->nonce() == nullptr || hello->nonce()->size() != kNonceBytes ||
+        hello->name()->str() == owner_->options_.self) {
+      return Close();
+    }
+    peer_ = hello->name()->str();
+    const bytes nonce(hello->nonce()->begin(), hello->nonce()->end());
+    if (dialer_) {
+      facts_.acceptor = peer_;
+      facts_.acceptor_nonce = nonce;
+      SendProof("dialer");
+    } else {
+      facts_.dialer = peer_;
+      facts_.dialer_nonce = nonce;
+      facts_.acceptor = owner_->options_.self;
+      facts_.acceptor_nonce = RandomNonce();
+      SendHello(facts_.acceptor_nonce);
+    }
+    state_ = link_state::kAwaitProof;
+  }
+
+  void HandleProof(const wire::proof* proof) {
+    if (proof == nullptr || proof->mac() == nullptr) return Close();
+    const bytes expected = Mac(owner_->options_.shared_key,
+                               dialer_ ? "acceptor" : "dialer", facts_);
+    if (!EqualMac(expected, proof->mac()->data(), proof->mac()->size())) {
+      return Close();
+    }
+    if (!dialer_) SendProof("acceptor");
+    if (!dialer_) --owner_->unauthenticated_;
+    state_ = link_state::kOpen;
+    timer_.cancel();
+    owner_->Opened(shared_from_this());
+  }
+
+  std::shared_ptr<impl> owner_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  const bool dialer_;
+  const std::string address_;
+  link_state state_ = link_state::kAwaitHello;
+  instance_name peer_;
+  handshake_facts facts_;
+  std::array<std::uint8_t, kLengthBytes> length_{};
+  bytes body_;
+  std::deque<encoded_frame> queue_;
+  std::vector<encoded_frame> in_write_;
+  std::size_t backlog_bytes_ = 0;
+  bool writing_ = false;
+};
+
+boost::leaf::result<void> peer_transport::impl::Listen() {
+  boost::system::error_code error;
+  const tcp::endpoint endpoint(asio::ip::make_address(options_.listen.ip),
+                               options_.listen.port);
+  acceptor_.open(endpoint.protocol(), error);
+  if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor_.bind(endpoint, error);
+  if (!error)
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    return boost::leaf::new_error(result_code::kAddressInUse,
+                                  options_.listen.ToText());
+  }
+  Accept();
+  return {};
+}
+
+void peer_transport::impl::Accept() {
+  acceptor_.async_accept([self = shared_from_this()](
+                             const boost::system::error_code& error,
+                             tcp::socket socket) {
+    if (self->closing_) return;
+    if (!error) {
+      if (self->unauthenticated_ < self->options_.max_unauthenticated_links) {
+        ++self->unauthenticated_;
+        auto accepted =
+            std::make_shared<link>(self, std::move(socket), false, "");
+        self->links_.insert(accepted);
+        accepted->StartAccepted();
+      } else {
+        ++self->counters_.rejected_links;
+      }
+    }
+    self->Accept();
+  });
+}
+
+void peer_transport::impl::Dial(const std::string& address) {
+  if (closing_ || dialed_.contains(address)) return;
+  socket_address parsed;
+  if (!ParseSocketAddress(address, &parsed)) return;
+  auto dialed = std::make_shared<link>(shared_from_this(),
+                                       tcp::socket(executor_), true, address);
+  links_.insert(dialed);
+  dialed_[address] = dialed;
+  dialed->StartDial({asio::ip::make_address(parsed.ip), parsed.port});
+}
+
+void peer_transport::impl::Opened(const link_pointer& opened) {
+  const link_pointer existing = FindOpen(opened->peer());
+  if (existing != nullptr) {
+    // Of two links that cross, the one dialed by the smaller name stays. A
+    // second link from the same dialer replaces the first, which is broken
+    // without this side having noticed.
+    const bool replace = opened->dialed_by() <= existing->dialed_by();
+    if (!replace) {
+      asio::post(executor_, [opened] { opened->Close(); });
+      return;
+    }
+    open_[opened->peer()] = opened;
+    asio::post(executor_, [existing] { existing->Close(); });
+    return;
+  }
+  open_[opened->peer()] = opened;
+  handler_->OnPeerConnected(opened->peer());
+}
+
+void peer_transport::impl::Remove(const link_pointer& closed) {
+  links_.erase(closed);
+  const auto dialed = dialed_.find(closed->address());
+  if (dialed != dialed_.end() && dialed->second == closed) {
+    dialed_.erase(dialed);
+  }
+  const auto found = open_.find(closed->peer());
+  if (found != open_.end() && found->second == closed) {
+    open_.erase(found);
+    if (!closing_) handler_->OnPeerDisconnected(closed->peer());
+  }
+}
+
+void peer_transport::impl::Close() {
+  closing_ = true;
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  const auto links = links_;
+  for (const link_pointer& each : links) each->Close();
+}
+
+peer_transport::peer_transport(boost::asio::any_io_executor executor,
+                               peer_transport_options options,
+                               peer_transport_handler* handler)
+    : impl_(std::make_shared<impl>(std::move(executor), std::move(options),
+                                   handler)) {}
+
+peer_transport::~peer_transport() { impl_->Close(); }
+
+boost::leaf::result<void> peer_transport::Listen() { return impl_->Listen(); }
+
+void peer_transport::Dial(const std::string& address) { impl_->Dial(address); }
+
+bool peer_transport::Connected(const instance_name& peer) const {
+  return impl_->FindOpen(peer) != nullptr;
+}
+
+std::vector<instance_name> peer_transport::connected_peers() const {
+  std::vector<instance_name> peers;
+  peers.reserve(impl_->open_.size());
+  for (const auto& [name, unused] : impl_->open_) peers.push_back(name);
+  return peers;
+}
+
+bool peer_transport::Send(const instance_name& peer,
+                          const wire::peer_frameT& frame) {
+  const auto found = impl_->FindOpen(peer);
+  if (found == nullptr) return false;
+  found->SendFrame(frame);
+  return true;
+}
+
+bool peer_transport::SendToAddress(const std::string& address,
+                                   const wire::peer_frameT& frame) {
+  const auto found = impl_->dialed_.find(address);
+  if (found == impl_->dialed_.end() || !found->second->open()) return false;
+  found->second->SendFrame(frame);
+  return true;
+}
+
+void peer_transport::Close() { impl_->Close(); }
+
+const peer_transport_counters& peer_transport::counters() const {
+  return impl_->counters_;
+}
+
+}  // namespace bilberrycourse
--- /dev/null
+++ b/app/peer_transport.h
@@ -0,0 +1,90 @@
+#ifndef APP_PEER_TRANSPORT_H_
+#define APP_PEER_TRANSPORT_H_
+
+// Links between the processes of the tier: TCP, 4-byte little-endian length,
+// then a verified FlatBuffers peer_frame.
+//
+//   peer_transport transport(executor, options, handler);
+//   transport.Listen();
+//   transport.Dial("127.0.0.1:7002");
+//   transport.Send("e2", frame);
+//
+// Both sides prove knowledge of the shared key before any other frame is
+// read. A link that has not done so within the handshake timeout is closed,
+// and only a bounded number of such links exists, so that a stranger costs
+// little. There is one link for each pair of instances: of two that cross,
+// the one dialed by the instance with the smaller name stays.
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/leaf/result.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "app/peer_frame_generated.h"
+#include "app/settings.h"
+#include "bilberrycourse/types.h"
+
+namespace bilberrycourse {
+
+struct peer_transport_options {
+  instance_name self;
+  socket_address listen;
+  std::string shared_key;
+  std::chrono::milliseconds handshake_timeout{2000};
+  std::size_t max_unauthenticated_links = 64;
+  std::size_t max_frame_bytes = 16 << 20;
+  // A peer that does not read is disconnected beyond this backlog.
+  std::size_t max_backlog_bytes = 64 << 20;
+};
+
+// Receives the events of all links, on the transport's executor.
+class peer_transport_handler {
+ public:
+  virtual ~peer_transport_handler() = default;
+  virtual void OnPeerConnected(const instance_name& peer) = 0;
+  virtual void OnPeerDisconnected(const instance_name& peer) = 0;
+  // `frame` is valid during the call only.
+  virtual void OnPeerFrame(const instance_name& peer,
+                           const wire::peer_frame& frame) = 0;
+};
+
+struct peer_transport_counters {
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t bytes_received = 0;
+  std::uint64_t frames_sent = 0;
+  std::uint64_t frames_received = 0;
+  std::uint64_t rejected_links = 0;
+};
+
+class peer_transport {
+ public:
+  peer_transport(boost::asio::any_io_executor executor,
+                 peer_transport_options options,
+                 peer_transport_handler* handler);
+  ~peer_transport();
+
+  boost::leaf::result<void> Listen();
+  // Opens a link unless one to this address is open or being opened.
+  void Dial(const std::string& address);
+  bool Connected(const instance_name& peer) const;
+  std::vector<instance_name> connected_peers() const;
+  // Returns false if there is no link to `peer`; the frame is then dropped.
+  bool Send(const instance_name& peer, const wire::peer_frameT& frame);
+  // Sends to the peer that was dialed at `address`.
+  bool SendToAddress(const std::string& address,
+                     const wire::peer_frameT& frame);
+  void Close();
+  const peer_transport_counters& counters() const;
+
+ private:
+  class impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace bilberrycourse
+
+#endif  // APP_PEER_TRANSPORT_H_
--- /dev/null
+++ b/app/settings.cc
@@ -0,0 +1,319 @@
+#include "app/settings.h"
+
+#include <boost/algorithm/string.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/leaf/error.hpp>
+#include <boost/program_options.hpp>
+#include <charconv>
+#include <fstream>
+#include <map>
+#include <sstream>
+#include <utility>
+
+#include "bilberrycourse/result_code.h"
+
+namespace bilberrycourse {
+namespace {
+
+// Long keys keep the MAC secure; the limit keeps a wrong file from being read
+// as a key.
+constexpr std::size_t kMinSecretBytes = 16;
+constexpr std::size_t kMaxSecretBytes = 4096;
+
+using problem_text = std::string;  // Empty if the value is accepted.
+using parse_function = problem_text (*)(const std::string&, settings*);
+
+struct setting_row {
+  std::string_view section;
+  std::string_view key;
+  bool required;
+  std::string_view allowed;
+  parse_function parse;
+};
+
+std::vector<std::string> SplitList(const std::string& text) {
+  std::vector<std::string> items;
+  boost::split(items, text, boost::is_any_of(","));
+  for (std::string& item : items) boost::trim(item);
+  std::erase(items, "");
+  return items;
+}
+
+bool ValidName(const std::string& text) {
+  return !text.empty() && text.size() <= 64 &&
+         text.find_first_not_of(
+             "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+             "0123456789-_.") == std::string::npos;
+}
+
+template <std::string settings::*Member>
+problem_text ParseName(const std::string& text, settings* out) {
+  if (!ValidName(text)) return "not a valid name";
+  out->*Member = text;
+  return {};
+}
+
+template <socket_address settings::*Member>
+problem_text ParseAddress(const std::string& text, settings* out) {
+  if (!ParseSocketAddress(text, &(out->*Member))) {
+    return "not an IP number with a port";
+  }
+  return {};
+}
+
+template <auto Member, std::uint64_t Low, std::uint64_t High>
+problem_text ParseNumber(const std::string& text, settings* out) {
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto [last, error] = std::from_chars(text.data(), end, value);
+  if (error != std::errc() || last != end) return "not a whole number";
+  if (value < Low || value > High) return "out of range";
+  out->*Member =
+      std::remove_reference_t<decltype(std::declval<settings>().*Member)>(
+          value);
+  return {};
+}
+
+template <std::string settings::*Member>
+problem_text ParseSecretFile(const std::string& text, settings* out) {
+  std::ifstream in(text, std::ios::binary);
+  if (!in) return "cannot be read";
+  std::string secret((std::istreambuf_iterator<char>(in)), {});
+  boost::trim(secret);
+  if (secret.size() < kMinSecretBytes || secret.size() > kMaxSecretBytes) {
+    return "holds a secret of " + std::to_string(secret.size()) + " bytes";
+  }
+  out->*Member = secret;
+  return {};
+}
+
+problem_text ParseRole(const std::string& text, settings* out) {
+  for (const std::string& role : SplitList(text)) {
+    if (role == "entry") {
+      out->entry = true;
+    } else if (role == "control") {
+      out->control = true;
+    } else {
+      return "unknown role '" + role + "'";
+    }
+  }
+  return out->entry || out->control ? "" : "names no role";
+}
+
+problem_text ParseSeeds(const std::string& text, settings* out) {
+  for (const std::string& item : SplitList(text)) {
+    socket_address address;
+    if (!ParseSocketAddress(item, &address)) {
+      return "'" + item + "' is not an IP number with a port";
+    }
+    out->seeds.push_back(address);
+  }
+  return {};
+}
+
+problem_text ParseMembers(const std::string& text, settings* out) {
+  out->initial_members = SplitList(text);
+  for (const std::string& name : out->initial_members) {
+    if (!ValidName(name)) return "'" + name + "' is not a valid name";
+  }
+  const std::size_t count = out->initial_members.size();
+  if (count != 1 && count != 3 && count != 5 && count != 7) {
+    return "names " + std::to_string(count) + " members";
+  }
+  return {};
+}
+
+problem_text ParseDataDir(const std::string& text, settings* out) {
+  if (text.empty()) return "is empty";
+  out->data_dir = text;
+  return {};
+}
+
+problem_text ParseLevel(const std::string& text, settings* out) {
+  return ParseLogLevel(text, &out->level) ? "" : "unknown level";
+}
+
+problem_text ParseRate(const std::string& text, settings* out) {
+  double value = 0;
+  const char* end = text.data() + text.size();
+  const auto [last, error] = std::from_chars(text.data(), end, value);
+  if (error != std::errc() || last != end) return "not a number";
+  if (!(value >= 0 && value <= 1)) return "out of range";
+  out->decision_rate = value;
+  return {};
+}
+
+constexpr std::string_view kNameAllowed =
+    "1 to 64 letters, digits, '-', '_' or '.'";
+constexpr std::string_view kAddressAllowed =
+    "an IP number and a port, such as 127.0.0.1:8001";
+constexpr std::string_view kSecretAllowed =
+    "a readable file with a secret of 16 to 4096 bytes";
+
+constexpr setting_row kRows[] = {
+    {"instance", "name", true, kNameAllowed, ParseName<&settings::name>},
+    {"instance", "availability_zone", true, kNameAllowed,
+     ParseName<&settings::zone>},
+    {"instance", "role", true, "entry, control, or entry,control", ParseRole},
+    {"listen", "caller", true, kAddressAllowed,
+     ParseAddress<&settings::caller_listen>},
+    {"listen", "peer", true, kAddressAllowed,
+     ParseAddress<&settings::peer_listen>},
+    {"peers", "seeds", true, "a list of addresses, separated by commas",
+     ParseSeeds},
+    {"peers", "shared_key_file", true, kSecretAllowed,
+     ParseSecretFile<&settings::shared_key>},
+    {"control", "group", true, kNameAllowed, ParseName<&settings::group>},
+    {"control", "initial_members", true, "1, 3, 5 or 7 instance names",
+     ParseMembers},
+    {"control", "data_dir", false, "a folder on a disk", ParseDataDir},
+    {"operator", "token_file", true, kSecretAllowed,
+     ParseSecretFile<&settings::operator_token>},
+    {"log", "level", false, "debug, info, warning or error", ParseLevel},
+    {"log", "decision_rate", false, "0 to 1", ParseRate},
+    {"limits", "max_request_bytes", false, "1024 to 16777216 bytes",
+     ParseNumber<&settings::max_request_bytes, 1024, 16777216>},
+    {"limits", "max_connections", false, "10 to 100000 connections",
+     ParseNumber<&settings::max_connections, 10, 100000>},
+    {"limits", "read_timeout_ms", false, "100 to 600000 milliseconds",
+     ParseNumber<&settings::read_timeout, 100, 600000>},
+    {"limits", "shutdown_grace_ms", false, "0 to 600000 milliseconds",
+     ParseNumber<&settings::shutdown_grace, 0, 600000>},
+};
+
+const setting_row* FindRow(const std::string& name) {
+  for (const setting_row& row : kRows) {
+    if (name == std::string(row.section) + "." + std::string(row.key)) {
+      return &row;
+    }
+  }
+  return nullptr;
+}
+
+std::pair<std::string, std::string> SplitKey(const std::string& name) {
+  const std::size_t dot = name.find('.');
+  if (dot == std::string::npos) return {"", name};
+  return {name.substr(0, dot), name.substr(dot + 1)};
+}
+
+// Reads the pairs of the file; syntax errors and repeated keys are reported.
+std::map<std::string, std::string> ReadPairs(
+    const std::string& text, std::vector<settings_error>* errors) {
+  namespace po = boost::program_options;
+  std::map<std::string, std::string> pairs;
+  try {
+    std::istringstream in(text);
+    const po::options_description none;
+    const auto parsed = po::parse_config_file(in, none, true);
+    for (const auto& option : parsed.options) {
+      const auto [section, key] = SplitKey(option.string_key);
+      if (!pairs.emplace(option.string_key, option.value.at(0)).second) {
+        errors->push_back({section, key, "is set twice", "one value"});
+      }
+    }
+  } catch (const po::error& error) {
+    errors->push_back({"", "", error.what(), "[section] and key=value lines"});
+  }
+  return pairs;
+}
+
+void CheckContradictions(const settings& s,
+                         std::vector<settings_error>* errors) {
+  if (s.control && s.data_dir.empty()) {
+    errors->push_back({"control", "data_dir", "is missing",
+                       "a folder on a disk when the role includes control"});
+  }
+  if (!s.control && !s.data_dir.empty()) {
+    errors->push_back({"control", "data_dir", "is set without role control",
+                       "no data_dir unless the role includes control"});
+  }
+  if (s.caller_listen == s.peer_listen && s.caller_listen.port != 0) {
+    errors->push_back({"listen", "peer", "equals the caller address",
+                       "another address than [listen] caller"});
+  }
+}
+
+}  // namespace
+
+std::string socket_address::ToText() const {
+  const bool v6 = ip.find(':') != std::string::npos;
+  return (v6 ? "[" + ip + "]" : ip) + ":" + std::to_string(port);
+}
+
+bool ParseSocketAddress(const std::string& text, socket_address* address) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos || colon == 0) return false;
+  std::string ip = text.substr(0, colon);
+  if (ip.front() == '[' && ip.back() == ']') ip = ip.substr(1, ip.size() - 2);
+  boost::system::error_code error;
+  boost::asio::ip::make_address(ip, error);
+  if (error) return false;
+  std::uint16_t port = 0;
+  const char* end = text.data() + text.size();
+  const auto [last, status] =
+      std::from_chars(text.data() + colon + 1, end, port);
+  if (status != std::errc() || last != end || port == 0) return false;
+  *address = {ip, port};
+  return true;
+}
+
+boost::leaf::result<settings> ParseSettings(const std::string& file,
+                                            const std::string& text) {
+  settings parsed;
+  parsed.file = file;
+  std::vector<settings_error> errors;
+  const auto pairs = ReadPairs(text, &errors);
+  for (const auto& [name, value] : pairs) {
+    const auto [section, key] = SplitKey(name);
+    const setting_row* row = FindRow(name);
+    if (row == nullptr) {
+      errors.push_back(
+          {section, key, "is unknown", "the keys of docs/operators.md"});
+      continue;
+    }
+    const std::string problem = row->parse(value, &parsed);
+    if (!problem.empty()) {
+      errors.push_back({section, key, problem, std::string(row->allowed)});
+    }
+  }
+  for (const setting_row& row : kRows) {
+    const std::string name =
+        std::string(row.section) + "." + std::string(row.key);
+    if (row.required && !pairs.contains(name)) {
+      errors.push_back({std::string(row.section), std::string(row.key),
+                        "is missing", std::string(row.allowed)});
+    }
+  }
+  if (errors.empty()) CheckContradictions(parsed, &errors);
+  if (!errors.empty()) {
+    return boost::leaf::new_error(result_code::kInvalidSettings,
+                                  settings_errors{file, std::move(errors)});
+  }
+  return parsed;
+}
+
+boost::leaf::result<settings> LoadSettings(const std::string& file) {
+  std::ifstream in(file, std::ios::binary);
+  if (!in) {
+    return boost::leaf::new_error(
+        result_code::kInvalidSettings,
+        settings_errors{
+            file, {{"", "", "the file cannot be read", "a readable file"}}});
+  }
+  const std::string text((std::istreambuf_iterator<char>(in)), {});
+  return ParseSettings(file, text);
+}
+
+std::string ToText(const settings_errors& errors) {
+  std::ostringstream out;
+  for (const settings_error& error : errors.errors) {
+    out << errors.file << ": ";
+    if (!error.section.empty()) out << "[" << error.section << "] ";
+    if (!error.key.empty()) out << error.key << ": ";
+    out << error.problem << "; allowed: " << error.allowed << " (code "
+        << Describe(result_code::kInvalidSettings).number << ")\n";
+  }
+  return out.str();
+}
+
+}  // namespace bilberrycourse
