--- a/app/peer_frame_generated.h
+++ b/app/peer_frame_generated.h
@@ -88,14 +88,18 @@
 struct admission_requestBuilder;
 struct admission_requestT;
 
-struct admission_grant;
-struct admission_grantBuilder;
-struct admission_grantT;
+struct admission_decision;
+struct admission_decisionBuilder;
+struct admission_decisionT;
 
 struct admission_release;
 struct admission_releaseBuilder;
 struct admission_releaseT;
 
+struct admission_batch;
+struct admission_batchBuilder;
+struct admission_batchT;
+
 struct peer_frame;
 struct peer_frameBuilder;
 struct peer_frameT;
@@ -117,14 +121,12 @@
   shard_result_batch = 13,
   shard_cancel = 14,
   heartbeat = 15,
-  admission_request = 16,
-  admission_grant = 17,
-  admission_release = 18,
+  admission_batch = 16,
   MIN = NONE,
-  MAX = admission_release
+  MAX = admission_batch
 };
 
-inline const payload (&EnumValuespayload())[19] {
+inline const payload (&EnumValuespayload())[17] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -142,15 +144,13 @@
     payload::shard_result_batch,
     payload::shard_cancel,
     payload::heartbeat,
-    payload::admission_request,
-    payload::admission_grant,
-    payload::admission_release
+    payload::admission_batch
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[20] = {
+  static const char * const names[18] = {
     "NONE",
     "hello",
     "proof",
@@ -167,16 +167,14 @@
     "shard_result_batch",
     "shard_cancel",
     "heartbeat",
-    "admission_request",
-    "admission_grant",
-    "admission_release",
+    "admission_batch",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::admission_release)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::admission_batch)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -245,16 +243,8 @@
   static const payload enum_value = payload::heartbeat;
 };
 
-template<> struct payloadTraits<bilberrycourse::wire::admission_request> {
-  static const payload enum_value = payload::admission_request;
-};
-
-template<> struct payloadTraits<bilberrycourse::wire::admission_grant> {
-  static const payload enum_value = payload::admission_grant;
-};
-
-template<> struct payloadTraits<bilberrycourse::wire::admission_release> {
-  static const payload enum_value = payload::admission_release;
+template<> struct payloadTraits<bilberrycourse::wire::admission_batch> {
+  static const payload enum_value = payload::admission_batch;
 };
 
 template<typename T> struct payloadUnionTraits {
@@ -321,16 +311,8 @@
   static const payload enum_value = payload::heartbeat;
 };
 
-template<> struct payloadUnionTraits<bilberrycourse::wire::admission_requestT> {
-  static const payload enum_value = payload::admission_request;
-};
-
-template<> struct payloadUnionTraits<bilberrycourse::wire::admission_grantT> {
-  static const payload enum_value = payload::admission_grant;
-};
-
-template<> struct payloadUnionTraits<bilberrycourse::wire::admission_releaseT> {
-  static const payload enum_value = payload::admission_release;
+template<> struct payloadUnionTraits<bilberrycourse::wire::admission_batchT> {
+  static const payload enum_value = payload::admission_batch;
 };
 
 struct payloadUnion {
@@ -483,29 +465,13 @@
     return type == payload::heartbeat ?
       reinterpret_cast<const bilberrycourse::wire::heartbeatT *>(value) : nullptr;
   }
-  bilberrycourse::wire::admission_requestT *Asadmission_request() {
-    return type == payload::admission_request ?
-      reinterpret_cast<bilberrycourse::wire::admission_requestT *>(value) : nullptr;
-  }
-  const bilberrycourse::wire::admission_requestT *Asadmission_request() const {
-    return type == payload::admission_request ?
-      reinterpret_cast<const bilberrycourse::wire::admission_requestT *>(value) : nullptr;
-  }
-  bilberrycourse::wire::admission_grantT *Asadmission_grant() {
-    return type == payload::admission_grant ?
-      reinterpret_cast<bilberrycourse::wire::admission_grantT *>(value) : nullptr;
+  bilberrycourse::wire::admission_batchT *Asadmission_batch() {
+    return type == payload::admission_batch ?
+      reinterpret_cast<bilberrycourse::wire::admission_batchT *>(value) : nullptr;
   }
-  const bilberrycourse::wire::admission_grantT *Asadmission_grant() const {
-    return type == payload::admission_grant ?
-      reinterpret_cast<const bilberrycourse::wire::admission_grantT *>(value) : nullptr;
-  }
-  bilberrycourse::wire::admission_releaseT *Asadmission_release() {
-    return type == payload::admission_release ?
-      reinterpret_cast<bilberrycourse::wire::admission_releaseT *>(value) : nullptr;
-  }
-  const bilberrycourse::wire::admission_releaseT *Asadmission_release() const {
-    return type == payload::admission_release ?
-      reinterpret_cast<const bilberrycourse::wire::admission_releaseT *>(value) : nullptr;
+  const bilberrycourse::wire::admission_batchT *Asadmission_batch() const {
+    return type == payload::admission_batch ?
+      reinterpret_cast<const bilberrycourse::wire::admission_batchT *>(value) : nullptr;
   }
 };
 
@@ -840,8 +806,7 @@
 struct control_pollT : public flatbuffers::NativeTable {
   typedef control_poll TableType;
   uint64_t poll_id = 0;
-  uint64_t config_version = 0;
-  uint64_t state_version = 0;
+  uint64_t published_version = 0;
 };
 
 struct control_poll FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -849,23 +814,18 @@
   typedef control_pollBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_POLL_ID = 4,
-    VT_CONFIG_VERSION = 6,
-    VT_STATE_VERSION = 8
+    VT_PUBLISHED_VERSION = 6
   };
   uint64_t poll_id() const {
     return GetField<uint64_t>(VT_POLL_ID, 0);
   }
-  uint64_t config_version() const {
-    return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
-  }
-  uint64_t state_version() const {
-    return GetField<uint64_t>(VT_STATE_VERSION, 0);
+  uint64_t published_version() const {
+    return GetField<uint64_t>(VT_PUBLISHED_VERSION, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_POLL_ID, 8) &&
-           VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_STATE_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_PUBLISHED_VERSION, 8) &&
            verifier.EndTable();
   }
   control_pollT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -880,11 +840,8 @@
   void add_poll_id(uint64_t poll_id) {
     fbb_.AddElement<uint64_t>(control_poll::VT_POLL_ID, poll_id, 0);
   }
-  void add_config_version(uint64_t config_version) {
-    fbb_.AddElement<uint64_t>(control_poll::VT_CONFIG_VERSION, config_version, 0);
-  }
-  void add_state_version(uint64_t state_version) {
-    fbb_.AddElement<uint64_t>(control_poll::VT_STATE_VERSION, state_version, 0);
+  void add_published_version(uint64_t published_version) {
+    fbb_.AddElement<uint64_t>(control_poll::VT_PUBLISHED_VERSION, published_version, 0);
   }
   explicit control_pollBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -900,11 +857,9 @@
 inline flatbuffers::Offset<control_poll> Createcontrol_poll(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t poll_id = 0,
-    uint64_t config_version = 0,
-    uint64_t state_version = 0) {
+    uint64_t published_version = 0) {
   control_pollBuilder builder_(_fbb);
-  builder_.add_state_version(state_version);
-  builder_.add_config_version(config_version);
+  builder_.add_published_version(published_version);
   builder_.add_poll_id(poll_id);
   return builder_.Finish();
 }
@@ -916,8 +871,7 @@
   uint64_t poll_id = 0;
   bool confirmed = false;
   uint64_t confirmed_age_us = 0;
-  uint64_t config_version = 0;
-  uint64_t state_version = 0;
+  uint64_t published_version = 0;
   std::vector<uint8_t> state{};
   std::string leader{};
 };
@@ -929,10 +883,9 @@
     VT_POLL_ID = 4,
     VT_CONFIRMED = 6,
     VT_CONFIRMED_AGE_US = 8,
-    VT_CONFIG_VERSION = 10,
-    VT_STATE_VERSION = 12,
-    VT_STATE = 14,
-    VT_LEADER = 16
+    VT_PUBLISHED_VERSION = 10,
+    VT_STATE = 12,
+    VT_LEADER = 14
   };
   uint64_t poll_id() const {
     return GetField<uint64_t>(VT_POLL_ID, 0);
@@ -943,11 +896,8 @@
   uint64_t confirmed_age_us() const {
     return GetField<uint64_t>(VT_CONFIRMED_AGE_US, 0);
   }
-  uint64_t config_version() const {
-    return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
-  }
-  uint64_t state_version() const {
-    return GetField<uint64_t>(VT_STATE_VERSION, 0);
+  uint64_t published_version() const {
+    return GetField<uint64_t>(VT_PUBLISHED_VERSION, 0);
   }
   const flatbuffers::Vector<uint8_t> *state() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_STATE);
@@ -960,8 +910,7 @@
            VerifyField<uint64_t>(verifier, VT_POLL_ID, 8) &&
            VerifyField<uint8_t>(verifier, VT_CONFIRMED, 1) &&
            VerifyField<uint64_t>(verifier, VT_CONFIRMED_AGE_US, 8) &&
-           VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_STATE_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_PUBLISHED_VERSION, 8) &&
            VerifyOffset(verifier, VT_STATE) &&
            verifier.VerifyVector(state()) &&
            VerifyOffset(verifier, VT_LEADER) &&
@@ -986,11 +935,8 @@
   void add_confirmed_age_us(uint64_t confirmed_age_us) {
     fbb_.AddElement<uint64_t>(control_news::VT_CONFIRMED_AGE_US, confirmed_age_us, 0);
   }
-  void add_config_version(uint64_t config_version) {
-    fbb_.AddElement<uint64_t>(control_news::VT_CONFIG_VERSION, config_version, 0);
-  }
-  void add_state_version(uint64_t state_version) {
-    fbb_.AddElement<uint64_t>(control_news::VT_STATE_VERSION, state_version, 0);
+  void add_published_version(uint64_t published_version) {
+    fbb_.AddElement<uint64_t>(control_news::VT_PUBLISHED_VERSION, published_version, 0);
   }
   void add_state(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> state) {
     fbb_.AddOffset(control_news::VT_STATE, state);
@@ -1014,13 +960,11 @@
     uint64_t poll_id = 0,
     bool confirmed = false,
     uint64_t confirmed_age_us = 0,
-    uint64_t config_version = 0,
-    uint64_t state_version = 0,
+    uint64_t published_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> state = 0,
     flatbuffers::Offset<flatbuffers::String> leader = 0) {
   control_newsBuilder builder_(_fbb);
-  builder_.add_state_version(state_version);
-  builder_.add_config_version(config_version);
+  builder_.add_published_version(published_version);
   builder_.add_confirmed_age_us(confirmed_age_us);
   builder_.add_poll_id(poll_id);
   builder_.add_leader(leader);
@@ -1034,8 +978,7 @@
     uint64_t poll_id = 0,
     bool confirmed = false,
     uint64_t confirmed_age_us = 0,
-    uint64_t config_version = 0,
-    uint64_t state_version = 0,
+    uint64_t published_version = 0,
     const std::vector<uint8_t> *state = nullptr,
     const char *leader = nullptr) {
   auto state__ = state ? _fbb.CreateVector<uint8_t>(*state) : 0;
@@ -1045,8 +988,7 @@
       poll_id,
       confirmed,
       confirmed_age_us,
-      config_version,
-      state_version,
+      published_version,
       state__,
       leader__);
 }
@@ -1430,7 +1372,7 @@
   std::string service{};
   uint32_t shard = 0;
   uint64_t version = 0;
-  uint64_t deadline_us = 0;
+  uint64_t remaining_us = 0;
   std::string caller{};
   std::string scope{};
   uint64_t fingerprint = 0;
@@ -1449,7 +1391,7 @@
     VT_SERVICE = 6,
     VT_SHARD = 8,
     VT_VERSION = 10,
-    VT_DEADLINE_US = 12,
+    VT_REMAINING_US = 12,
     VT_CALLER = 14,
     VT_SCOPE = 16,
     VT_FINGERPRINT = 18,
@@ -1471,8 +1413,8 @@
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
   }
-  uint64_t deadline_us() const {
-    return GetField<uint64_t>(VT_DEADLINE_US, 0);
+  uint64_t remaining_us() const {
+    return GetField<uint64_t>(VT_REMAINING_US, 0);
   }
   const flatbuffers::String *caller() const {
     return GetPointer<const flatbuffers::String *>(VT_CALLER);
@@ -1505,7 +1447,7 @@
            verifier.VerifyString(service()) &&
            VerifyField<uint32_t>(verifier, VT_SHARD, 4) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_DEADLINE_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REMAINING_US, 8) &&
            VerifyOffset(verifier, VT_CALLER) &&
            verifier.VerifyString(caller()) &&
            VerifyOffset(verifier, VT_SCOPE) &&
@@ -1541,8 +1483,8 @@
   void add_version(uint64_t version) {
     fbb_.AddElement<uint64_t>(shard_request::VT_VERSION, version, 0);
   }
-  void add_deadline_us(uint64_t deadline_us) {
-    fbb_.AddElement<uint64_t>(shard_request::VT_DEADLINE_US, deadline_us, 0);
+  void add_remaining_us(uint64_t remaining_us) {
+    fbb_.AddElement<uint64_t>(shard_request::VT_REMAINING_US, remaining_us, 0);
   }
   void add_caller(flatbuffers::Offset<flatbuffers::String> caller) {
     fbb_.AddOffset(shard_request::VT_CALLER, caller);
@@ -1585,7 +1527,7 @@
     flatbuffers::Offset<flatbuffers::String> service = 0,
     uint32_t shard = 0,
     uint64_t version = 0,
-    uint64_t deadline_us = 0,
+    uint64_t remaining_us = 0,
     flatbuffers::Offset<flatbuffers::String> caller = 0,
     flatbuffers::Offset<flatbuffers::String> scope = 0,
     uint64_t fingerprint = 0,
@@ -1596,7 +1538,7 @@
     flatbuffers::Offset<flatbuffers::String> traceparent = 0) {
   shard_requestBuilder builder_(_fbb);
   builder_.add_fingerprint(fingerprint);
-  builder_.add_deadline_us(deadline_us);
+  builder_.add_remaining_us(remaining_us);
   builder_.add_version(version);
   builder_.add_request_id(request_id);
   builder_.add_traceparent(traceparent);
@@ -1617,7 +1559,7 @@
     const char *service = nullptr,
     uint32_t shard = 0,
     uint64_t version = 0,
-    uint64_t deadline_us = 0,
+    uint64_t remaining_us = 0,
     const char *caller = nullptr,
     const char *scope = nullptr,
     uint64_t fingerprint = 0,
@@ -1637,7 +1579,7 @@
       service__,
       shard,
       version,
-      deadline_us,
+      remaining_us,
       caller__,
       scope__,
       fingerprint,
@@ -2056,9 +1998,12 @@
 struct admission_requestT : public flatbuffers::NativeTable {
   typedef admission_request TableType;
   std::string scope{};
-  uint64_t request_id = 0;
+  uint64_t query = 0;
   std::string caller{};
-  uint64_t wait_us = 0;
+  uint32_t weight = 0;
+  uint64_t max_wait_us = 0;
+  uint64_t remaining_us = 0;
+  bool running = false;
 };
 
 struct admission_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2066,30 +2011,45 @@
   typedef admission_requestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SCOPE = 4,
-    VT_REQUEST_ID = 6,
+    VT_QUERY = 6,
     VT_CALLER = 8,
-    VT_WAIT_US = 10
+    VT_WEIGHT = 10,
+    VT_MAX_WAIT_US = 12,
+    VT_REMAINING_US = 14,
+    VT_RUNNING = 16
   };
   const flatbuffers::String *scope() const {
     return GetPointer<const flatbuffers::String *>(VT_SCOPE);
   }
-  uint64_t request_id() const {
-    return GetField<uint64_t>(VT_REQUEST_ID, 0);
+  uint64_t query() const {
+    return GetField<uint64_t>(VT_QUERY, 0);
   }
   const flatbuffers::String *caller() const {
     return GetPointer<const flatbuffers::String *>(VT_CALLER);
   }
-  uint64_t wait_us() const {
-    return GetField<uint64_t>(VT_WAIT_US, 0);
+  uint32_t weight() const {
+    return GetField<uint32_t>(VT_WEIGHT, 0);
+  }
+  uint64_t max_wait_us() const {
+    return GetField<uint64_t>(VT_MAX_WAIT_US, 0);
+  }
+  uint64_t remaining_us() const {
+    return GetField<uint64_t>(VT_REMAINING_US, 0);
+  }
+  bool running() const {
+    return GetField<uint8_t>(VT_RUNNING, 0) != 0;
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SCOPE) &&
            verifier.VerifyString(scope()) &&
-           VerifyField<uint64_t>(verifier, VT_REQUEST_ID, 8) &&
+           VerifyField<uint64_t>(verifier, VT_QUERY, 8) &&
            VerifyOffset(verifier, VT_CALLER) &&
            verifier.VerifyString(caller()) &&
-           VerifyField<uint64_t>(verifier, VT_WAIT_US, 8) &&
+           VerifyField<uint32_t>(verifier, VT_WEIGHT, 4) &&
+           VerifyField<uint64_t>(verifier, VT_MAX_WAIT_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REMAINING_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_RUNNING, 1) &&
            verifier.EndTable();
   }
   admission_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2104,14 +2064,23 @@
   void add_scope(flatbuffers::Offset<flatbuffers::String> scope) {
     fbb_.AddOffset(admission_request::VT_SCOPE, scope);
   }
-  void add_request_id(uint64_t request_id) {
-    fbb_.AddElement<uint64_t>(admission_request::VT_REQUEST_ID, request_id, 0);
+  void add_query(uint64_t query) {
+    fbb_.AddElement<uint64_t>(admission_request::VT_QUERY, query, 0);
   }
   void add_caller(flatbuffers::Offset<flatbuffers::String> caller) {
     fbb_.AddOffset(admission_request::VT_CALLER, caller);
   }
-  void add_wait_us(uint64_t wait_us) {
-    fbb_.AddElement<uint64_t>(admission_request::VT_WAIT_US, wait_us, 0);
+  void add_weight(uint32_t weight) {
+    fbb_.AddElement<uint32_t>(admission_request::VT_WEIGHT, weight, 0);
+  }
+  void add_max_wait_us(uint64_t max_wait_us) {
+    fbb_.AddElement<uint64_t>(admission_request::VT_MAX_WAIT_US, max_wait_us, 0);
+  }
+  void add_remaining_us(uint64_t remaining_us) {
+    fbb_.AddElement<uint64_t>(admission_request::VT_REMAINING_US, remaining_us, 0);
+  }
+  void add_running(bool running) {
+    fbb_.AddElement<uint8_t>(admission_request::VT_RUNNING, static_cast<uint8_t>(running), 0);
   }
   explicit admission_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2127,62 +2096,79 @@
 inline flatbuffers::Offset<admission_request> Createadmission_request(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> scope = 0,
-    uint64_t request_id = 0,
+    uint64_t query = 0,
     flatbuffers::Offset<flatbuffers::String> caller = 0,
-    uint64_t wait_us = 0) {
+    uint32_t weight = 0,
+    uint64_t max_wait_us = 0,
+    uint64_t remaining_us = 0,
+    bool running = false) {
   admission_requestBuilder builder_(_fbb);
-  builder_.add_wait_us(wait_us);
-  builder_.add_request_id(request_id);
+  builder_.add_remaining_us(remaining_us);
+  builder_.add_max_wait_us(max_wait_us);
+  builder_.add_query(query);
+  builder_.add_weight(weight);
   builder_.add_caller(caller);
   builder_.add_scope(scope);
+  builder_.add_running(running);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<admission_request> Createadmission_requestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *scope = nullptr,
-    uint64_t request_id = 0,
+    uint64_t query = 0,
     const char *caller = nullptr,
-    uint64_t wait_us = 0) {
+    uint32_t weight = 0,
+    uint64_t max_wait_us = 0,
+    uint64_t remaining_us = 0,
+    bool running = false) {
   auto scope__ = scope ? _fbb.CreateString(scope) : 0;
   auto caller__ = caller ? _fbb.CreateString(caller) : 0;
   return bilberrycourse::wire::Createadmission_request(
       _fbb,
       scope__,
-      request_id,
+      query,
       caller__,
-      wait_us);
+      weight,
+      max_wait_us,
+      remaining_us,
+      running);
 }
 
 flatbuffers::Offset<admission_request> Createadmission_request(flatbuffers::FlatBufferBuilder &_fbb, const admission_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct admission_grantT : public flatbuffers::NativeTable {
-  typedef admission_grant TableType;
+struct admission_decisionT : public flatbuffers::NativeTable {
+  typedef admission_decision TableType;
   std::string scope{};
-  uint64_t request_id = 0;
-  bool granted = false;
+  uint64_t query = 0;
+  uint8_t verdict = 0;
+  uint16_t code = 0;
   uint64_t retry_after_us = 0;
   uint32_t limit = 0;
 };
 
-struct admission_grant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef admission_grantT NativeTableType;
-  typedef admission_grantBuilder Builder;
+struct admission_decision FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef admission_decisionT NativeTableType;
+  typedef admission_decisionBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SCOPE = 4,
-    VT_REQUEST_ID = 6,
-    VT_GRANTED = 8,
-    VT_RETRY_AFTER_US = 10,
-    VT_LIMIT = 12
+    VT_QUERY = 6,
+    VT_VERDICT = 8,
+    VT_CODE = 10,
+    VT_RETRY_AFTER_US = 12,
+    VT_LIMIT = 14
   };
   const flatbuffers::String *scope() const {
     return GetPointer<const flatbuffers::String *>(VT_SCOPE);
   }
-  uint64_t request_id() const {
-    return GetField<uint64_t>(VT_REQUEST_ID, 0);
+  uint64_t query() const {
+    return GetField<uint64_t>(VT_QUERY, 0);
   }
-  bool granted() const {
-    return GetField<uint8_t>(VT_GRANTED, 0) != 0;
+  uint8_t verdict() const {
+    return GetField<uint8_t>(VT_VERDICT, 0);
+  }
+  uint16_t code() const {
+    return GetField<uint16_t>(VT_CODE, 0);
   }
   uint64_t retry_after_us() const {
     return GetField<uint64_t>(VT_RETRY_AFTER_US, 0);
@@ -2194,86 +2180,95 @@
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SCOPE) &&
            verifier.VerifyString(scope()) &&
-           VerifyField<uint64_t>(verifier, VT_REQUEST_ID, 8) &&
-           VerifyField<uint8_t>(verifier, VT_GRANTED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_QUERY, 8) &&
+           VerifyField<uint8_t>(verifier, VT_VERDICT, 1) &&
+           VerifyField<uint16_t>(verifier, VT_CODE, 2) &&
            VerifyField<uint64_t>(verifier, VT_RETRY_AFTER_US, 8) &&
            VerifyField<uint32_t>(verifier, VT_LIMIT, 4) &&
            verifier.EndTable();
   }
-  admission_grantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(admission_grantT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<admission_grant> Pack(flatbuffers::FlatBufferBuilder &_fbb, const admission_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  admission_decisionT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(admission_decisionT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<admission_decision> Pack(flatbuffers::FlatBufferBuilder &_fbb, const admission_decisionT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct admission_grantBuilder {
-  typedef admission_grant Table;
+struct admission_decisionBuilder {
+  typedef admission_decision Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
   void add_scope(flatbuffers::Offset<flatbuffers::String> scope) {
-    fbb_.AddOffset(admission_grant::VT_SCOPE, scope);
+    fbb_.AddOffset(admission_decision::VT_SCOPE, scope);
   }
-  void add_request_id(uint64_t request_id) {
-    fbb_.AddElement<uint64_t>(admission_grant::VT_REQUEST_ID, request_id, 0);
+  void add_query(uint64_t query) {
+    fbb_.AddElement<uint64_t>(admission_decision::VT_QUERY, query, 0);
+  }
+  void add_verdict(uint8_t verdict) {
+    fbb_.AddElement<uint8_t>(admission_decision::VT_VERDICT, verdict, 0);
   }
-  void add_granted(bool granted) {
-    fbb_.AddElement<uint8_t>(admission_grant::VT_GRANTED, static_cast<uint8_t>(granted), 0);
+  void add_code(uint16_t code) {
+    fbb_.AddElement<uint16_t>(admission_decision::VT_CODE, code, 0);
   }
   void add_retry_after_us(uint64_t retry_after_us) {
-    fbb_.AddElement<uint64_t>(admission_grant::VT_RETRY_AFTER_US, retry_after_us, 0);
+    fbb_.AddElement<uint64_t>(admission_decision::VT_RETRY_AFTER_US, retry_after_us, 0);
   }
   void add_limit(uint32_t limit) {
-    fbb_.AddElement<uint32_t>(admission_grant::VT_LIMIT, limit, 0);
+    fbb_.AddElement<uint32_t>(admission_decision::VT_LIMIT, limit, 0);
   }
-  explicit admission_grantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit admission_decisionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<admission_grant> Finish() {
+  flatbuffers::Offset<admission_decision> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<admission_grant>(end);
+    auto o = flatbuffers::Offset<admission_decision>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<admission_grant> Createadmission_grant(
+inline flatbuffers::Offset<admission_decision> Createadmission_decision(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> scope = 0,
-    uint64_t request_id = 0,
-    bool granted = false,
+    uint64_t query = 0,
+    uint8_t verdict = 0,
+    uint16_t code = 0,
     uint64_t retry_after_us = 0,
     uint32_t limit = 0) {
-  admission_grantBuilder builder_(_fbb);
+  admission_decisionBuilder builder_(_fbb);
   builder_.add_retry_after_us(retry_after_us);
-  builder_.add_request_id(request_id);
+  builder_.add_query(query);
   builder_.add_limit(limit);
   builder_.add_scope(scope);
-  builder_.add_granted(granted);
+  builder_.add_code(code);
+  builder_.add_verdict(verdict);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<admission_grant> Createadmission_grantDirect(
+inline flatbuffers::Offset<admission_decision> Createadmission_decisionDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *scope = nullptr,
-    uint64_t request_id = 0,
-    bool granted = false,
+    uint64_t query = 0,
+    uint8_t verdict = 0,
+    uint16_t code = 0,
     uint64_t retry_after_us = 0,
     uint32_t limit = 0) {
   auto scope__ = scope ? _fbb.CreateString(scope) : 0;
-  return bilberrycourse::wire::Createadmission_grant(
+  return bilberrycourse::wire::Createadmission_decision(
       _fbb,
       scope__,
-      request_id,
-      granted,
+      query,
+      verdict,
+      code,
       retry_after_us,
       limit);
 }
 
-flatbuffers::Offset<admission_grant> Createadmission_grant(flatbuffers::FlatBufferBuilder &_fbb, const admission_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<admission_decision> Createadmission_decision(flatbuffers::FlatBufferBuilder &_fbb, const admission_decisionT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct admission_releaseT : public flatbuffers::NativeTable {
   typedef admission_release TableType;
   std::string scope{};
-  uint64_t request_id = 0;
+  uint64_t query = 0;
+  bool measured = false;
   uint64_t queue_wait_us = 0;
   uint64_t service_time_us = 0;
 };
@@ -2283,15 +2278,19 @@
   typedef admission_releaseBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SCOPE = 4,
-    VT_REQUEST_ID = 6,
-    VT_QUEUE_WAIT_US = 8,
-    VT_SERVICE_TIME_US = 10
+    VT_QUERY = 6,
+    VT_MEASURED = 8,
+    VT_QUEUE_WAIT_US = 10,
+    VT_SERVICE_TIME_US = 12
   };
   const flatbuffers::String *scope() const {
     return GetPointer<const flatbuffers::String *>(VT_SCOPE);
   }
-  uint64_t request_id() const {
-    return GetField<uint64_t>(VT_REQUEST_ID, 0);
+  uint64_t query() const {
+    return GetField<uint64_t>(VT_QUERY, 0);
+  }
+  bool measured() const {
+    return GetField<uint8_t>(VT_MEASURED, 0) != 0;
   }
   uint64_t queue_wait_us() const {
     return GetField<uint64_t>(VT_QUEUE_WAIT_US, 0);
@@ -2303,7 +2302,8 @@
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SCOPE) &&
            verifier.VerifyString(scope()) &&
-           VerifyField<uint64_t>(verifier, VT_REQUEST_ID, 8) &&
+           VerifyField<uint64_t>(verifier, VT_QUERY, 8) &&
+           VerifyField<uint8_t>(verifier, VT_MEASURED, 1) &&
            VerifyField<uint64_t>(verifier, VT_QUEUE_WAIT_US, 8) &&
            VerifyField<uint64_t>(verifier, VT_SERVICE_TIME_US, 8) &&
            verifier.EndTable();
@@ -2320,8 +2320,11 @@
   void add_scope(flatbuffers::Offset<flatbuffers::String> scope) {
     fbb_.AddOffset(admission_release::VT_SCOPE, scope);
   }
-  void add_request_id(uint64_t request_id) {
-    fbb_.AddElement<uint64_t>(admission_release::VT_REQUEST_ID, request_id, 0);
+  void add_query(uint64_t query) {
+    fbb_.AddElement<uint64_t>(admission_release::VT_QUERY, query, 0);
+  }
+  void add_measured(bool measured) {
+    fbb_.AddElement<uint8_t>(admission_release::VT_MEASURED, static_cast<uint8_t>(measured), 0);
   }
   void add_queue_wait_us(uint64_t queue_wait_us) {
     fbb_.AddElement<uint64_t>(admission_release::VT_QUEUE_WAIT_US, queue_wait_us, 0);
@@ -2343,34 +2346,137 @@
 inline flatbuffers::Offset<admission_release> Createadmission_release(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> scope = 0,
-    uint64_t request_id = 0,
+    uint64_t query = 0,
+    bool measured = false,
     uint64_t queue_wait_us = 0,
     uint64_t service_time_us = 0) {
   admission_releaseBuilder builder_(_fbb);
   builder_.add_service_time_us(service_time_us);
   builder_.add_queue_wait_us(queue_wait_us);
-  builder_.add_request_id(request_id);
+  builder_.add_query(query);
   builder_.add_scope(scope);
+  builder_.add_measured(measured);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<admission_release> Createadmission_releaseDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *scope = nullptr,
-    uint64_t request_id = 0,
+    uint64_t query = 0,
+    bool measured = false,
     uint64_t queue_wait_us = 0,
     uint64_t service_time_us = 0) {
   auto scope__ = scope ? _fbb.CreateString(scope) : 0;
   return bilberrycourse::wire::Createadmission_release(
       _fbb,
       scope__,
-      request_id,
+      query,
+      measured,
       queue_wait_us,
       service_time_us);
 }
 
 flatbuffers::Offset<admission_release> Createadmission_release(flatbuffers::FlatBufferBuilder &_fbb, const admission_releaseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct admission_batchT : public flatbuffers::NativeTable {
+  typedef admission_batch TableType;
+  std::vector<std::unique_ptr<bilberrycourse::wire::admission_requestT>> requests{};
+  std::vector<std::unique_ptr<bilberrycourse::wire::admission_decisionT>> decisions{};
+  std::vector<std::unique_ptr<bilberrycourse::wire::admission_releaseT>> releases{};
+  admission_batchT() = default;
+  admission_batchT(const admission_batchT &o);
+  admission_batchT(admission_batchT&&) FLATBUFFERS_NOEXCEPT = default;
+  admission_batchT &operator=(admission_batchT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct admission_batch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef admission_batchT NativeTableType;
+  typedef admission_batchBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUESTS = 4,
+    VT_DECISIONS = 6,
+    VT_RELEASES = 8
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::admission_request>> *requests() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::admission_request>> *>(VT_REQUESTS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::admission_decision>> *decisions() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::admission_decision>> *>(VT_DECISIONS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::admission_release>> *releases() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::admission_release>> *>(VT_RELEASES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_REQUESTS) &&
+           verifier.VerifyVector(requests()) &&
+           verifier.VerifyVectorOfTables(requests()) &&
+           VerifyOffset(verifier, VT_DECISIONS) &&
+           verifier.VerifyVector(decisions()) &&
+           verifier.VerifyVectorOfTables(decisions()) &&
+           VerifyOffset(verifier, VT_RELEASES) &&
+           verifier.VerifyVector(releases()) &&
+           verifier.VerifyVectorOfTables(releases()) &&
+           verifier.EndTable();
+  }
+  admission_batchT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(admission_batchT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<admission_batch> Pack(flatbuffers::FlatBufferBuilder &_fbb, const admission_batchT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct admission_batchBuilder {
+  typedef admission_batch Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_requests(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::admission_request>>> requests) {
+    fbb_.AddOffset(admission_batch::VT_REQUESTS, requests);
+  }
+  void add_decisions(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::admission_decision>>> decisions) {
+    fbb_.AddOffset(admission_batch::VT_DECISIONS, decisions);
+  }
+  void add_releases(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::admission_release>>> releases) {
+    fbb_.AddOffset(admission_batch::VT_RELEASES, releases);
+  }
+  explicit admission_batchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<admission_batch> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<admission_batch>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<admission_batch> Createadmission_batch(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::admission_request>>> requests = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::admission_decision>>> decisions = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::admission_release>>> releases = 0) {
+  admission_batchBuilder builder_(_fbb);
+  builder_.add_releases(releases);
+  builder_.add_decisions(decisions);
+  builder_.add_requests(requests);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<admission_batch> Createadmission_batchDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<bilberrycourse::wire::admission_request>> *requests = nullptr,
+    const std::vector<flatbuffers::Offset<bilberrycourse::wire::admission_decision>> *decisions = nullptr,
+    const std::vector<flatbuffers::Offset<bilberrycourse::wire::admission_release>> *releases = nullptr) {
+  auto requests__ = requests ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::admission_request>>(*requests) : 0;
+  auto decisions__ = decisions ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::admission_decision>>(*decisions) : 0;
+  auto releases__ = releases ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::admission_release>>(*releases) : 0;
+  return bilberrycourse::wire::Createadmission_batch(
+      _fbb,
+      requests__,
+      decisions__,
+      releases__);
+}
+
+flatbuffers::Offset<admission_batch> Createadmission_batch(flatbuffers::FlatBufferBuilder &_fbb, const admission_batchT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct peer_frameT : public flatbuffers::NativeTable {
   typedef peer_frame TableType;
   bilberrycourse::wire::payloadUnion payload{};
@@ -2435,14 +2541,8 @@
   const bilberrycourse::wire::heartbeat *payload_as_heartbeat() const {
     return payload_type() == bilberrycourse::wire::payload::heartbeat ? static_cast<const bilberrycourse::wire::heartbeat *>(payload()) : nullptr;
   }
-  const bilberrycourse::wire::admission_request *payload_as_admission_request() const {
-    return payload_type() == bilberrycourse::wire::payload::admission_request ? static_cast<const bilberrycourse::wire::admission_request *>(payload()) : nullptr;
-  }
-  const bilberrycourse::wire::admission_grant *payload_as_admission_grant() const {
-    return payload_type() == bilberrycourse::wire::payload::admission_grant ? static_cast<const bilberrycourse::wire::admission_grant *>(payload()) : nullptr;
-  }
-  const bilberrycourse::wire::admission_release *payload_as_admission_release() const {
-    return payload_type() == bilberrycourse::wire::payload::admission_release ? static_cast<const bilberrycourse::wire::admission_release *>(payload()) : nullptr;
+  const bilberrycourse::wire::admission_batch *payload_as_admission_batch() const {
+    return payload_type() == bilberrycourse::wire::payload::admission_batch ? static_cast<const bilberrycourse::wire::admission_batch *>(payload()) : nullptr;
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -2516,16 +2616,8 @@
   return payload_as_heartbeat();
 }
 
-template<> inline const bilberrycourse::wire::admission_request *peer_frame::payload_as<bilberrycourse::wire::admission_request>() const {
-  return payload_as_admission_request();
-}
-
-template<> inline const bilberrycourse::wire::admission_grant *peer_frame::payload_as<bilberrycourse::wire::admission_grant>() const {
-  return payload_as_admission_grant();
-}
-
-template<> inline const bilberrycourse::wire::admission_release *peer_frame::payload_as<bilberrycourse::wire::admission_release>() const {
-  return payload_as_admission_release();
+template<> inline const bilberrycourse::wire::admission_batch *peer_frame::payload_as<bilberrycourse::wire::admission_batch>() const {
+  return payload_as_admission_batch();
 }
 
 struct peer_frameBuilder {
@@ -2704,8 +2796,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = poll_id(); _o->poll_id = _e; }
-  { auto _e = config_version(); _o->config_version = _e; }
-  { auto _e = state_version(); _o->state_version = _e; }
+  { auto _e = published_version(); _o->published_version = _e; }
 }
 
 inline flatbuffers::Offset<control_poll> control_poll::Pack(flatbuffers::FlatBufferBuilder &_fbb, const control_pollT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2717,13 +2808,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const control_pollT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _poll_id = _o->poll_id;
-  auto _config_version = _o->config_version;
-  auto _state_version = _o->state_version;
+  auto _published_version = _o->published_version;
   return bilberrycourse::wire::Createcontrol_poll(
       _fbb,
       _poll_id,
-      _config_version,
-      _state_version);
+      _published_version);
 }
 
 inline control_newsT *control_news::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -2738,8 +2827,7 @@
   { auto _e = poll_id(); _o->poll_id = _e; }
   { auto _e = confirmed(); _o->confirmed = _e; }
   { auto _e = confirmed_age_us(); _o->confirmed_age_us = _e; }
-  { auto _e = config_version(); _o->config_version = _e; }
-  { auto _e = state_version(); _o->state_version = _e; }
+  { auto _e = published_version(); _o->published_version = _e; }
   { auto _e = state(); if (_e) { _o->state.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->state.begin()); } }
   { auto _e = leader(); if (_e) _o->leader = _e->str(); }
 }
@@ -2755,8 +2843,7 @@
   auto _poll_id = _o->poll_id;
   auto _confirmed = _o->confirmed;
   auto _confirmed_age_us = _o->confirmed_age_us;
-  auto _config_version = _o->config_version;
-  auto _state_version = _o->state_version;
+  auto _published_version = _o->published_version;
   auto _state = _o->state.size() ? _fbb.CreateVector(_o->state) : 0;
   auto _leader = _o->leader.empty() ? 0 : _fbb.CreateString(_o->leader);
   return bilberrycourse::wire::Createcontrol_news(
@@ -2764,8 +2851,7 @@
       _poll_id,
       _confirmed,
       _confirmed_age_us,
-      _config_version,
-      _state_version,
+      _published_version,
       _state,
       _leader);
 }
@@ -2914,7 +3000,7 @@
   { auto _e = service(); if (_e) _o->service = _e->str(); }
   { auto _e = shard(); _o->shard = _e; }
   { auto _e = version(); _o->version = _e; }
-  { auto _e = deadline_us(); _o->deadline_us = _e; }
+  { auto _e = remaining_us(); _o->remaining_us = _e; }
   { auto _e = caller(); if (_e) _o->caller = _e->str(); }
   { auto _e = scope(); if (_e) _o->scope = _e->str(); }
   { auto _e = fingerprint(); _o->fingerprint = _e; }
@@ -2937,7 +3023,7 @@
   auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
   auto _shard = _o->shard;
   auto _version = _o->version;
-  auto _deadline_us = _o->deadline_us;
+  auto _remaining_us = _o->remaining_us;
   auto _caller = _o->caller.empty() ? 0 : _fbb.CreateString(_o->caller);
   auto _scope = _o->scope.empty() ? 0 : _fbb.CreateString(_o->scope);
   auto _fingerprint = _o->fingerprint;
@@ -2952,7 +3038,7 @@
       _service,
       _shard,
       _version,
-      _deadline_us,
+      _remaining_us,
       _caller,
       _scope,
       _fingerprint,
@@ -3144,9 +3230,12 @@
   (void)_o;
   (void)_resolver;
   { auto _e = scope(); if (_e) _o->scope = _e->str(); }
-  { auto _e = request_id(); _o->request_id = _e; }
+  { auto _e = query(); _o->query = _e; }
   { auto _e = caller(); if (_e) _o->caller = _e->str(); }
-  { auto _e = wait_us(); _o->wait_us = _e; }
+  { auto _e = weight(); _o->weight = _e; }
+  { auto _e = max_wait_us(); _o->max_wait_us = _e; }
+  { auto _e = remaining_us(); _o->remaining_us = _e; }
+  { auto _e = running(); _o->running = _e; }
 }
 
 inline flatbuffers::Offset<admission_request> admission_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const admission_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3158,51 +3247,60 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const admission_requestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _scope = _o->scope.empty() ? 0 : _fbb.CreateString(_o->scope);
-  auto _request_id = _o->request_id;
+  auto _query = _o->query;
   auto _caller = _o->caller.empty() ? 0 : _fbb.CreateString(_o->caller);
-  auto _wait_us = _o->wait_us;
+  auto _weight = _o->weight;
+  auto _max_wait_us = _o->max_wait_us;
+  auto _remaining_us = _o->remaining_us;
+  auto _running = _o->running;
   return bilberrycourse::wire::Createadmission_request(
       _fbb,
       _scope,
-      _request_id,
+      _query,
       _caller,
-      _wait_us);
+      _weight,
+      _max_wait_us,
+      _remaining_us,
+      _running);
 }
 
-inline admission_grantT *admission_grant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::unique_ptr<admission_grantT>(new admission_grantT());
+inline admission_decisionT *admission_decision::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<admission_decisionT>(new admission_decisionT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void admission_grant::UnPackTo(admission_grantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void admission_decision::UnPackTo(admission_decisionT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
   { auto _e = scope(); if (_e) _o->scope = _e->str(); }
-  { auto _e = request_id(); _o->request_id = _e; }
-  { auto _e = granted(); _o->granted = _e; }
+  { auto _e = query(); _o->query = _e; }
+  { auto _e = verdict(); _o->verdict = _e; }
+  { auto _e = code(); _o->code = _e; }
   { auto _e = retry_after_us(); _o->retry_after_us = _e; }
   { auto _e = limit(); _o->limit = _e; }
 }
 
-inline flatbuffers::Offset<admission_grant> admission_grant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const admission_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createadmission_grant(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<admission_decision> admission_decision::Pack(flatbuffers::FlatBufferBuilder &_fbb, const admission_decisionT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createadmission_decision(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<admission_grant> Createadmission_grant(flatbuffers::FlatBufferBuilder &_fbb, const admission_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<admission_decision> Createadmission_decision(flatbuffers::FlatBufferBuilder &_fbb, const admission_decisionT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const admission_grantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const admission_decisionT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _scope = _o->scope.empty() ? 0 : _fbb.CreateString(_o->scope);
-  auto _request_id = _o->request_id;
-  auto _granted = _o->granted;
+  auto _query = _o->query;
+  auto _verdict = _o->verdict;
+  auto _code = _o->code;
   auto _retry_after_us = _o->retry_after_us;
   auto _limit = _o->limit;
-  return bilberrycourse::wire::Createadmission_grant(
+  return bilberrycourse::wire::Createadmission_decision(
       _fbb,
       _scope,
-      _request_id,
-      _granted,
+      _query,
+      _verdict,
+      _code,
       _retry_after_us,
       _limit);
 }
@@ -3217,7 +3315,8 @@
   (void)_o;
   (void)_resolver;
   { auto _e = scope(); if (_e) _o->scope = _e->str(); }
-  { auto _e = request_id(); _o->request_id = _e; }
+  { auto _e = query(); _o->query = _e; }
+  { auto _e = measured(); _o->measured = _e; }
   { auto _e = queue_wait_us(); _o->queue_wait_us = _e; }
   { auto _e = service_time_us(); _o->service_time_us = _e; }
 }
@@ -3231,17 +3330,67 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const admission_releaseT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _scope = _o->scope.empty() ? 0 : _fbb.CreateString(_o->scope);
-  auto _request_id = _o->request_id;
+  auto _query = _o->query;
+  auto _measured = _o->measured;
   auto _queue_wait_us = _o->queue_wait_us;
   auto _service_time_us = _o->service_time_us;
   return bilberrycourse::wire::Createadmission_release(
       _fbb,
       _scope,
-      _request_id,
+      _query,
+      _measured,
       _queue_wait_us,
       _service_time_us);
 }
 
+inline admission_batchT::admission_batchT(const admission_batchT &o) {
+  requests.reserve(o.requests.size());
+  for (const auto &requests_ : o.requests) { requests.emplace_back((requests_) ? new bilberrycourse::wire::admission_requestT(*requests_) : nullptr); }
+  decisions.reserve(o.decisions.size());
+  for (const auto &decisions_ : o.decisions) { decisions.emplace_back((decisions_) ? new bilberrycourse::wire::admission_decisionT(*decisions_) : nullptr); }
+  releases.reserve(o.releases.size());
+  for (const auto &releases_ : o.releases) { releases.emplace_back((releases_) ? new bilberrycourse::wire::admission_releaseT(*releases_) : nullptr); }
+}
+
+inline admission_batchT &admission_batchT::operator=(admission_batchT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(requests, o.requests);
+  std::swap(decisions, o.decisions);
+  std::swap(releases, o.releases);
+  return *this;
+}
+
+inline admission_batchT *admission_batch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<admission_batchT>(new admission_batchT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void admission_batch::UnPackTo(admission_batchT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = requests(); if (_e) { _o->requests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->requests[_i] = std::unique_ptr<bilberrycourse::wire::admission_requestT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = decisions(); if (_e) { _o->decisions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->decisions[_i] = std::unique_ptr<bilberrycourse::wire::admission_decisionT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = releases(); if (_e) { _o->releases.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->releases[_i] = std::unique_ptr<bilberrycourse::wire::admission_releaseT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<admission_batch> admission_batch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const admission_batchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createadmission_batch(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<admission_batch> Createadmission_batch(flatbuffers::FlatBufferBuilder &_fbb, const admission_batchT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const admission_batchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _requests = _o->requests.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::admission_request>> (_o->requests.size(), [](size_t i, _VectorArgs *__va) { return Createadmission_request(*__va->__fbb, __va->__o->requests[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _decisions = _o->decisions.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::admission_decision>> (_o->decisions.size(), [](size_t i, _VectorArgs *__va) { return Createadmission_decision(*__va->__fbb, __va->__o->decisions[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _releases = _o->releases.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::admission_release>> (_o->releases.size(), [](size_t i, _VectorArgs *__va) { return Createadmission_release(*__va->__fbb, __va->__o->releases[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return bilberrycourse::wire::Createadmission_batch(
+      _fbb,
+      _requests,
+      _decisions,
+      _releases);
+}
+
 inline peer_frameT *peer_frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<peer_frameT>(new peer_frameT());
   UnPackTo(_o.get(), _resolver);
@@ -3336,16 +3485,8 @@
       auto ptr = reinterpret_cast<const bilberrycourse::wire::heartbeat *>(obj);
       return verifier.VerifyTable(ptr);
     }
-    case payload::admission_request: {
-      auto ptr = reinterpret_cast<const bilberrycourse::wire::admission_request *>(obj);
-      return verifier.VerifyTable(ptr);
-    }
-    case payload::admission_grant: {
-      auto ptr = reinterpret_cast<const bilberrycourse::wire::admission_grant *>(obj);
-      return verifier.VerifyTable(ptr);
-    }
-    case payload::admission_release: {
-      auto ptr = reinterpret_cast<const bilberrycourse::wire::admission_release *>(obj);
+    case payload::admission_batch: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::admission_batch *>(obj);
       return verifier.VerifyTable(ptr);
     }
     default: return true;
@@ -3427,16 +3568,8 @@
       auto ptr = reinterpret_cast<const bilberrycourse::wire::heartbeat *>(obj);
       return ptr->UnPack(resolver);
     }
-    case payload::admission_request: {
-      auto ptr = reinterpret_cast<const bilberrycourse::wire::admission_request *>(obj);
-      return ptr->UnPack(resolver);
-    }
-    case payload::admission_grant: {
-      auto ptr = reinterpret_cast<const bilberrycourse::wire::admission_grant *>(obj);
-      return ptr->UnPack(resolver);
-    }
-    case payload::admission_release: {
-      auto ptr = reinterpret_cast<const bilberrycourse::wire::admission_release *>(obj);
+    case payload::admission_batch: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::admission_batch *>(obj);
       return ptr->UnPack(resolver);
     }
     default: return nullptr;
@@ -3506,17 +3639,9 @@
       auto ptr = reinterpret_cast<const bilberrycourse::wire::heartbeatT *>(value);
       return Createheartbeat(_fbb, ptr, _rehasher).Union();
     }
-    case payload::admission_request: {
-      auto ptr = reinterpret_cast<const bilberrycourse::wire::admission_requestT *>(value);
-      return Createadmission_request(_fbb, ptr, _rehasher).Union();
-    }
-    case payload::admission_grant: {
-      auto ptr = reinterpret_cast<const bilberrycourse::wire::admission_grantT *>(value);
-      return Createadmission_grant(_fbb, ptr, _rehasher).Union();
-    }
-    case payload::admission_release: {
-      auto ptr = reinterpret_cast<const bilberrycourse::wire::admission_releaseT *>(value);
-      return Createadmission_release(_fbb, ptr, _rehasher).Union();
+    case payload::admission_batch: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::admission_batchT *>(value);
+      return Createadmission_batch(_fbb, ptr, _rehasher).Union();
     }
     default: return 0;
   }
@@ -3584,16 +3709,8 @@
       value = new bilberrycourse::wire::heartbeatT(*reinterpret_cast<bilberrycourse::wire::heartbeatT *>(u.value));
       break;
     }
-    case payload::admission_request: {
-      value = new bilberrycourse::wire::admission_requestT(*reinterpret_cast<bilberrycourse::wire::admission_requestT *>(u.value));
-      break;
-    }
-    case payload::admission_grant: {
-      value = new bilberrycourse::wire::admission_grantT(*reinterpret_cast<bilberrycourse::wire::admission_grantT *>(u.value));
-      break;
-    }
-    case payload::admission_release: {
-      value = new bilberrycourse::wire::admission_releaseT(*reinterpret_cast<bilberrycourse::wire::admission_releaseT *>(u.value));
+    case payload::admission_batch: {
+      value = new bilberrycourse::wire::admission_batchT(*reinterpret_cast<bilberrycourse::wire::admission_batchT *>(u.value));
       break;
     }
     default:
@@ -3678,18 +3795,8 @@
       delete ptr;
       break;
     }
-    case payload::admission_request: {
-      auto ptr = reinterpret_cast<bilberrycourse::wire::admission_requestT *>(value);
-      delete ptr;
-      break;
-    }
-    case payload::admission_grant: {
-      auto ptr = reinterpret_cast<bilberrycourse::wire::admission_grantT *>(value);
-      delete ptr;
-      break;
-    }
-    case payload::admission_release: {
-      auto ptr = reinterpret_cast<bilberrycourse::wire::admission_releaseT *>(value);
+    case payload::admission_batch: {
+      auto ptr = reinterpret_cast<bilberrycourse::wire::admission_batchT *>(value);
       delete ptr;
       break;
     }
--- a/app/settings.cc
+++ b/app/settings.cc
@@ -1,5 +1,6 @@
 #include "app/settings.h"
 
+#include <algorithm>
 #include <boost/algorithm/string.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/leaf/error.hpp>
@@ -123,6 +124,14 @@
   return {};
 }
 
+problem_text ParseSpares(const std::string& text, settings* out) {
+  out->spares = SplitList(text);
+  for (const std::string& name : out->spares) {
+    if (!ValidName(name)) return "'" + name + "' is not a valid name";
+  }
+  return {};
+}
+
 problem_text ParseDataDir(const std::string& text, settings* out) {
   if (text.empty()) return "is empty";
   out->data_dir = text;
@@ -166,6 +175,7 @@
     {"control", "group", true, kNameAllowed, ParseName<&settings::group>},
     {"control", "initial_members", true, "1, 3, 5 or 7 instance names",
      ParseMembers},
+    {"control", "spares", false, "a list of instance names", ParseSpares},
     {"control", "data_dir", false, "a folder on a disk", ParseDataDir},
     {"operator", "token_file", true, kSecretAllowed,
      ParseSecretFile<&settings::operator_token>},
@@ -217,6 +227,11 @@
   return pairs;
 }
 
+bool Contains(const std::vector<instance_name>& names,
+              const instance_name& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
 void CheckContradictions(const settings& s,
                          std::vector<settings_error>* errors) {
   if (s.control && s.data_dir.empty()) {
@@ -227,6 +242,21 @@
     errors->push_back({"control", "data_dir", "is set without role control",
                        "no data_dir unless the role includes control"});
   }
+  const bool listed =
+      Contains(s.initial_members, s.name) || Contains(s.spares, s.name);
+  if (s.control != listed) {
+    errors->push_back(
+        {"instance", "role",
+         s.control ? "includes control, but the name is not listed"
+                   : "lacks control, but the name is listed",
+         "role control exactly for the names in [control] initial_members "
+         "and spares"});
+  }
+  for (const instance_name& spare : s.spares) {
+    if (!Contains(s.initial_members, spare)) continue;
+    errors->push_back({"control", "spares", "lists an initial member",
+                       "names that are not in initial_members"});
+  }
   if (s.caller_listen == s.peer_listen && s.caller_listen.port != 0) {
     errors->push_back({"listen", "peer", "equals the caller address",
                        "another address than [listen] caller"});
--- a/app/settings.h
+++ b/app/settings.h
@@ -52,6 +52,8 @@
   // [control]
   std::string group;
   std::vector<instance_name> initial_members;
+  // Control instances that replace lost members.
+  std::vector<instance_name> spares;
   std::string data_dir;
   // [operator]
   std::string operator_token;
