--- /dev/null
+++ b/bilberrycourse/backend_server_table.h
@@ -0,0 +1,132 @@
+#ifndef BILBERRYCOURSE_BACKEND_SERVER_TABLE_H_
+#define BILBERRYCOURSE_BACKEND_SERVER_TABLE_H_
+
+// All searchers that this instance knows: those that announce themselves here
+// (this instance is their registrar) and those learned by gossip.
+//
+//   backend_server_table table("e1", {});
+//   std::vector<backend_server_effect> out;
+//   result_code code = table.Announce(record, now, &out);
+//   table.Merge(record, now, &out);      // record_changed, kBackendServer
+//   table.SetAliveInstances(names, now, &out);   // on each view_changed
+//   table.Tick(now, &out);                       // every 10 ms
+//
+// A searcher renews its announcement every second at its registrar. Renewals
+// that change nothing produce no effect; changed facts get a higher sequence
+// and are published at once. Without renewal for `lost_after` the registrar
+// publishes the searcher as lost. When the registrar itself is not alive, its
+// records stay in force for `registrar_grace`, so that the searchers can
+// announce themselves elsewhere, and are then lost in the view of each
+// instance.
+
+#include <boost/intrusive/list.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "bilberrycourse/backend_server_record.h"
+#include "bilberrycourse/gossip_table.h"
+#include "bilberrycourse/result_code.h"
+#include "bilberrycourse/types.h"
+
+namespace bilberrycourse {
+
+// A searcher is new, or its facts or state changed in the view of this
+// instance. Lost searchers have the state kLost.
+struct backend_server_changed {
+  backend_server_record record;
+};
+using backend_server_effect =
+    std::variant<backend_server_changed, publish_record>;
+
+struct backend_server_options {
+  duration lost_after = std::chrono::seconds(3);
+  duration registrar_grace = std::chrono::seconds(5);
+  // Records whose registrar has not been alive for this long are removed from
+  // gossip by the first alive instance.
+  duration orphan_retention = std::chrono::minutes(10);
+  // Lost searchers are remembered this long, so that lower incarnations are
+  // still refused.
+  duration lost_retention = std::chrono::hours(2);
+  std::size_t max_records = 32768;
+  std::size_t max_versions = 64;
+  std::size_t max_name_bytes = 128;
+};
+
+class backend_server_table {
+ public:
+  backend_server_table(instance_name self, backend_server_options options);
+  backend_server_table(const backend_server_table&) = delete;
+  backend_server_table& operator=(const backend_server_table&) = delete;
+
+  // Takes an announcement or renewal; sequence and registrar of `announced`
+  // are ignored. kOk, kStaleIncarnation, kInvalidField, or kOverloaded when
+  // the table is full.
+  result_code Announce(const backend_server_record& announced, time_point now,
+                       std::vector<backend_server_effect>* out);
+
+  // Takes a record of kind kBackendServer from gossip_table.
+  void Merge(const soft_record& record, time_point now,
+             std::vector<backend_server_effect>* out);
+
+  // Names of the alive instances in ascending order.
+  void SetAliveInstances(std::vector<instance_name> names, time_point now,
+                         std::vector<backend_server_effect>* out);
+
+  void Tick(time_point now, std::vector<backend_server_effect>* out);
+
+  // The record in the view of this instance, nullptr if unknown.
+  const backend_server_record* Find(const backend_server_key& key) const;
+  // Calls `visit` for every record in the order of keys, lost ones included.
+  void ForEach(
+      const std::function<void(const backend_server_record&)>& visit) const;
+  std::size_t size() const { return entries_.size(); }
+  std::uint64_t malformed() const { return malformed_; }
+
+ private:
+  struct due_tag;
+  struct entry : boost::intrusive::list_base_hook<> {
+    // As known by gossip; the view can have the state kLost instead.
+    backend_server_record published;
+    backend_server_record view;
+    time_point renewed_at{};
+    // Since when the registrar is not alive; valid for orphans.
+    time_point orphaned_at{};
+    time_point lost_at{};
+  };
+  // Entries in order of the time at which they need attention; each list has
+  // one constant delay, so appending keeps the order.
+  using entry_list =
+      boost::intrusive::list<entry,
+                             boost::intrusive::constant_time_size<false>>;
+
+  result_code Check(const backend_server_record& record) const;
+  void Classify(entry* e, time_point now);
+  void SetView(entry* e, backend_server_state state, time_point now,
+               std::vector<backend_server_effect>* out);
+  void Publish(const entry& e, std::vector<backend_server_effect>* out) const;
+  bool IsAlive(const instance_name& name) const;
+
+  const instance_name self_;
+  const backend_server_options options_;
+  std::map<backend_server_key, entry> entries_;
+  // Renewed here, by time of renewal.
+  entry_list renewed_;
+  // Registrar not alive, by time since when; before and after the grace.
+  entry_list orphaned_;
+  entry_list abandoned_;
+  // Lost, by time.
+  entry_list lost_;
+  // Served by an alive registrar elsewhere.
+  entry_list remote_;
+  std::vector<instance_name> alive_;
+  std::uint64_t malformed_ = 0;
+};
+
+}  // namespace bilberrycourse
+
+#endif  // BILBERRYCOURSE_BACKEND_SERVER_TABLE_H_
--- /dev/null
+++ b/bilberrycourse/gossip_table.h
@@ -0,0 +1,227 @@
+#ifndef BILBERRYCOURSE_GOSSIP_TABLE_H_
+#define BILBERRYCOURSE_GOSSIP_TABLE_H_
+
+// Soft records that all instances share. Each record has one owner, which
+// alone raises its version (owner incarnation, sequence); the higher version
+// wins everywhere.
+//
+//   gossip_table table("e1", {});
+//   std::vector<gossip_effect> out;
+//   table.SetPeers({"e2", "e3"});             // on each change of the view
+//   table.Publish(record, now, &out);         // a record of this instance
+//   table.Receive("e2", bytes, now, &out);    // message from a peer
+//   table.Tick(now, &out);                    // every 10 ms
+//
+// A new version is pushed once, in batches, to ceil(log2 N) + 1 random peers;
+// whoever learns of it by a push does the same. What pushes miss is repaired by
+// anti-entropy: once a second a digest of 64 bucket hashes goes to one random
+// peer, which answers with the versions in the buckets that differ.
+//
+// Bounds: messages have at most `max_message_bytes`, the table at most
+// `max_records`. Tombstones and records with a lifetime carry their remaining
+// time, so that a copy never outlives the original by more than the transit
+// time and a removed record cannot be revived by a peer that still has it.
+
+#include <array>
+#include <boost/intrusive/list.hpp>
+#include <boost/intrusive/set.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "bilberrycourse/types.h"
+
+namespace bilberrycourse {
+
+enum class record_kind : std::uint8_t {
+  kInstance,
+  kBackendServer,
+  kCrashEvidence,
+};
+
+// Name of a kind as in logs, "unknown" for values out of range.
+std::string_view Name(record_kind kind);
+bool IsRecordKind(std::uint8_t value);
+
+struct record_version {
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+  auto operator<=>(const record_version&) const = default;
+};
+
+struct soft_record {
+  record_kind kind = record_kind::kInstance;
+  // Unique within the kind.
+  std::string key;
+  // The instance that published this version.
+  instance_name owner;
+  record_version version;
+  // True for a tombstone: the record is gone, but its version is remembered.
+  bool deleted = false;
+  // Zero: no limit. Tombstones get the retention of the options.
+  duration lifetime{0};
+  // Opaque to the table; its kind says how to decode it.
+  std::string value;
+  bool operator==(const soft_record&) const = default;
+};
+
+struct gossip_send {
+  instance_name to;
+  std::string bytes;
+};
+// A newer version arrived from a peer, or the lifetime of a record ended
+// (then `expired` is true and the record is no longer in the table).
+struct record_changed {
+  soft_record record;
+  bool expired = false;
+};
+using gossip_effect = std::variant<gossip_send, record_changed>;
+
+// Effect of the parts that own records: the daemon passes it to Publish().
+struct publish_record {
+  soft_record record;
+};
+
+struct gossip_options {
+  duration push_interval = std::chrono::milliseconds(50);
+  duration anti_entropy_period = std::chrono::seconds(1);
+  // Longer than the longest expected loss of contact between regions (1 h).
+  duration tombstone_retention = std::chrono::hours(2);
+  std::size_t max_message_bytes = 16 * 1024;
+  // Bound on what one digest may cause the receiver to send.
+  std::size_t max_exchange_bytes = 128 * 1024;
+  std::size_t max_key_bytes = 512;
+  std::size_t max_value_bytes = 4 * 1024;
+  std::size_t max_records = 65536;
+  // Seed of peer choice, mixed with the name; equal seeds repeat a run.
+  std::uint64_t seed = 0;
+};
+
+struct gossip_counters {
+  std::uint64_t merged = 0;
+  std::uint64_t stale = 0;
+  std::uint64_t malformed = 0;
+  std::uint64_t table_full = 0;
+  std::uint64_t digests_sent = 0;
+  std::uint64_t digests_differed = 0;
+};
+
+class gossip_table {
+ public:
+  gossip_table(instance_name self, gossip_options options);
+  ~gossip_table();
+  gossip_table(const gossip_table&) = delete;
+  gossip_table& operator=(const gossip_table&) = delete;
+
+  // Peers that pushes and digests go to; the own name is ignored.
+  void SetPeers(std::vector<instance_name> peers);
+
+  // Stores a record of this instance and queues it for pushing. Returns false
+  // if the version is not newer than the stored one or a bound is exceeded.
+  // Publishing causes no record_changed effect.
+  bool Publish(soft_record record, time_point now,
+               std::vector<gossip_effect>* out);
+
+  // Handles one message of a peer; malformed bytes are counted and ignored.
+  void Receive(const instance_name& from, std::string_view bytes,
+               time_point now, std::vector<gossip_effect>* out);
+
+  // Sends queued pushes, the periodic digest, and removes expired records.
+  void Tick(time_point now, std::vector<gossip_effect>* out);
+
+  // Sends a digest to `peer` at once, for example at the first contact.
+  void Synchronize(const instance_name& peer, time_point now,
+                   std::vector<gossip_effect>* out);
+
+  // Forgets a record without a tombstone, so that a copy of equal or lower
+  // version can be learned from a peer.
+  void Withdraw(record_kind kind, std::string_view key);
+
+  // The stored record, nullptr if there is none.
+  const soft_record* Find(record_kind kind, std::string_view key) const;
+  // Calls `visit` for every stored record of `kind`, tombstones included.
+  void ForEach(record_kind kind,
+               const std::function<void(const soft_record&)>& visit) const;
+
+  std::size_t size() const { return entries_.size(); }
+  const gossip_counters& counters() const { return counters_; }
+  // Equal on two instances whose tables hold the same versions.
+  static constexpr std::size_t kBuckets = 64;
+  const std::array<std::uint64_t, kBuckets>& bucket_hashes() const {
+    return bucket_hashes_;
+  }
+
+ private:
+  struct push_tag;
+  struct bucket_tag;
+  struct expiry_tag;
+  using auto_unlink =
+      boost::intrusive::link_mode<boost::intrusive::auto_unlink>;
+  struct entry
+      : boost::intrusive::list_base_hook<boost::intrusive::tag<push_tag>,
+                                         auto_unlink>,
+        boost::intrusive::list_base_hook<boost::intrusive::tag<bucket_tag>,
+                                         auto_unlink>,
+        boost::intrusive::set_base_hook<boost::intrusive::tag<expiry_tag>,
+                                        auto_unlink> {
+    soft_record record;
+    std::uint64_t key_hash = 0;
+    std::uint64_t content_hash = 0;
+    time_point expires_at{};
+    friend bool operator<(const entry& a, const entry& b) {
+      return a.expires_at < b.expires_at;
+    }
+  };
+  using push_list = boost::intrusive::list<
+      entry,
+      boost::intrusive::base_hook<boost::intrusive::list_base_hook<
+          boost::intrusive::tag<push_tag>, auto_unlink>>,
+      boost::intrusive::constant_time_size<false>>;
+  using bucket_list = boost::intrusive::list<
+      entry,
+      boost::intrusive::base_hook<boost::intrusive::list_base_hook<
+          boost::intrusive::tag<bucket_tag>, auto_unlink>>,
+      boost::intrusive::constant_time_size<false>>;
+  using expiry_set = boost::intrusive::multiset<
+      entry,
+      boost::intrusive::base_hook<boost::intrusive::set_base_hook<
+          boost::intrusive::tag<expiry_tag>, auto_unlink>>,
+      boost::intrusive::constant_time_size<false>>;
+
+  entry* FindEntry(std::uint64_t key_hash);
+  bool Store(soft_record record, time_point now, bool push, entry** stored);
+  void Erase(entry* e);
+  bool MergeAll(const std::vector<soft_record>& records, time_point now,
+                bool push, std::vector<gossip_effect>* out);
+  void FlushPushes(time_point now, std::vector<gossip_effect>* out);
+  void SendRecords(const instance_name& to,
+                   const std::vector<const entry*>& entries, bool more,
+                   time_point now, std::vector<gossip_effect>* out);
+  soft_record Outgoing(const entry& e, time_point now) const;
+
+  const instance_name self_;
+  const gossip_options options_;
+  std::vector<instance_name> peers_;
+  std::unordered_map<std::uint64_t, std::unique_ptr<entry>> entries_;
+  std::array<std::uint64_t, kBuckets> bucket_hashes_{};
+  std::array<bucket_list, kBuckets> buckets_;
+  push_list push_queue_;
+  expiry_set expiries_;
+  time_point next_push_{};
+  time_point next_digest_{};
+  bool started_ = false;
+  std::mt19937_64 random_;
+  gossip_counters counters_;
+};
+
+}  // namespace bilberrycourse
+
+#endif  // BILBERRYCOURSE_GOSSIP_TABLE_H_
--- /dev/null
+++ b/bilberrycourse/instance_record.h
@@ -0,0 +1,62 @@
+#ifndef BILBERRYCOURSE_INSTANCE_RECORD_H_
+#define BILBERRYCOURSE_INSTANCE_RECORD_H_
+
+// What one instance of the tier states about itself.
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "bilberrycourse/types.h"
+
+namespace bilberrycourse {
+
+// Roles are bits; an instance can have several.
+enum class instance_role : std::uint8_t {
+  kEntry = 1,
+  kControl = 2,
+  kSpare = 4,
+};
+
+struct instance_roles {
+  std::uint8_t bits = 0;
+
+  bool Has(instance_role role) const {
+    return (bits & static_cast<std::uint8_t>(role)) != 0;
+  }
+  instance_roles& Add(instance_role role) {
+    bits |= static_cast<std::uint8_t>(role);
+    return *this;
+  }
+  auto operator<=>(const instance_roles&) const = default;
+};
+
+// Names joined by commas, for example "entry,control".
+std::string ToString(instance_roles roles);
+
+enum class instance_status : std::uint8_t {
+  kAlive,
+  kSuspect,
+  kDead,
+  kLeaving,
+};
+
+std::string_view Name(instance_status status);
+
+struct instance_record {
+  instance_name name;
+  // Grows with each start and each refutation; the daemon begins with the
+  // wall-clock time of its start in microseconds.
+  std::uint64_t incarnation = 0;
+  availability_zone zone;
+  // Where peers connect, IP number and port.
+  std::string peer_address;
+  // Where callers, operators and backend servers connect.
+  std::string http_address;
+  instance_roles roles;
+  bool operator==(const instance_record&) const = default;
+};
+
+}  // namespace bilberrycourse
+
+#endif  // BILBERRYCOURSE_INSTANCE_RECORD_H_
--- /dev/null
+++ b/bilberrycourse/membership.h
@@ -0,0 +1,238 @@
+#ifndef BILBERRYCOURSE_MEMBERSHIP_H_
+#define BILBERRYCOURSE_MEMBERSHIP_H_
+
+// SWIM-style failure detection among the instances of the tier.
+//
+//   membership members(self, options);      // options.seeds: addresses
+//   std::vector<membership_effect> out;
+//   members.Start(now, &out);
+//   members.Receive("e2", bytes, now, &out);  // payload of a membership frame
+//   members.Merge(record, now, &out);   // record_changed of kind kInstance
+//   members.Tick(now, &out);                  // every 10 ms
+//   members.SetFreshness(freshness, now);     // after each control poll
+//
+// Every probe period one peer is probed, in shuffled order. Without an ack
+// within `ack_timeout` three others are asked to probe it, so that one bad link
+// removes nobody. Without any ack within the period it is suspected, and dead
+// `suspicion_timeout` later unless it refutes with a higher incarnation.
+//
+// The version of an instance record is (incarnation, status), with status in
+// the order alive, suspect, dead, leaving. Only the instance itself raises its
+// incarnation. A claim by gossip that a peer is dead counts as a suspicion
+// while this instance sees the peer alive: an instance that was cut off and
+// returns must not remove the others from every view.
+//
+// After a gap between ticks (the process was paused) running probes are
+// dropped and suspicions are prolonged by the gap, because acks may be waiting
+// unread.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "bilberrycourse/gossip_table.h"
+#include "bilberrycourse/instance_record.h"
+#include "bilberrycourse/types.h"
+
+namespace bilberrycourse {
+
+// What an instance knows of the control state, relayed in probes and acks.
+struct control_freshness {
+  std::uint64_t config_version = 0;
+  std::uint64_t state_version = 0;
+  // Age of the last quorum confirmation known to the sender.
+  duration age = duration::max();
+  bool operator==(const control_freshness&) const = default;
+};
+
+struct membership_send {
+  instance_name to;
+  std::string bytes;
+};
+// For a seed whose name is not known yet. The daemon connects to the address;
+// the answer arrives by Receive() under the name that the handshake proved.
+struct membership_send_to_address {
+  std::string address;
+  std::string bytes;
+};
+// The status or the facts of a peer changed in the view of this instance. For
+// a peer whose record was forgotten after the retention the status is kDead.
+struct instance_changed {
+  instance_record record;
+  instance_status status = instance_status::kAlive;
+};
+// The set of alive instances, or a fact of one of them, changed; alive() has
+// the new set. Pass its names to gossip_table::SetPeers().
+struct view_changed {
+  std::uint64_t view_term = 0;
+};
+// Freshness reported by a peer. With `probe_sent_at` the value was measured by
+// the peer after that local time, so that a control confirmation of
+// probe_sent_at - age is a safe lower bound. Without it the value came with a
+// probe and is only a hint that newer versions exist.
+struct freshness_received {
+  instance_name from;
+  control_freshness freshness;
+  std::optional<time_point> probe_sent_at;
+};
+// A peer was reached for the first time or again; the daemon calls
+// gossip_table::Synchronize(peer).
+struct synchronize_with {
+  instance_name peer;
+};
+// Claims about other instances may be outdated because this one was declared
+// dead; the daemon calls gossip_table::Withdraw(kInstance, name).
+struct withdraw_record {
+  instance_name name;
+};
+// A peer has declared this instance dead; it has refuted with `incarnation`.
+struct declared_dead {
+  instance_name by;
+  std::uint64_t incarnation = 0;
+};
+
+using membership_effect =
+    std::variant<membership_send, membership_send_to_address, instance_changed,
+                 view_changed, freshness_received, synchronize_with,
+                 withdraw_record, declared_dead, publish_record>;
+
+struct membership_options {
+  duration probe_period = std::chrono::milliseconds(200);
+  duration ack_timeout = std::chrono::milliseconds(100);
+  duration suspicion_timeout = std::chrono::seconds(1);
+  std::uint32_t indirect_probes = 3;
+  // One dead peer and one unreached seed are tried in this interval, so that
+  // both sides of a healed partition find each other.
+  duration reconnect_period = std::chrono::seconds(1);
+  // A tick that comes later than this after the previous one is a pause.
+  duration pause_threshold = std::chrono::milliseconds(150);
+  // Peer addresses from the settings; the own address is ignored.
+  std::vector<std::string> seeds;
+  std::size_t max_instances = 16384;
+  std::uint64_t seed = 0;
+};
+
+struct membership_counters {
+  std::uint64_t probes = 0;
+  std::uint64_t indirect_probes = 0;
+  std::uint64_t suspicions = 0;
+  std::uint64_t deaths = 0;
+  std::uint64_t refutations = 0;
+  std::uint64_t pauses = 0;
+  std::uint64_t malformed = 0;
+};
+
+class membership {
+ public:
+  membership(instance_record self, membership_options options);
+  membership(const membership&) = delete;
+  membership& operator=(const membership&) = delete;
+
+  // Publishes the own record and contacts the seeds.
+  void Start(time_point now, std::vector<membership_effect>* out);
+
+  // Handles one message of the peer that the link's handshake proved.
+  void Receive(const instance_name& from, std::string_view bytes,
+               time_point now, std::vector<membership_effect>* out);
+
+  // Takes a record of kind kInstance from gossip_table; `expired` as in
+  // record_changed.
+  void Merge(const soft_record& record, bool expired, time_point now,
+             std::vector<membership_effect>* out);
+
+  void Tick(time_point now, std::vector<membership_effect>* out);
+
+  // Publishes that this instance leaves; call before shutting down and let
+  // pushes go out for at least one push interval. It no longer probes.
+  void Leave(time_point now, std::vector<membership_effect>* out);
+
+  // Changes the roles of this instance with a higher incarnation.
+  void SetRoles(instance_roles roles, time_point now,
+                std::vector<membership_effect>* out);
+
+  // Sets what probes and acks report; the age grows until the next call.
+  void SetFreshness(const control_freshness& freshness, time_point now);
+
+  // Alive and suspected instances by name, this one included unless it is
+  // leaving.
+  std::span<const instance_record> alive() const { return alive_; }
+  // Names of alive() with `role`.
+  std::vector<instance_name> AliveWithRole(instance_role role) const;
+  // Grows with each change of the set of alive instances.
+  std::uint64_t view_term() const { return view_term_; }
+  const instance_record& self() const { return self_; }
+  bool leaving() const { return leaving_; }
+  // Status of a known instance, nullopt if it is unknown.
+  std::optional<instance_status> Status(const instance_name& name) const;
+  const membership_counters& counters() const { return counters_; }
+
+ private:
+  struct peer {
+    instance_record record;
+    instance_status status = instance_status::kAlive;
+    // Valid while suspected.
+    time_point dead_at{};
+    // Links of the peer's place in the probe order.
+    bool in_order = false;
+  };
+  struct probe {
+    instance_name target;
+    std::string seed_address;
+    time_point sent_at{};
+    time_point ack_due{};
+    time_point verdict_due{};
+    bool asked_others = false;
+    // Set when the probe runs on behalf of another instance.
+    instance_name requester;
+    std::uint64_t requester_probe = 0;
+  };
+
+  void PublishSelf(std::vector<membership_effect>* out);
+  void Refute(std::uint64_t claimed_incarnation, instance_status claimed,
+              const instance_name& by, time_point now,
+              std::vector<membership_effect>* out);
+  void Learn(const instance_record& record, instance_status status,
+             bool from_gossip, time_point now,
+             std::vector<membership_effect>* out);
+  void SetStatus(peer* p, instance_status status, time_point now,
+                 std::vector<membership_effect>* out);
+  void PublishClaim(const peer& p, instance_status status,
+                    std::vector<membership_effect>* out);
+  void ProbeNext(time_point now, std::vector<membership_effect>* out);
+  void Reconnect(time_point now, std::vector<membership_effect>* out);
+  void SendProbe(probe p, time_point now, std::vector<membership_effect>* out);
+  void AskOthers(std::uint64_t id, const probe& p,
+                 std::vector<membership_effect>* out);
+  void RebuildView(std::vector<membership_effect>* out);
+  control_freshness FreshnessAt(time_point now) const;
+
+  instance_record self_;
+  const membership_options options_;
+  bool leaving_ = false;
+  std::map<instance_name, peer> peers_;
+  std::map<std::uint64_t, probe> probes_;
+  std::uint64_t next_probe_id_ = 1;
+  std::vector<instance_name> order_;
+  std::size_t next_in_order_ = 0;
+  time_point next_probe_{};
+  time_point next_reconnect_{};
+  std::optional<time_point> last_tick_;
+  std::map<std::string, instance_name> seed_names_;
+  std::size_t next_seed_ = 0;
+  std::vector<instance_record> alive_;
+  std::uint64_t view_term_ = 0;
+  control_freshness freshness_;
+  time_point freshness_set_at_{};
+  std::mt19937_64 random_;
+  membership_counters counters_;
+};
+
+}  // namespace bilberrycourse
+
+#endif  // BILBERRYCOURSE_MEMBERSHIP_H_
