--- /dev/null
+++ b/bilberrycourse/control_state.h
@@ -0,0 +1,215 @@
+#ifndef BILBERRYCOURSE_CONTROL_STATE_H_
+#define BILBERRYCOURSE_CONTROL_STATE_H_
+
+// Deterministic state machine behind the replicated log: configuration with
+// history, shard sets of index versions, and the ledger of non-idempotent and
+// kept requests. Members that apply the same entries hold the same state.
+//
+//   control_outcome outcome = state.Apply(index, leader_wall_ms, bytes);
+//   std::string snapshot = state.SaveSnapshot();
+//   if (!other.LoadSnapshot(snapshot)) RefuseToVote();
+//
+// Expiry follows the leader's wall clock, made non-decreasing over the log.
+// Nothing is forgotten early to save memory: when a table is full, further
+// entries are refused as kOverloaded.
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "bilberrycourse/config_document.h"
+#include "bilberrycourse/control_command.h"
+#include "bilberrycourse/result_code.h"
+#include "bilberrycourse/types.h"
+
+namespace bilberrycourse {
+
+// Deliberate faults, set only by tests that show that the checks detect them.
+enum class control_fault : std::uint8_t {
+  kNone,
+  kAcceptStaleBase,
+  kForgetChangeIds,
+  kForgetChangeIdsInSnapshot,
+  kAcceptReusedChangeId,
+  kRevertVersionOnReload,
+  kRunWhileRunning,
+  kRunAfterFinish,
+  kFinishByAnyRun,
+  kAbandonByAnyRun,
+  kIgnoreBodyHash,
+  kExpireLedgerEarly,
+  kAcceptExpiredKey,
+  kForgetAbandonedRuns,
+  kClockGoesBack,
+  kShardSetLastWins,
+};
+
+struct control_state_options {
+  config_limits limits;
+  wall_time_ms change_id_retention_ms = 7LL * 24 * 3600 * 1000;
+  wall_time_ms request_retention_ms = 72LL * 3600 * 1000;
+  // A request issued later than the leader's clock by more is refused.
+  wall_time_ms max_clock_skew_ms = 5LL * 60 * 1000;
+  std::size_t max_history = 200;
+  std::size_t max_change_ids = 65536;
+  std::size_t max_requests = 200000;
+  std::size_t max_answer_bytes = 64 * 1024;
+  // Answers over all requests; beyond this, answers are recorded without body.
+  std::size_t max_total_answer_bytes = 64 * 1024 * 1024;
+  std::size_t max_versions_per_service = 8;
+  std::size_t max_services = 4096;
+  // Abandoned runs remembered for each request.
+  std::size_t max_abandoned_runs = 16;
+  control_fault fault = control_fault::kNone;
+};
+
+struct history_entry {
+  std::uint64_t version = 0;
+  std::string change_id;
+  std::string author;
+  std::string reason;
+  wall_time_ms accepted_at_ms = 0;
+  std::string document;
+};
+
+enum class request_phase : std::uint8_t {
+  kRunning = 0,
+  kFinished = 1,
+  kAbandoned = 2,
+};
+
+struct request_record {
+  request_phase phase = request_phase::kRunning;
+  request_run run;
+  std::string target;
+  std::uint64_t body_hash = 0;
+  // Largest issued_at_ms of all repeats; retention counts from here.
+  wall_time_ms issued_at_ms = 0;
+  wall_time_ms begun_at_ms = 0;
+  wall_time_ms ended_at_ms = 0;
+  std::uint32_t deadline_ms = 0;
+  bool idempotent = false;
+  bool keep = false;
+  result_code code = result_code::kOk;
+  std::string answer;
+  bool answer_omitted = false;
+  // Runs whose late request_begin must not count; newest last.
+  std::vector<request_run> abandoned_runs;
+};
+
+class control_state {
+ public:
+  explicit control_state(const control_state_options& options = {});
+
+  // Applies one committed entry. Entries at or below applied_index() are
+  // ignored and give kInternal. Undecodable bytes give kMalformedRequest.
+  control_outcome Apply(std::uint64_t index, wall_time_ms leader_wall_ms,
+                        std::string_view command);
+  // As above for a decoded command.
+  control_outcome Apply(std::uint64_t index, wall_time_ms leader_wall_ms,
+                        const control_command& command);
+
+  std::string SaveSnapshot() const;
+  // Replaces the whole state. Returns false and changes nothing if the bytes
+  // are damaged or older than the state.
+  bool LoadSnapshot(std::string_view bytes);
+
+  std::uint64_t applied_index() const { return applied_index_; }
+  // Leader's clock of the newest entry, non-decreasing.
+  wall_time_ms now_ms() const { return now_ms_; }
+  // 0 before the first accepted change.
+  std::uint64_t config_version() const { return config_version_; }
+  // Grows with every change that entry instances must learn: configuration
+  // and shard sets.
+  std::uint64_t published_version() const { return published_version_; }
+  const config_document& document() const { return document_; }
+  const std::deque<history_entry>& history() const { return history_; }
+  // All recorded shard sets, ordered by service and version.
+  std::vector<shard_set_record> ShardSets() const;
+  const request_record* FindRequest(std::string_view caller,
+                                    std::string_view key) const;
+  std::size_t request_count() const { return requests_.size(); }
+
+  // What entry instances need of the state, for control_news.state.
+  std::string SavePublished() const;
+
+  // JSON views for reads; docs/api.md describes the fields.
+  std::string ConfigView() const;
+  std::string HistoryView(std::size_t newest) const;
+  std::string ExceptionsView(wall_time_ms wall_now) const;
+  // Requests issued at or after `since`; `state` is answered, unanswered,
+  // unknown or running. At most `limit`, oldest first.
+  std::string RequestsView(wall_time_ms since, wall_time_ms wall_now,
+                           std::size_t limit = 10000) const;
+
+ private:
+  using request_key = std::pair<std::string, std::string>;
+
+  struct change_record {
+    std::uint64_t content_hash = 0;
+    wall_time_ms recorded_at_ms = 0;
+    control_outcome outcome;
+  };
+
+  // Common fields of the three commands that change the document.
+  struct document_proposal;
+
+  control_outcome Run(const config_change& command);
+  control_outcome Run(const exception_add& command);
+  control_outcome Run(const exception_remove& command);
+  control_outcome Run(const shard_set_record& command);
+  control_outcome Run(const request_begin& command);
+  control_outcome Run(const request_finish& command);
+  control_outcome Run(const request_abandon& command);
+
+  control_outcome ApplyChange(const document_proposal& proposal);
+  control_outcome DecideChange(const document_proposal& proposal);
+  control_outcome Accept(const document_proposal& proposal,
+                         config_document document);
+  control_outcome Conflict(const document_proposal& proposal) const;
+  void Expire();
+  void MoveRetention(const request_key& key, wall_time_ms from,
+                     wall_time_ms to);
+  bool Has(control_fault fault) const { return options_.fault == fault; }
+
+  control_state_options options_;
+  std::uint64_t applied_index_ = 0;
+  wall_time_ms now_ms_ = 0;
+  std::uint64_t config_version_ = 0;
+  std::uint64_t published_version_ = 0;
+  config_document document_;
+  std::deque<history_entry> history_;
+  std::map<std::string, change_record, std::less<>> changes_;
+  // Change ids in the order of their recording, for expiry.
+  std::deque<std::pair<wall_time_ms, std::string>> change_order_;
+  std::map<std::string, std::map<index_version, std::uint32_t>, std::less<>>
+      shard_sets_;
+  std::map<request_key, request_record> requests_;
+  // Requests ordered by the time from which their retention counts.
+  std::set<std::pair<wall_time_ms, request_key>> request_order_;
+  std::size_t answer_bytes_ = 0;
+};
+
+// The part of the control state that entry instances hold.
+struct published_state {
+  std::uint64_t config_version = 0;
+  std::uint64_t published_version = 0;
+  config_document document;
+  std::vector<shard_set_record> shard_sets;
+};
+
+// Returns nullopt if the bytes are damaged or the document is not valid.
+std::optional<published_state> LoadPublished(std::string_view bytes,
+                                             const config_limits& limits = {});
+
+}  // namespace bilberrycourse
+
+#endif  // BILBERRYCOURSE_CONTROL_STATE_H_
