Add the headers of the owner side of the query path

Cause: the daemon is written in parallel and needs the public classes of design 3.2 and 3.6.

Two events go beyond the design page: SetShardOwned, because connections are opened in advance only for owned shards, and next_due, because hedges are due between two ticks.

Conclusion: the daemon can be written against these signatures.

--- /dev/null
+++ b/bilberrycourse/shard_dispatcher.h
@@ -0,0 +1,189 @@
+#ifndef BILBERRYCOURSE_SHARD_DISPATCHER_H_
+#define BILBERRYCOURSE_SHARD_DISPATCHER_H_
+
+// Owner side of the query path (design 3.2): queues sub-requests for each
+// shard, chooses a replica, keeps connections open in advance, hedges, retries
+// and cancels.
+//
+//   shard_dispatcher dispatcher(options);
+//   dispatch_effects effects;
+//   dispatcher.SetSendingAllowed(true, now, &effects);
+//   dispatcher.SetShardOwned(shard, true, now, &effects);
+//   dispatcher.UpdateBackendServer(record, now, &effects);
+//   dispatcher.Submit(origin, request, now, &effects);
+//   Do(effects);  // open connections, send attempts, return results
+//   ...
+//   dispatcher.OnReply(attempt, reply, now, &effects);
+//
+// Every request that Submit accepted gets exactly one finish_request, unless
+// it was cancelled or its origin was lost. The owner of the dispatcher calls
+// Tick() every 10 ms and, because hedges are due between ticks, also at
+// next_due(). A connection that carries an attempt is never shared.
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bilberrycourse/attempt_budget.h"
+#include "bilberrycourse/backend_server_record.h"
+#include "bilberrycourse/crash_evidence.h"
+#include "bilberrycourse/dispatch_effects.h"
+#include "bilberrycourse/service_policy.h"
+#include "bilberrycourse/service_time_estimator.h"
+#include "bilberrycourse/shard_protocol.h"
+#include "bilberrycourse/types.h"
+
+namespace bilberrycourse {
+
+struct dispatch_options {
+  // Zone of this instance.
+  availability_zone zone;
+  // Requests waiting for one shard; more are refused with kOverloaded.
+  std::size_t max_queue_per_shard = 256;
+  // Connections kept open beyond the slots.
+  std::uint32_t spare_connections = 2;
+  // A connection to a searcher of a shard that is not owned closes after this
+  // time without use.
+  duration idle_connection_timeout = std::chrono::seconds(5);
+  // Wait before a failed connection is opened again; doubles up to the limit.
+  duration reconnect_wait = std::chrono::milliseconds(10);
+  duration max_reconnect_wait = std::chrono::seconds(1);
+  // Failures in a row after which a searcher without a connection counts as
+  // unreachable, so that queued requests do not wait for it.
+  std::uint32_t unreachable_after = 2;
+  // Successes until a started searcher gets more than one slot.
+  std::uint32_t ramp_successes = 10;
+  // Pause after a shed answer; doubles up to the limit, ends with a success.
+  duration shed_pause = std::chrono::milliseconds(2);
+  duration max_shed_pause = std::chrono::milliseconds(50);
+  // Time that a request and its reply travel, taken off the deadline.
+  duration transit_same_zone = std::chrono::microseconds(300);
+  duration transit_other_zone = std::chrono::milliseconds(2);
+  // Replicas whose expected completion differs by less are equal, and the one
+  // in the same zone is preferred.
+  duration zone_tie = std::chrono::milliseconds(1);
+  // Service time assumed for a shard without samples.
+  duration initial_service_time = std::chrono::milliseconds(10);
+  // Hedge delay while a shard has too few samples.
+  duration initial_hedge_delay = std::chrono::milliseconds(50);
+  // A replica that was passed over for this long gets a probe: a second
+  // attempt of an idempotent request, which no answer waits for.
+  duration probe_interval = std::chrono::milliseconds(200);
+  // An estimate without new samples for this long no longer counts.
+  duration estimate_expiry = std::chrono::seconds(5);
+  // A cancelled or expired attempt without a reply for this long loses its
+  // connection, because its searcher may hang.
+  duration cancel_grace = std::chrono::milliseconds(500);
+  bool record_decisions = true;
+  service_time_options service_time;
+  attempt_budget_options budget;
+};
+
+struct dispatch_counters {
+  std::uint64_t submitted = 0;
+  std::uint64_t duplicate_submits = 0;
+  std::uint64_t finished = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t cancelled = 0;
+  std::uint64_t first_attempts = 0;
+  std::uint64_t hedges = 0;
+  std::uint64_t hedges_won = 0;
+  std::uint64_t probes = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t sheds = 0;
+  std::uint64_t failures = 0;
+  std::uint64_t crashes = 0;
+  std::uint64_t versions_gone = 0;
+  std::uint64_t wrong_version_replies = 0;
+  // Replies to an attempt that is not in flight (any more).
+  std::uint64_t unmatched_replies = 0;
+  // Replies to an attempt whose request had already finished.
+  std::uint64_t late_replies = 0;
+  std::uint64_t overloaded = 0;
+  std::uint64_t expired_in_queue = 0;
+  std::uint64_t connections_opened = 0;
+  std::uint64_t connections_failed = 0;
+  std::uint64_t connections_broken = 0;
+};
+
+// State of one searcher as the dispatcher sees it.
+struct backend_server_status {
+  backend_server_record record;
+  bool owned = false;
+  bool cold = false;
+  std::uint32_t in_flight = 0;
+  std::uint32_t open_connections = 0;
+  std::uint32_t opening_connections = 0;
+  std::optional<duration> recent_service_time;
+};
+
+struct shard_status {
+  shard_key shard;
+  std::uint32_t queued = 0;
+  std::uint32_t running = 0;
+  // Wait of the request that has been queued longest.
+  duration oldest_wait{0};
+};
+
+class shard_dispatcher {
+ public:
+  // `evidence` may be null; if given, it outlives the dispatcher, and a
+  // condemned content is refused before each attempt.
+  explicit shard_dispatcher(const dispatch_options& options = {},
+                            const crash_evidence* evidence = nullptr);
+  shard_dispatcher(const shard_dispatcher&) = delete;
+  shard_dispatcher& operator=(const shard_dispatcher&) = delete;
+  ~shard_dispatcher();
+
+  // Configuration. Requests of a scope without a policy get the default one.
+  void SetPolicy(const std::string& scope, const service_policy& policy);
+  // Share of a caller in queues; 1 unless an exception changes it.
+  void SetCallerWeight(const caller_name& caller, double weight);
+  // False while the control lease has expired: queued and new requests end
+  // with kControlLeaseExpired, running attempts go on. Initially false.
+  void SetSendingAllowed(bool allowed, time_point now, dispatch_effects* out);
+
+  // Connections are opened in advance only for owned shards. Requests for
+  // other shards are also served (deputy), over connections opened on demand.
+  void SetShardOwned(const shard_key& shard, bool owned, time_point now,
+                     dispatch_effects* out);
+  // New or changed searcher; a record older than the known one is ignored.
+  void UpdateBackendServer(const backend_server_record& record, time_point now,
+                           dispatch_effects* out);
+
+  void Submit(const instance_name& origin, shard_request request,
+              time_point now, dispatch_effects* out);
+  // Nothing is returned for a cancelled request.
+  void Cancel(const instance_name& origin, shard_request_id id, time_point now,
+              dispatch_effects* out);
+  // Drops queued requests, cancels running idempotent ones.
+  void OnOriginLost(const instance_name& origin, time_point now,
+                    dispatch_effects* out);
+
+  void OnConnectionOpened(connection_id connection, time_point now,
+                          dispatch_effects* out);
+  void OnConnectionFailed(connection_id connection, time_point now,
+                          dispatch_effects* out);
+  void OnConnectionClosed(connection_id connection, time_point now,
+                          dispatch_effects* out);
+  void OnReply(attempt_id attempt, const attempt_reply& reply, time_point now,
+               dispatch_effects* out);
+
+  void Tick(time_point now, dispatch_effects* out);
+  // Earliest time at which Tick() has work before its regular call.
+  std::optional<time_point> next_due() const;
+
+  const dispatch_counters& counters() const;
+  std::vector<backend_server_status> BackendServers() const;
+  std::vector<shard_status> Shards(time_point now) const;
+
+ private:
+  class implementation;
+  std::unique_ptr<implementation> implementation_;
+};
+
+}  // namespace bilberrycourse
+
+#endif  // BILBERRYCOURSE_SHARD_DISPATCHER_H_
