--- /dev/null
+++ b/app/log_store.h
@@ -0,0 +1,163 @@
+#ifndef APP_LOG_STORE_H_
+#define APP_LOG_STORE_H_
+
+// The replicated log on disk: one data folder with one log file and a sync
+// mark.
+//
+//   posix_storage_files files("/var/lib/bilberrycourse");
+//   log_store store(&files, {.group = "orders", .instance = "c1"},
+//                   [&](log_store_event e) { asio::post(executor, ...); });
+//   log_store::opened o = store.Open();      // identity and recovered log
+//   store.Persist(std::move(effect));        // from a persist effect
+//
+// Persist() queues; one worker thread writes and syncs, joining what has
+// queued up into one sync, and reports each completion through the callback,
+// which runs on the worker thread. After a failed write or sync the store
+// reports the failure once and accepts nothing more: data of a failed sync may
+// be gone although a second sync succeeds.
+//
+// A folder without any log file gets a new random member id. A folder of
+// another group or instance is kDataFolderForeign, a damaged one kLogDamaged.
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include "bilberrycourse/consensus_member.h"
+#include "bilberrycourse/consensus_types.h"
+#include "bilberrycourse/log_codec.h"
+#include "bilberrycourse/result_code.h"
+
+namespace bilberrycourse {
+
+// File operations inside one folder. Tests replace it to inject faults. Every
+// operation gives kOk, kDiskFull, kSyncFailed or kStorageIo.
+class storage_files {
+ public:
+  virtual ~storage_files() = default;
+  virtual result_code List(std::vector<std::string>* names) = 0;
+  virtual result_code Read(const std::string& name, std::string* bytes) = 0;
+  // Writes at `offset`, creating the file if needed.
+  virtual result_code Write(const std::string& name, std::uint64_t offset,
+                            std::string_view bytes) = 0;
+  virtual result_code Truncate(const std::string& name,
+                               std::uint64_t length) = 0;
+  virtual result_code Sync(const std::string& name) = 0;
+  virtual result_code Rename(const std::string& from,
+                             const std::string& to) = 0;
+  virtual result_code Remove(const std::string& name) = 0;
+  virtual result_code SyncFolder() = 0;
+};
+
+class posix_storage_files : public storage_files {
+ public:
+  // Creates the folder if it does not exist and locks it against a second
+  // process; a failure is reported by the first operation.
+  explicit posix_storage_files(std::string folder);
+  ~posix_storage_files() override;
+  posix_storage_files(const posix_storage_files&) = delete;
+  posix_storage_files& operator=(const posix_storage_files&) = delete;
+
+  result_code List(std::vector<std::string>* names) override;
+  result_code Read(const std::string& name, std::string* bytes) override;
+  result_code Write(const std::string& name, std::uint64_t offset,
+                    std::string_view bytes) override;
+  result_code Truncate(const std::string& name, std::uint64_t length) override;
+  result_code Sync(const std::string& name) override;
+  result_code Rename(const std::string& from, const std::string& to) override;
+  result_code Remove(const std::string& name) override;
+  result_code SyncFolder() override;
+
+ private:
+  struct open_file {
+    std::string name;
+    int descriptor = -1;
+  };
+
+  // Descriptor of the file, opened on first use; -1 on failure.
+  int Descriptor(const std::string& name);
+  void Close(const std::string& name);
+
+  std::string folder_;
+  int folder_descriptor_ = -1;
+  result_code state_ = result_code::kOk;
+  std::vector<open_file> open_;
+};
+
+struct log_store_settings {
+  std::string group;
+  instance_name instance;
+  // 0 takes a random number from the system; tests set it.
+  std::uint64_t new_member_id = 0;
+};
+
+// Completion of all persist effects up to `position`, or the failure.
+struct log_store_event {
+  result_code code = result_code::kOk;
+  std::uint64_t position = 0;
+  std::string reason;
+};
+
+class log_store {
+ public:
+  using callback = std::function<void(log_store_event)>;
+
+  struct opened {
+    result_code code = result_code::kOk;
+    std::string reason;
+    recovered_log log;
+    // True if the folder was empty and a new member id was drawn.
+    bool created = false;
+    // True if an unsynced tail was dropped.
+    bool torn_tail = false;
+  };
+
+  log_store(storage_files* files, log_store_settings settings,
+            callback completed);
+  ~log_store();
+  log_store(const log_store&) = delete;
+  log_store& operator=(const log_store&) = delete;
+
+  // Recovers the folder and starts the worker. Called once, blocks on disk.
+  opened Open();
+
+  void Persist(persist effect);
+
+  // Waits until everything queued is synced or failed.
+  void Drain();
+
+ private:
+  void Run();
+  result_code WriteBatch(std::vector<persist>& batch, std::string* reason);
+  result_code StartGeneration(const recovered_log& contents,
+                              std::string* reason);
+  result_code WriteMark(std::string* reason);
+  std::string LogName(std::uint64_t generation) const;
+
+  storage_files* files_;
+  log_store_settings settings_;
+  callback completed_;
+  member_identity identity_;
+  std::uint64_t generation_ = 0;
+  std::uint64_t length_ = 0;
+  sync_mark mark_;
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::deque<persist> queue_;
+  bool busy_ = false;
+  bool stopping_ = false;
+  bool failed_ = false;
+  std::thread worker_;
+};
+
+}  // namespace bilberrycourse
+
+#endif  // APP_LOG_STORE_H_
--- /dev/null
+++ b/bilberrycourse/consensus_codec.h
@@ -0,0 +1,32 @@
+#ifndef BILBERRYCOURSE_CONSENSUS_CODEC_H_
+#define BILBERRYCOURSE_CONSENSUS_CODEC_H_
+
+// Consensus messages to bytes and back, with FlatBuffers (fbs/consensus.fbs).
+//
+//   std::string bytes = EncodeMessage(message);
+//   std::optional<consensus_message> copy = DecodeMessage(bytes);
+//
+// Decoding verifies the buffer before it reads it; input that is not a valid
+// message gives an empty result.
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "bilberrycourse/consensus_types.h"
+
+namespace bilberrycourse {
+
+std::string EncodeMessage(const consensus_message& message);
+std::optional<consensus_message> DecodeMessage(std::string_view bytes);
+
+// Payload of entries of kind kMembership.
+std::string EncodeMembership(const group_membership& membership);
+std::optional<group_membership> DecodeMembership(std::string_view bytes);
+
+// The number that stands for a group id in messages.
+std::uint64_t GroupHash(std::string_view group);
+
+}  // namespace bilberrycourse
+
+#endif  // BILBERRYCOURSE_CONSENSUS_CODEC_H_
--- /dev/null
+++ b/bilberrycourse/consensus_member.h
@@ -0,0 +1,436 @@
+#ifndef BILBERRYCOURSE_CONSENSUS_MEMBER_H_
+#define BILBERRYCOURSE_CONSENSUS_MEMBER_H_
+
+// One member of the replicated log, as a state machine without clock, socket
+// or file.
+//
+//   consensus_member member(settings, recovered, now);
+//   std::vector<consensus_effect> out;
+//   member.Tick(now, &out);                // every 10 ms
+//   member.Step(message, now, &out);       // on each message of a peer
+//   proposal p = member.Propose(body, now, &out);
+//   for (consensus_effect& effect : out) std::visit(executor, effect);
+//   member.OnPersisted(position, now, &out);  // once a persist is synced
+//   if (member.compaction_due()) {
+//     member.Compact(member.applied_index(), state.ToBytes(), &out);
+//   }
+//
+// Effects are executed in their order. `persist` effects are written and
+// synced in their order, possibly on another thread; messages that promise
+// what is being written are held back until OnPersisted().
+//
+// A proposal is confirmed when an `apply` effect carries its index and term.
+// An `apply` of that index with another term, or a snapshot that covers it,
+// means that the proposal was lost or that its outcome is unknown.
+//
+// Forming a group: members whose folder holds no log exchange kDiscover
+// messages. The initial voter with the lowest instance name forms the group
+// when every configured control instance, spares included, has just answered
+// that it belongs to no group. A member that hears of an existing group never
+// forms one; it waits as a spare until the leader adds it as a learner. A
+// wiped member therefore rejoins as a spare under its new id.
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "bilberrycourse/consensus_types.h"
+#include "bilberrycourse/result_code.h"
+#include "bilberrycourse/types.h"
+
+namespace bilberrycourse {
+
+// A configured control instance.
+struct control_instance {
+  instance_name instance;
+  std::string address;
+  // False for a spare, which joins only when it replaces a lost member.
+  bool initial_voter = true;
+};
+
+// Deliberate faults. Only tests set them, to show that their checks detect
+// each one.
+struct consensus_test_faults {
+  bool promise_before_persist = false;
+  bool commit_older_term = false;
+  bool skip_check_quorum = false;
+  bool read_without_quorum = false;
+  bool skip_log_check_in_vote = false;
+  bool forget_vote = false;
+  bool skip_previous_entry_check = false;
+  bool form_without_peers = false;
+  bool overlap_membership_changes = false;
+  bool accept_any_recipient = false;
+};
+
+struct consensus_settings {
+  std::string address;
+  // All control instances, this one included; equal on all of them.
+  std::vector<control_instance> instances;
+  // Seeds the election timeouts.
+  std::uint64_t seed = 0;
+  duration heartbeat = std::chrono::milliseconds(75);
+  duration election_timeout_min = std::chrono::milliseconds(300);
+  duration election_timeout_max = std::chrono::milliseconds(600);
+  duration discover_interval = std::chrono::milliseconds(200);
+  // Bounds of one message and of what is in flight to one follower.
+  std::size_t max_append_entries = 64;
+  std::size_t max_append_bytes = 256 * 1024;
+  std::size_t max_in_flight_entries = 512;
+  std::size_t snapshot_chunk_bytes = 64 * 1024;
+  std::size_t max_snapshot_bytes = 64 * 1024 * 1024;
+  std::size_t max_payload_bytes = 4 * 1024 * 1024;
+  // Proposals not yet committed; more are refused as overloaded.
+  std::size_t max_uncommitted_entries = 4096;
+  std::size_t max_pending_reads = 4096;
+  // Applied entries after which compaction_due() holds, and how many of them
+  // stay in memory for followers that are a little behind.
+  std::size_t compaction_entries = 256;
+  std::size_t trailing_entries = 128;
+  consensus_test_faults faults;
+};
+
+enum class consensus_role : std::uint8_t {
+  // No log yet: waits for the group to form or for its admission.
+  kUnformed,
+  kFollower,
+  kPreCandidate,
+  kCandidate,
+  kLeader,
+  kStopped,
+};
+
+std::string_view ToString(consensus_role role);
+
+struct send_message {
+  instance_name to;
+  std::string address;
+  consensus_message message;
+};
+
+// Write and sync, then call OnPersisted(position). With `snapshot`, the log is
+// replaced by snapshot, state and `entries`; otherwise `truncate_from` (if not
+// 0) drops entries from that index on before `entries` are appended.
+struct persist {
+  std::uint64_t position = 0;
+  hard_state state;
+  bool state_changed = false;
+  log_index truncate_from = 0;
+  std::optional<log_snapshot> snapshot;
+  std::vector<log_entry> entries;
+};
+
+// The entry is committed; entries come in order, without gaps.
+struct apply {
+  log_entry entry;
+};
+
+// Replaces the applied state by that of the snapshot.
+struct restore_snapshot {
+  log_snapshot snapshot;
+};
+
+// Answer to ReadBarrier: with kOk, state applied up to `index` reflects every
+// change confirmed before the call.
+struct read_ready {
+  std::uint64_t token = 0;
+  result_code code = result_code::kOk;
+  log_index index = 0;
+};
+
+struct role_changed {
+  consensus_role role = consensus_role::kUnformed;
+  log_term term = 0;
+  member_id leader = kNoMember;
+};
+
+// The member takes no further part; `reason` says why.
+struct stopped {
+  result_code code = result_code::kInternal;
+  std::string reason;
+};
+
+using consensus_effect =
+    std::variant<send_message, persist, apply, restore_snapshot, read_ready,
+                 role_changed, stopped>;
+using consensus_effects = std::vector<consensus_effect>;
+
+// Outcome of Propose: kOk with the position, or the reason for the refusal.
+struct proposal {
+  result_code code = result_code::kOk;
+  log_index index = 0;
+  log_term term = 0;
+};
+
+// A member as the leader sees it.
+struct peer_status {
+  log_member member;
+  log_index match = 0;
+  duration silence{0};
+  bool receiving_snapshot = false;
+};
+
+// An instance outside the group that could replace a lost member.
+struct spare_status {
+  log_member member;
+  duration silence{0};
+};
+
+class consensus_member {
+ public:
+  consensus_member(consensus_settings settings, recovered_log recovered,
+                   time_point now);
+
+  void Step(const consensus_message& message, time_point now,
+            consensus_effects* out);
+  void Tick(time_point now, consensus_effects* out);
+
+  // Appends a command if this member leads; kNotLeader, kOverloaded,
+  // kShuttingDown (leadership is being transferred) or kRequestTooLarge
+  // otherwise.
+  proposal Propose(shared_body payload, time_point now, consensus_effects* out);
+
+  // Refused with kStillRunning while another change is uncommitted, and with
+  // kInvalidField for a change that does not fit the membership, for example
+  // the promotion of a learner that has not caught up.
+  proposal ProposeMembership(const membership_change& change, time_point now,
+                             consensus_effects* out);
+
+  // Answered by read_ready; refused with kNotLeader or kOverloaded.
+  result_code ReadBarrier(std::uint64_t token, time_point now,
+                          consensus_effects* out);
+
+  // All persist effects up to `position` are synced.
+  void OnPersisted(std::uint64_t position, time_point now,
+                   consensus_effects* out);
+  // A write or sync failed: the member stops for good.
+  void OnPersistFailed(result_code code, const std::string& reason,
+                       consensus_effects* out);
+
+  // Replaces the log up to `index` (applied) by `state`.
+  void Compact(log_index index, shared_body state, consensus_effects* out);
+  bool compaction_due() const;
+
+  // Hands leadership to the most advanced voter; aborted after an election
+  // timeout. kNotLeader if this member does not lead, kNoQuorum without
+  // another voter.
+  result_code TransferLeadership(time_point now, consensus_effects* out);
+
+  // Age of the last quorum confirmation whose commit index this member has
+  // applied; empty if there is none. Followers add a bound of the transit.
+  std::optional<duration> confirmation_age(time_point now) const;
+
+  consensus_role role() const { return role_; }
+  log_term term() const { return state_.term; }
+  const member_identity& identity() const { return identity_; }
+  // kNoMember if no leader is known; its instance is empty then.
+  member_id leader() const { return leader_; }
+  instance_name leader_instance() const;
+  log_index commit_index() const { return commit_index_; }
+  log_index applied_index() const { return applied_index_; }
+  log_index last_index() const { return base_index_ + log_.size(); }
+  log_index snapshot_index() const { return snapshot_.index; }
+  const group_membership& membership() const;
+  bool membership_change_pending() const;
+  // The formation this member belongs to; 0 if none.
+  std::uint64_t formation() const { return state_.formation; }
+  result_code stop_code() const { return stop_code_; }
+  const std::string& stop_reason() const { return stop_reason_; }
+
+  // For member_repair; both are empty unless this member leads.
+  std::vector<peer_status> peers(time_point now) const;
+  std::vector<spare_status> spares(time_point now) const;
+
+ private:
+  enum class transfer_state : std::uint8_t { kProbe, kReplicate, kSnapshot };
+
+  struct progress {
+    log_index match = 0;
+    log_index next = 1;
+    transfer_state state = transfer_state::kProbe;
+    bool probe_sent = false;
+    time_point last_heard{};
+    std::uint64_t acked_sequence = 0;
+    time_point acked_sent{};
+    bool acked = false;
+    // Sequence from which on replies must know `match`.
+    std::uint64_t match_sequence = 0;
+    std::int64_t follower_us = -1;
+    time_point follower_received{};
+    log_snapshot snapshot;
+    std::uint64_t snapshot_offset = 0;
+    time_point snapshot_sent{};
+  };
+
+  struct pending_persist {
+    std::uint64_t position = 0;
+    log_index last_index = 0;
+  };
+
+  struct pending_send {
+    std::uint64_t position = 0;
+    send_message send;
+  };
+
+  struct pending_read {
+    std::uint64_t token = 0;
+    std::uint64_t sequence = 0;
+    log_index index = 0;
+  };
+
+  struct membership_version {
+    log_index index = 0;
+    group_membership membership;
+  };
+
+  struct discovered {
+    log_member member;
+    std::uint64_t formation = 0;
+    bool formed = false;
+    time_point heard{};
+  };
+
+  struct incoming_snapshot {
+    member_id from = kNoMember;
+    log_term term = 0;
+    log_index index = 0;
+    log_term index_term = 0;
+    std::string data;
+  };
+
+  // Log access; index 0 is the empty log of term 0.
+  log_term TermAt(log_index index) const;
+  const log_entry& EntryAt(log_index index) const;
+  log_term LastTerm() const { return TermAt(last_index()); }
+  bool formed() const { return last_index() > 0; }
+
+  void Append(std::vector<log_entry> entries, consensus_effects* out);
+  void AppendAsLeader(entry_kind kind, shared_body payload, time_point now,
+                      consensus_effects* out);
+  void TruncateFrom(log_index index);
+  std::uint64_t IssuePersist(persist effect, consensus_effects* out);
+  void PersistState(consensus_effects* out);
+
+  void Send(member_id to, consensus_message message, consensus_effects* out);
+  void SendTo(const instance_name& instance, const std::string& address,
+              consensus_message message, consensus_effects* out);
+  const log_member* Lookup(member_id id) const;
+
+  void SetRole(consensus_role role, member_id leader, consensus_effects* out);
+  void BecomeFollower(log_term term, member_id leader, time_point now,
+                      consensus_effects* out);
+  void StartPreVote(time_point now, consensus_effects* out);
+  void StartElection(bool forced, time_point now, consensus_effects* out);
+  void BecomeLeader(time_point now, consensus_effects* out);
+  void Stop(result_code code, std::string reason, consensus_effects* out);
+  void ResetElectionTimer(time_point now);
+  bool HasVoteQuorum() const;
+  bool LogIsCurrent(log_index index, log_term term) const;
+
+  void OnDiscover(const consensus_message& message, time_point now,
+                  consensus_effects* out);
+  void OnPreVote(const consensus_message& message, time_point now,
+                 consensus_effects* out);
+  void OnVote(const consensus_message& message, time_point now,
+              consensus_effects* out);
+  void OnVoteReply(const consensus_message& message, time_point now,
+                   consensus_effects* out);
+  void OnAppend(const consensus_message& message, time_point now,
+                consensus_effects* out);
+  void OnAppendReply(const consensus_message& message, time_point now,
+                     consensus_effects* out);
+  void OnSnapshotChunk(const consensus_message& message, time_point now,
+                       consensus_effects* out);
+  void OnSnapshotReply(const consensus_message& message, time_point now,
+                       consensus_effects* out);
+  void OnTimeoutNow(const consensus_message& message, time_point now,
+                    consensus_effects* out);
+
+  void Discover(time_point now, consensus_effects* out);
+  void TryFormGroup(time_point now, consensus_effects* out);
+  bool IsCoordinator(const instance_name& instance) const;
+
+  void Replicate(member_id id, bool heartbeat, time_point now,
+                 consensus_effects* out);
+  void ReplicateAll(bool heartbeat, time_point now, consensus_effects* out);
+  void SendChunk(member_id id, time_point now, consensus_effects* out);
+  consensus_message AppendHeader(progress& peer, time_point now);
+  void NoteReply(progress& peer, const consensus_message& message,
+                 time_point now);
+  void NoteConfirmation(const consensus_message& message, time_point now);
+  void PromoteConfirmation();
+  void SendAppendReply(member_id to, time_point now, consensus_effects* out);
+  void AdvanceCommit(time_point now, consensus_effects* out);
+  void ApplyCommitted(consensus_effects* out);
+  void AnswerReads(time_point now, consensus_effects* out);
+  void FailReads(result_code code, consensus_effects* out);
+  void ContinueTransfer(time_point now, consensus_effects* out);
+  std::uint64_t QuorumSequence() const;
+  std::optional<time_point> QuorumTime(time_point now) const;
+  void UpdatePeers(time_point now);
+  void InstallSnapshot(log_snapshot snapshot, time_point now,
+                       consensus_effects* out);
+
+  consensus_settings settings_;
+  member_identity identity_;
+  std::uint64_t group_ = 0;
+  std::mt19937_64 random_;
+
+  consensus_role role_ = consensus_role::kUnformed;
+  hard_state state_;
+  member_id leader_ = kNoMember;
+  log_snapshot snapshot_;
+  // log_ starts after base_index_, which is at or before the snapshot.
+  log_index base_index_ = 0;
+  log_term base_term_ = 0;
+  std::deque<log_entry> log_;
+  // Versions found in the log, oldest first; the last one is in force.
+  std::vector<membership_version> memberships_;
+  log_index commit_index_ = 0;
+  log_index applied_index_ = 0;
+
+  std::uint64_t issued_position_ = 0;
+  std::uint64_t persisted_position_ = 0;
+  std::uint64_t state_position_ = 0;
+  log_index durable_index_ = 0;
+  std::deque<pending_persist> pending_persists_;
+  std::deque<pending_send> pending_sends_;
+
+  time_point election_due_{};
+  time_point leader_heard_{};
+  bool leader_contact_ = false;
+  std::map<member_id, bool> votes_;
+
+  // Follower.
+  log_index verified_index_ = 0;
+  std::uint64_t last_sequence_ = 0;
+  std::int64_t last_sent_us_ = 0;
+  incoming_snapshot incoming_;
+  std::optional<time_point> confirmed_;
+  std::optional<time_point> pending_confirmed_;
+  log_index pending_confirmed_commit_ = 0;
+
+  // Leader.
+  std::map<member_id, progress> peers_;
+  time_point heartbeat_due_{};
+  time_point leader_since_{};
+  std::uint64_t sequence_ = 0;
+  log_index term_start_index_ = 0;
+  std::deque<pending_read> reads_;
+  member_id transfer_target_ = kNoMember;
+  time_point transfer_due_{};
+
+  time_point discover_due_{};
+  std::map<instance_name, discovered> discovered_;
+
+  result_code stop_code_ = result_code::kOk;
+  std::string stop_reason_;
+};
+
+}  // namespace bilberrycourse
+
+#endif  // BILBERRYCOURSE_CONSENSUS_MEMBER_H_
