--- /dev/null
+++ b/app/caller_api.h
@@ -0,0 +1,65 @@
+#ifndef APP_CALLER_API_H_
+#define APP_CALLER_API_H_
+
+// `POST /query`: checks the request of a caller, applies the configuration in
+// force, runs it and writes the answer. docs/api.md describes every field.
+//
+//   caller_api api(settings, &control, &queries, &ledger);
+//   api.Query(std::move(request), std::move(respond));
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "app/control_client.h"
+#include "app/http_server.h"
+#include "app/query_service.h"
+#include "app/request_ledger.h"
+
+namespace bilberrycourse {
+
+class caller_api {
+ public:
+  caller_api(control_client* control, query_service* queries,
+             request_ledger* ledger);
+
+  void Query(http_request request, http_responder respond);
+  // From now on requests are refused as `not_run`; running ones end.
+  void Drain() { draining_ = true; }
+  bool draining() const { return draining_; }
+  // Requests that wait for the ledger or for their shards.
+  std::size_t in_flight() const { return in_flight_; }
+
+ private:
+  // A checked request body.
+  struct parsed_query {
+    caller_query query;
+    std::string request_id;
+    std::string key;
+    bool keep = false;
+    wall_time_ms issued_at_ms = 0;
+    std::uint32_t deadline_ms = 0;
+    bool ledger = false;
+  };
+  struct exchange;
+
+  std::optional<parsed_query> Parse(const http_request& request, time_point now,
+                                    result_code* code,
+                                    std::string* detail) const;
+  void ApplyPolicy(parsed_query* parsed, time_point now) const;
+  void BeginRecorded(const std::shared_ptr<exchange>& running);
+  void Run(const std::shared_ptr<exchange>& running);
+  void OnAnswer(const std::shared_ptr<exchange>& running, const answer& result);
+  void Respond(const std::shared_ptr<exchange>& running,
+               http_response response);
+
+  control_client* control_;
+  query_service* queries_;
+  request_ledger* ledger_;
+  bool draining_ = false;
+  std::size_t in_flight_ = 0;
+};
+
+}  // namespace bilberrycourse
+
+#endif  // APP_CALLER_API_H_
--- /dev/null
+++ b/app/control_client.cc
@@ -0,0 +1,292 @@
+#include "app/control_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "app/daemon_clock.h"
+#include "app/frames.h"
+#include "app/json_log.h"
+
+namespace bilberrycourse {
+namespace {
+
+constexpr duration kPollPeriod = std::chrono::milliseconds(200);
+// A poll without an answer for this long goes to another member.
+constexpr duration kPollTimeout = std::chrono::milliseconds(150);
+constexpr std::size_t kMaxOutstandingPolls = 16;
+// Wait before a call is sent to another member.
+constexpr duration kCallTimeout = std::chrono::milliseconds(500);
+constexpr duration kRetryWait = std::chrono::milliseconds(25);
+
+bool Retriable(result_code code) {
+  return code == result_code::kNotLeader ||
+         code == result_code::kProposalLost || code == result_code::kNoQuorum ||
+         code == result_code::kShuttingDown ||
+         code == result_code::kLogDamaged ||
+         code == result_code::kDataFolderForeign ||
+         code == result_code::kSyncFailed || code == result_code::kDiskFull ||
+         code == result_code::kStorageIo;
+}
+
+}  // namespace
+
+control_client::control_client(const settings& config,
+                               peer_transport* transport,
+                               control_service* local,
+                               control_client_handler* handler)
+    : config_(config),
+      transport_(transport),
+      local_(local),
+      handler_(handler),
+      poll_target_(local != nullptr ? config.name
+                                    : config.initial_members.front()) {}
+
+void control_client::Tick(time_point now) {
+  if (now >= poll_due_) {
+    if (!poll_answered_) poll_target_ = NextTarget(poll_target_);
+    PollNext(now);
+  }
+  std::vector<std::uint64_t> due;
+  for (const auto& [id, each] : calls_) {
+    if (now >= each.deadline || now >= each.resend_at) due.push_back(id);
+  }
+  for (const std::uint64_t id : due) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) continue;
+    if (now >= found->second.deadline) {
+      Answer(id,
+             {found->second.sent ? result_code::kProposalLost
+                                 : result_code::kNoQuorum,
+              "", leader_},
+             now);
+      continue;
+    }
+    found->second.target = NextTarget(found->second.target);
+    Send(id, now);
+  }
+}
+
+void control_client::PollNext(time_point now) {
+  poll_answered_ = false;
+  // The next poll is due early, so that an unanswered one costs little of the
+  // lease; an answer moves it back.
+  poll_due_ = now + kPollTimeout;
+  Poll(poll_target_, now);
+}
+
+void control_client::Poll(const instance_name& to, time_point now) {
+  const std::uint64_t version = lease_.applied_version();
+  if (to == config_.name) {
+    if (local_ != nullptr) TakeNews(now, local_->News(version, now));
+    return;
+  }
+  wire::control_pollT poll;
+  poll.poll_id = next_poll_++;
+  poll.published_version = version;
+  const std::uint64_t id = poll.poll_id;
+  if (!transport_->Send(to, MakeFrame(std::move(poll)))) return;
+  polls_[id] = {to, now};
+  while (polls_.size() > kMaxOutstandingPolls) polls_.erase(polls_.begin());
+}
+
+void control_client::OnNews(const instance_name& from,
+                            const wire::control_news& news, time_point) {
+  const auto found = polls_.find(news.poll_id());
+  if (found == polls_.end() || found->second.to != from) return;
+  const time_point sent_at = found->second.at;
+  polls_.erase(found);
+  TakeNews(
+      sent_at,
+      {news.confirmed(),
+       duration(static_cast<duration::rep>(
+           std::min<std::uint64_t>(news.confirmed_age_us(), 3'600'000'000ULL))),
+       news.published_version(), ToText(news.state()), ToText(news.leader())});
+}
+
+void control_client::TakeNews(time_point sent_at, const control_news& news) {
+  if (!news.leader.empty()) leader_ = news.leader;
+  if (!news.state.empty() &&
+      news.published_version > lease_.applied_version()) {
+    auto state = LoadPublished(news.state);
+    if (!state.has_value()) {
+      LogEvent(log_level::kError, "published_state_invalid",
+               {{"version", news.published_version}});
+      return;
+    }
+    published_ = std::move(state);
+    published_bytes_ = news.state;
+    handler_->OnPublished(*published_);
+    lease_.OnApplied(published_->published_version);
+  }
+  if (!news.confirmed) return;
+  poll_answered_ = true;
+  poll_due_ = sent_at + kPollPeriod;
+  lease_.OnConfirmed(sent_at, news.age, news.published_version);
+}
+
+void control_client::OnRelayed(const instance_name& from, time_point sent_at,
+                               duration age, std::uint64_t version,
+                               time_point now) {
+  lease_.OnRelayed(sent_at, age, version);
+  OnHint(from, version, now);
+}
+
+void control_client::OnHint(const instance_name& from, std::uint64_t version,
+                            time_point now) {
+  if (version > lease_.applied_version()) Poll(from, now);
+}
+
+control_news control_client::Relay(std::uint64_t published_version,
+                                   time_point now) const {
+  control_news news;
+  news.leader = leader_;
+  const auto age = lease_.Age(now);
+  if (!age.has_value()) return news;
+  news.confirmed = true;
+  news.age = *age;
+  news.published_version = lease_.confirmed_version();
+  if (published_.has_value() &&
+      published_->published_version > published_version) {
+    news.state = published_bytes_;
+    news.published_version = published_->published_version;
+  }
+  return news;
+}
+
+std::vector<instance_name> control_client::ControlNames() const {
+  std::vector<instance_name> names = config_.initial_members;
+  names.insert(names.end(), config_.spares.begin(), config_.spares.end());
+  return names;
+}
+
+// The next control instance after `previous` to which there is a way; when
+// none is reachable, any peer, which relays what it knows.
+instance_name control_client::NextTarget(const instance_name& previous) const {
+  const std::vector<instance_name> names = ControlNames();
+  const auto at = std::find(names.begin(), names.end(), previous);
+  const std::size_t start =
+      at == names.end() ? 0 : static_cast<std::size_t>(at - names.begin()) + 1;
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    const instance_name& name = names[(start + i) % names.size()];
+    const bool local = name == config_.name && local_ != nullptr;
+    if (local || transport_->Connected(name)) return name;
+  }
+  const std::vector<instance_name> peers = transport_->connected_peers();
+  const auto next = std::upper_bound(peers.begin(), peers.end(), previous);
+  if (next != peers.end()) return *next;
+  return peers.empty() ? names.front() : peers.front();
+}
+
+void control_client::Propose(const std::string& command, time_point deadline,
+                             control_callback callback) {
+  call started;
+  started.command = command;
+  started.deadline = deadline;
+  started.callback = std::move(callback);
+  Start(std::move(started));
+}
+
+void control_client::Read(const std::string& view, const std::string& argument,
+                          time_point deadline, control_callback callback) {
+  call started;
+  started.read = true;
+  started.view = view;
+  started.command = argument;
+  started.deadline = deadline;
+  started.callback = std::move(callback);
+  Start(std::move(started));
+}
+
+void control_client::Start(call started) {
+  const std::uint64_t id = next_call_++;
+  started.target = leader_.empty() ? NextTarget("") : leader_;
+  calls_[id] = std::move(started);
+  Send(id, Now());
+}
+
+void control_client::Send(std::uint64_t id, time_point now) {
+  call& sending = calls_.at(id);
+  sending.resend_at = now + kCallTimeout;
+  if (sending.target == config_.name && local_ != nullptr) {
+    sending.sent = true;
+    const auto done = [this, id](const control_reply& reply) {
+      RetryOrAnswer(id, reply, Now());
+    };
+    // Copies, because the callback may erase the call.
+    const std::string view = sending.view;
+    const std::string command = sending.command;
+    if (sending.read) return local_->Read(view, command, done);
+    return local_->Propose(command, done);
+  }
+  bool reached = false;
+  if (sending.read) {
+    wire::readT read;
+    read.read_id = id;
+    read.view = sending.view;
+    read.argument = sending.command;
+    reached = transport_->Send(sending.target, MakeFrame(std::move(read)));
+  } else {
+    wire::proposeT propose;
+    propose.proposal_id = id;
+    propose.command = ToBytes(sending.command);
+    reached = transport_->Send(sending.target, MakeFrame(std::move(propose)));
+  }
+  if (!reached) {
+    sending.resend_at = now + kRetryWait;
+  } else {
+    sending.sent = true;
+  }
+}
+
+void control_client::OnProposeResult(const wire::propose_result& result,
+                                     time_point now) {
+  RetryOrAnswer(result.proposal_id(),
+                {ResultCodeFromNumber(result.code()), ToText(result.outcome()),
+                 ToText(result.leader())},
+                now);
+}
+
+void control_client::OnReadResult(const wire::read_result& result,
+                                  time_point now) {
+  RetryOrAnswer(result.read_id(),
+                {ResultCodeFromNumber(result.code()), ToText(result.body()),
+                 ToText(result.leader())},
+                now);
+}
+
+void control_client::RetryOrAnswer(std::uint64_t id, const control_reply& reply,
+                                   time_point now) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  if (!Retriable(reply.code)) return Answer(id, reply, now);
+  if (!reply.leader.empty() && reply.leader != found->second.target) {
+    // Follow the hint at once.
+    leader_ = reply.leader;
+    found->second.target = reply.leader;
+    found->second.resend_at = now;
+    // NextTarget() would skip the hint, so it is sent here.
+    if (transport_->Connected(reply.leader) || reply.leader == config_.name) {
+      return Send(id, now);
+    }
+  }
+  found->second.resend_at = now + kRetryWait;
+}
+
+void control_client::Answer(std::uint64_t id, const control_reply& reply,
+                            time_point) {
+  const auto found = calls_.find(id);
+  const control_callback callback = std::move(found->second.callback);
+  calls_.erase(found);
+  callback(reply);
+}
+
+void control_client::OnPeerDisconnected(const instance_name& peer,
+                                        time_point now) {
+  if (peer == leader_) leader_.clear();
+  for (auto& [id, each] : calls_) {
+    if (each.target == peer) each.resend_at = now;
+  }
+  if (poll_target_ == peer) poll_due_ = now;
+}
+
+}  // namespace bilberrycourse
--- /dev/null
+++ b/app/control_service.cc
@@ -0,0 +1,369 @@
+#include "app/control_service.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/endian/conversion.hpp>
+#include <charconv>
+#include <utility>
+
+#include "app/daemon_clock.h"
+#include "app/frames.h"
+#include "app/json_log.h"
+#include "bilberrycourse/consensus_codec.h"
+
+namespace bilberrycourse {
+namespace {
+
+constexpr std::size_t kWallClockBytes = 8;
+constexpr duration kRepairPeriod = std::chrono::seconds(1);
+constexpr std::size_t kHistoryRows = 200;
+
+// A log payload is the leader's wall clock followed by the command, so that
+// every member expires records at the same entry.
+shared_body WrapCommand(wall_time_ms now, const std::string& command) {
+  auto payload = std::make_shared<std::string>();
+  payload->reserve(kWallClockBytes + command.size());
+  const std::int64_t wire = boost::endian::native_to_little(now);
+  payload->append(reinterpret_cast<const char*>(&wire), kWallClockBytes);
+  payload->append(command);
+  return payload;
+}
+
+std::vector<control_instance> ControlInstances(const settings& config) {
+  std::vector<control_instance> instances;
+  for (const instance_name& name : config.initial_members) {
+    instances.push_back({name, "", true});
+  }
+  for (const instance_name& name : config.spares) {
+    instances.push_back({name, "", false});
+  }
+  return instances;
+}
+
+}  // namespace
+
+control_service::control_service(boost::asio::any_io_executor executor,
+                                 const settings& config,
+                                 peer_transport* transport)
+    : executor_(std::move(executor)),
+      config_(config),
+      transport_(transport),
+      alive_(std::make_shared<control_service*>(this)) {}
+
+control_service::~control_service() {
+  *alive_ = nullptr;
+  store_.reset();
+}
+
+void control_service::Start(time_point now) {
+  files_ = std::make_unique<posix_storage_files>(config_.data_dir);
+  const auto completed = [executor = executor_,
+                          alive = alive_](const log_store_event& event) {
+    boost::asio::post(executor, [alive, event] {
+      if (*alive != nullptr) (*alive)->OnStoreEvent(event);
+    });
+  };
+  store_ = std::make_unique<log_store>(
+      files_.get(), log_store_settings{config_.group, config_.name, 0},
+      completed);
+  log_store::opened opened = store_->Open();
+  if (opened.code != result_code::kOk) return Stop(opened.code, opened.reason);
+  if (opened.log.snapshot.has_value() &&
+      opened.log.snapshot->state != nullptr &&
+      !state_.LoadSnapshot(*opened.log.snapshot->state)) {
+    return Stop(result_code::kLogDamaged, "the log snapshot does not decode");
+  }
+  LogEvent(log_level::kInfo, "log_opened",
+           {{"member", static_cast<std::uint64_t>(opened.log.identity.id)},
+            {"created", opened.created},
+            {"torn_tail", opened.torn_tail},
+            {"entries", opened.log.entries.size()},
+            {"snapshot_index",
+             opened.log.snapshot ? opened.log.snapshot->index : 0}});
+  consensus_settings options;
+  options.address = config_.peer_listen.ToText();
+  options.instances = ControlInstances(config_);
+  options.seed = static_cast<std::uint64_t>(opened.log.identity.id);
+  member_ = std::make_unique<consensus_member>(std::move(options),
+                                               std::move(opened.log), now);
+  repair_ = std::make_unique<member_repair>(
+      repair_options{.voters = config_.initial_members.size()});
+}
+
+void control_service::Tick(time_point now) {
+  if (member_ == nullptr) return;
+  consensus_effects effects;
+  member_->Tick(now, &effects);
+  Execute(std::move(effects));
+  Repair(now);
+}
+
+void control_service::OnConsensusFrame(std::string_view bytes, time_point now) {
+  if (member_ == nullptr) return;
+  const auto message = DecodeMessage(bytes);
+  if (!message.has_value()) return;
+  consensus_effects effects;
+  member_->Step(*message, now, &effects);
+  Execute(std::move(effects));
+}
+
+void control_service::Propose(const std::string& command,
+                              control_callback callback) {
+  if (member_ == nullptr) return callback({stop_code_, "", ""});
+  consensus_effects effects;
+  const proposal made =
+      member_->Propose(WrapCommand(WallNow(), command), Now(), &effects);
+  if (made.code != result_code::kOk) {
+    callback({made.code, "", leader()});
+  } else {
+    proposals_[made.index] = {made.term, std::move(callback)};
+  }
+  Execute(std::move(effects));
+}
+
+void control_service::Read(const std::string& view, const std::string& argument,
+                           control_callback callback) {
+  if (member_ == nullptr) return callback({stop_code_, "", ""});
+  consensus_effects effects;
+  const std::uint64_t token = next_read_++;
+  reads_[token] = {view, argument, std::move(callback)};
+  const result_code code = member_->ReadBarrier(token, Now(), &effects);
+  if (code != result_code::kOk) {
+    const auto found = reads_.find(token);
+    const control_callback refused = std::move(found->second.callback);
+    reads_.erase(found);
+    refused({code, "", leader()});
+  }
+  Execute(std::move(effects));
+}
+
+control_news control_service::News(std::uint64_t published_version,
+                                   time_point now) const {
+  control_news news;
+  news.leader = leader();
+  if (member_ == nullptr) return news;
+  const auto age = member_->confirmation_age(now);
+  news.confirmed = age.has_value();
+  news.age = age.value_or(duration{0});
+  news.published_version = state_.published_version();
+  if (news.published_version > published_version) {
+    if (published_cache_version_ != news.published_version) {
+      published_cache_ = state_.SavePublished();
+      published_cache_version_ = news.published_version;
+    }
+    news.state = published_cache_;
+  }
+  return news;
+}
+
+bool control_service::leads() const {
+  return member_ != nullptr && member_->role() == consensus_role::kLeader;
+}
+
+instance_name control_service::leader() const {
+  return member_ == nullptr ? instance_name() : member_->leader_instance();
+}
+
+boost::json::object control_service::Describe(time_point now) const {
+  boost::json::object out;
+  if (member_ == nullptr) {
+    out["role"] = ToString(consensus_role::kStopped);
+    out["code"] = bilberrycourse::Describe(stop_code_).number;
+    out["reason"] = stop_reason_;
+    return out;
+  }
+  const auto age = member_->confirmation_age(now);
+  out["role"] = ToString(member_->role());
+  out["member"] = static_cast<std::uint64_t>(member_->identity().id);
+  out["term"] = member_->term();
+  out["leader"] = leader();
+  out["commit_index"] = member_->commit_index();
+  out["snapshot_index"] = member_->snapshot_index();
+  out["quorum_age_ms"] =
+      age ? boost::json::value(age->count() / 1000) : boost::json::value();
+  boost::json::array members;
+  for (const log_member& each : member_->membership().members) {
+    members.push_back(
+        boost::json::object{{"member", static_cast<std::uint64_t>(each.id)},
+                            {"instance", each.instance},
+                            {"voter", each.role == member_role::kVoter}});
+  }
+  out["members"] = std::move(members);
+  if (member_->stop_code() != result_code::kOk) {
+    out["code"] = bilberrycourse::Describe(member_->stop_code()).number;
+    out["reason"] = member_->stop_reason();
+  }
+  return out;
+}
+
+void control_service::TransferLeadership(time_point now) {
+  if (!leads()) return;
+  consensus_effects effects;
+  member_->TransferLeadership(now, &effects);
+  Execute(std::move(effects));
+}
+
+void control_service::Drain() {
+  if (store_ != nullptr) store_->Drain();
+}
+
+void control_service::Execute(consensus_effects effects) {
+  for (consensus_effect& effect : effects) {
+    std::visit([this](auto& each) { Do(each); }, effect);
+  }
+  CompactIfDue();
+}
+
+void control_service::Do(send_message& effect) {
+  wire::consensusT payload;
+  payload.payload = ToBytes(EncodeMessage(effect.message));
+  transport_->Send(effect.to, MakeFrame(std::move(payload)));
+}
+
+void control_service::Do(persist& effect) {
+  store_->Persist(std::move(effect));
+}
+
+void control_service::Do(apply& effect) {
+  control_outcome outcome;
+  outcome.code = result_code::kInternal;
+  const log_entry& entry = effect.entry;
+  if (entry.kind == entry_kind::kCommand && entry.payload != nullptr &&
+      entry.payload->size() >= kWallClockBytes) {
+    const auto wall = boost::endian::load_little_s64(
+        reinterpret_cast<const unsigned char*>(entry.payload->data()));
+    outcome =
+        state_.Apply(entry.index, wall,
+                     std::string_view(*entry.payload).substr(kWallClockBytes));
+  }
+  const auto found = proposals_.find(entry.index);
+  if (found == proposals_.end()) return;
+  const pending_proposal pending = std::move(found->second);
+  proposals_.erase(found);
+  if (pending.term != entry.term) {
+    return pending.callback({result_code::kProposalLost, "", leader()});
+  }
+  pending.callback({result_code::kOk, EncodeOutcome(outcome), leader()});
+}
+
+void control_service::Do(restore_snapshot& effect) {
+  if (effect.snapshot.state == nullptr ||
+      !state_.LoadSnapshot(*effect.snapshot.state)) {
+    return Stop(result_code::kLogDamaged,
+                "a log snapshot of the leader does not decode");
+  }
+  // What became of proposals that the snapshot covers is not known here.
+  while (!proposals_.empty() &&
+         proposals_.begin()->first <= effect.snapshot.index) {
+    const control_callback callback =
+        std::move(proposals_.begin()->second.callback);
+    proposals_.erase(proposals_.begin());
+    callback({result_code::kProposalLost, "", leader()});
+  }
+}
+
+void control_service::Do(read_ready& effect) {
+  const auto found = reads_.find(effect.token);
+  if (found == reads_.end()) return;
+  const pending_read pending = std::move(found->second);
+  reads_.erase(found);
+  if (effect.code != result_code::kOk) {
+    return pending.callback({effect.code, "", leader()});
+  }
+  const std::string body = View(pending.view, pending.argument);
+  pending.callback({result_code::kOk, body, leader()});
+}
+
+void control_service::Do(role_changed& effect) {
+  LogEvent(log_level::kInfo, "control_role",
+           {{"role", ToString(effect.role)},
+            {"term", effect.term},
+            {"leader", leader()}});
+}
+
+void control_service::Do(stopped& effect) {
+  LogEvent(log_level::kError, "control_stopped",
+           {{"code", bilberrycourse::Describe(effect.code).number},
+            {"reason", effect.reason}});
+}
+
+void control_service::OnStoreEvent(const log_store_event& event) {
+  if (member_ == nullptr) return;
+  consensus_effects effects;
+  if (event.code == result_code::kOk) {
+    member_->OnPersisted(event.position, Now(), &effects);
+  } else {
+    member_->OnPersistFailed(event.code, event.reason, &effects);
+  }
+  Execute(std::move(effects));
+}
+
+void control_service::CompactIfDue() {
+  if (member_ == nullptr || !member_->compaction_due()) return;
+  consensus_effects effects;
+  member_->Compact(member_->applied_index(),
+                   std::make_shared<const std::string>(state_.SaveSnapshot()),
+                   &effects);
+  for (consensus_effect& effect : effects) {
+    std::visit([this](auto& each) { Do(each); }, effect);
+  }
+}
+
+void control_service::Repair(time_point now) {
+  if (!leads() || now < repair_due_) return;
+  repair_due_ = now + kRepairPeriod;
+  const auto change = repair_->Plan(ViewOf(*member_, now));
+  if (!change.has_value()) return;
+  consensus_effects effects;
+  const proposal made = member_->ProposeMembership(*change, now, &effects);
+  LogEvent(log_level::kInfo, "member_repair",
+           {{"change", static_cast<int>(change->kind)},
+            {"member", static_cast<std::uint64_t>(change->member.id)},
+            {"member_instance", change->member.instance},
+            {"code", bilberrycourse::Describe(made.code).number}});
+  Execute(std::move(effects));
+}
+
+std::string control_service::View(const std::string& view,
+                                  const std::string& argument) const {
+  if (view == "config") return state_.ConfigView();
+  if (view == "history") return state_.HistoryView(kHistoryRows);
+  if (view == "exceptions") return state_.ExceptionsView(WallNow());
+  if (view == "request") return RequestView(argument);
+  if (view == "group") return boost::json::serialize(Describe(Now()));
+  if (view == "requests") {
+    wall_time_ms since = 0;
+    std::from_chars(argument.data(), argument.data() + argument.size(), since);
+    return state_.RequestsView(since, WallNow());
+  }
+  return "{}";
+}
+
+// The argument is a JSON array of caller and key.
+std::string control_service::RequestView(const std::string& argument) const {
+  boost::system::error_code error;
+  const boost::json::value parsed = boost::json::parse(argument, error);
+  if (error || !parsed.is_array() || parsed.get_array().size() != 2) {
+    return "{}";
+  }
+  const auto& pair = parsed.get_array();
+  const request_record* record = state_.FindRequest(
+      std::string(pair[0].as_string()), std::string(pair[1].as_string()));
+  if (record == nullptr) return "{}";
+  return boost::json::serialize(boost::json::object{
+      {"phase", static_cast<int>(record->phase)},
+      {"code", bilberrycourse::Describe(record->code).number},
+      {"answer", record->answer},
+      {"answer_omitted", record->answer_omitted}});
+}
+
+void control_service::Stop(result_code code, const std::string& reason) {
+  stop_code_ = code;
+  stop_reason_ = reason;
+  member_.reset();
+  LogEvent(log_level::kError, "control_refuses_to_vote",
+           {{"code", bilberrycourse::Describe(code).number},
+            {"name", bilberrycourse::Describe(code).name},
+            {"reason", reason}});
+}
+
+}  // namespace bilberrycourse
--- /dev/null
+++ b/app/control_service.h
@@ -0,0 +1,128 @@
+#ifndef APP_CONTROL_SERVICE_H_
+#define APP_CONTROL_SERVICE_H_
+
+// The control role of an instance: runs one member of the replicated log with
+// its folder on disk, applies committed commands to the control state, answers
+// proposals, reads and polls, and replaces lost members.
+//
+//   control_service control(executor, settings, &transport);
+//   control.Start(now);
+//   control.Propose(EncodeCommand(command), [](const control_reply& r) {...});
+//
+// A folder that is damaged or foreign does not end the process: the member
+// takes no part and says why, while the entry role goes on with other members.
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/json.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "app/log_store.h"
+#include "app/peer_transport.h"
+#include "app/settings.h"
+#include "bilberrycourse/consensus_member.h"
+#include "bilberrycourse/control_state.h"
+#include "bilberrycourse/member_repair.h"
+
+namespace bilberrycourse {
+
+struct control_reply {
+  result_code code = result_code::kInternal;
+  // An encoded control_outcome, or the JSON text of a read.
+  std::string body;
+  // Where to ask instead, empty if unknown.
+  instance_name leader;
+};
+using control_callback = std::function<void(const control_reply&)>;
+
+// What a poll of an entry instance learns.
+struct control_news {
+  bool confirmed = false;
+  duration age{0};
+  std::uint64_t published_version = 0;
+  // Encoded published_state, empty if the asker is up to date.
+  std::string state;
+  instance_name leader;
+};
+
+class control_service {
+ public:
+  control_service(boost::asio::any_io_executor executor, const settings& config,
+                  peer_transport* transport);
+  ~control_service();
+
+  void Start(time_point now);
+  void Tick(time_point now);
+  void OnConsensusFrame(std::string_view bytes, time_point now);
+
+  // Answers kNotLeader with a hint unless this member leads.
+  void Propose(const std::string& command, control_callback callback);
+  // Linearizable read of the views config, history, exceptions, requests,
+  // request and group.
+  void Read(const std::string& view, const std::string& argument,
+            control_callback callback);
+  control_news News(std::uint64_t published_version, time_point now) const;
+
+  bool leads() const;
+  instance_name leader() const;
+  // For status and logs.
+  boost::json::object Describe(time_point now) const;
+
+  // Hands leadership over; the member keeps following until the process ends.
+  void TransferLeadership(time_point now);
+  // Waits until everything written so far is synced.
+  void Drain();
+
+ private:
+  struct pending_proposal {
+    log_term term = 0;
+    control_callback callback;
+  };
+  struct pending_read {
+    std::string view;
+    std::string argument;
+    control_callback callback;
+  };
+
+  void Execute(consensus_effects effects);
+  void Do(send_message& effect);
+  void Do(persist& effect);
+  void Do(apply& effect);
+  void Do(restore_snapshot& effect);
+  void Do(read_ready& effect);
+  void Do(role_changed& effect);
+  void Do(stopped& effect);
+  void OnStoreEvent(const log_store_event& event);
+  void CompactIfDue();
+  void Repair(time_point now);
+  std::string View(const std::string& view, const std::string& argument) const;
+  std::string RequestView(const std::string& argument) const;
+  void Stop(result_code code, const std::string& reason);
+
+  boost::asio::any_io_executor executor_;
+  const settings& config_;
+  peer_transport* transport_;
+  std::unique_ptr<posix_storage_files> files_;
+  std::unique_ptr<log_store> store_;
+  std::unique_ptr<consensus_member> member_;
+  control_state state_;
+  std::unique_ptr<member_repair> repair_;
+  time_point repair_due_{};
+  std::map<log_index, pending_proposal> proposals_;
+  std::map<std::uint64_t, pending_read> reads_;
+  std::uint64_t next_read_ = 1;
+  mutable std::uint64_t published_cache_version_ = 0;
+  mutable std::string published_cache_;
+  result_code stop_code_ = result_code::kOk;
+  std::string stop_reason_;
+  // Guards store completions that arrive after destruction.
+  std::shared_ptr<control_service*> alive_;
+};
+
+}  // namespace bilberrycourse
+
+#endif  // APP_CONTROL_SERVICE_H_
--- /dev/null
+++ b/app/daemon.cc
@@ -0,0 +1,518 @@
+#include "app/daemon.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <boost/json.hpp>
+#include <csignal>
+#include <utility>
+
+#include "app/daemon_clock.h"
+#include "app/frames.h"
+#include "app/json_log.h"
+
+namespace bilberrycourse {
+namespace {
+
+namespace json = boost::json;
+
+constexpr duration kTickPeriod = std::chrono::milliseconds(10);
+// An instance that leaves goes on serving its shards for this long, until the
+// others have taken its leave into account.
+constexpr duration kHandoverTime = std::chrono::milliseconds(700);
+constexpr duration kShardSetWait = std::chrono::seconds(5);
+
+std::uint64_t StartIncarnation() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+peer_transport_options TransportOptions(const settings& config) {
+  peer_transport_options options;
+  options.self = config.name;
+  options.listen = config.peer_listen;
+  options.shared_key = config.shared_key;
+  return options;
+}
+
+http_server_options HttpOptions(const settings& config) {
+  http_server_options options;
+  options.listen = config.caller_listen;
+  options.max_request_bytes = config.max_request_bytes;
+  options.max_connections = config.max_connections;
+  options.read_timeout = config.read_timeout;
+  return options;
+}
+
+std::unique_ptr<control_service> MakeControl(
+    boost::asio::any_io_executor executor, const settings& config,
+    peer_transport* transport) {
+  if (!config.control) return nullptr;
+  return std::make_unique<control_service>(std::move(executor), config,
+                                           transport);
+}
+
+wire::control_newsT ToWire(const control_news& news, std::uint64_t poll_id) {
+  wire::control_newsT out;
+  out.poll_id = poll_id;
+  out.confirmed = news.confirmed;
+  out.confirmed_age_us = static_cast<std::uint64_t>(news.age.count());
+  out.published_version = news.published_version;
+  out.state = ToBytes(news.state);
+  out.leader = news.leader;
+  return out;
+}
+
+// Reads an announcement; throws std::exception on a missing or wrong field.
+backend_server_record ParseAnnouncement(const json::object& body) {
+  backend_server_record record;
+  record.key.shard.service = std::string(body.at("service").as_string());
+  record.key.shard.shard = body.at("shard").to_number<std::uint32_t>();
+  record.key.replica = std::string(body.at("replica").as_string());
+  record.shard_count = body.at("shard_count").to_number<std::uint32_t>();
+  record.incarnation = body.at("incarnation").to_number<std::uint64_t>();
+  record.address = std::string(body.at("address").as_string());
+  record.zone = std::string(body.at("availability_zone").as_string());
+  record.slots = body.at("slots").to_number<std::uint32_t>();
+  record.connection_limit =
+      body.at("connection_limit").to_number<std::uint32_t>();
+  for (const json::value& version : body.at("versions").as_array()) {
+    record.versions.push_back(
+        index_version{version.to_number<std::uint64_t>()});
+  }
+  std::sort(record.versions.begin(), record.versions.end());
+  const std::string_view state = body.at("state").as_string();
+  if (state != "serving" && state != "draining") {
+    throw std::invalid_argument("state must be serving or draining");
+  }
+  record.state = state == "draining" ? backend_server_state::kDraining
+                                     : backend_server_state::kServing;
+  socket_address address;
+  if (!ParseSocketAddress(record.address, &address)) {
+    throw std::invalid_argument("address must be an IP number with a port");
+  }
+  return record;
+}
+
+}  // namespace
+
+const daemon_process::frame_route daemon_process::kFrameRoutes[] = {
+    {wire::payload::consensus, &daemon_process::OnConsensus},
+    {wire::payload::membership, &daemon_process::OnMembership},
+    {wire::payload::gossip, &daemon_process::OnGossip},
+    {wire::payload::control_poll, &daemon_process::OnControlPoll},
+    {wire::payload::control_news, &daemon_process::OnControlNews},
+    {wire::payload::propose, &daemon_process::OnPropose},
+    {wire::payload::propose_result, &daemon_process::OnProposeResult},
+    {wire::payload::read, &daemon_process::OnRead},
+    {wire::payload::read_result, &daemon_process::OnReadResult},
+    {wire::payload::shard_batch, &daemon_process::OnQueryFrame},
+    {wire::payload::shard_result_batch, &daemon_process::OnQueryFrame},
+    {wire::payload::shard_cancel, &daemon_process::OnQueryFrame},
+    {wire::payload::heartbeat, &daemon_process::OnQueryFrame},
+    {wire::payload::admission_batch, &daemon_process::OnQueryFrame},
+};
+
+daemon_process::daemon_process(settings config)
+    : config_(std::move(config)),
+      incarnation_(StartIncarnation()),
+      signals_(context_, SIGTERM, SIGINT),
+      timer_(context_),
+      transport_(context_.get_executor(), TransportOptions(config_), this),
+      control_member_(
+          MakeControl(context_.get_executor(), config_, &transport_)),
+      cluster_(config_, incarnation_, &transport_, this),
+      control_(config_, &transport_, control_member_.get(), this),
+      queries_(context_.get_executor(), config_, incarnation_, &transport_,
+               &cluster_, &metrics_),
+      ledger_(config_, incarnation_, &control_),
+      callers_(&control_, &queries_, &ledger_),
+      operators_(config_, &transport_, &cluster_, &control_,
+                 control_member_.get(), &queries_),
+      http_(context_.get_executor(), HttpOptions(config_),
+            [this](http_request request, http_responder respond) {
+              HandleHttp(std::move(request), std::move(respond));
+            }) {}
+
+daemon_process::~daemon_process() = default;
+
+boost::leaf::result<void> daemon_process::Run() {
+  BOOST_LEAF_CHECK(transport_.Listen());
+  BOOST_LEAF_CHECK(http_.Listen());
+  const time_point now = Now();
+  if (control_member_ != nullptr) control_member_->Start(now);
+  cluster_.Start(now);
+  SubscribeTimers(now);
+  signals_.async_wait([this](const boost::system::error_code& error, int) {
+    if (!error) BeginShutdown();
+  });
+  LogEvent(log_level::kInfo, "started",
+           {{"incarnation", incarnation_},
+            {"entry", config_.entry},
+            {"control", config_.control},
+            {"caller_address", config_.caller_listen.ToText()},
+            {"peer_address", config_.peer_listen.ToText()}});
+  ArmTimer();
+  context_.run();
+  if (control_member_ != nullptr) control_member_->Drain();
+  LogEvent(log_level::kInfo, "stopped", {});
+  return {};
+}
+
+void daemon_process::SubscribeTimers(time_point now) {
+  timers_.SubscribePeriodic(
+      kTickPeriod, now, [this](time_point t) { Tick(t); }, &tick_);
+}
+
+// Runs at the earlier of the next tick and the next due time of the query
+// path, whose hedges and refusals are due between ticks.
+void daemon_process::ArmTimer() {
+  const auto due = queries_.next_due();
+  if (due.has_value()) {
+    timers_.SubscribeOnce(
+        std::max(*due, Now()), [this](time_point t) { queries_.Tick(t); },
+        &due_);
+  }
+  const auto next = timers_.next_due();
+  if (!next.has_value()) return;
+  timer_.expires_at(ToSteady(*next));
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) OnTimer();
+  });
+}
+
+void daemon_process::OnTimer() {
+  timers_.Advance(Now());
+  ArmTimer();
+}
+
+void daemon_process::Tick(time_point now) {
+  if (control_member_ != nullptr) control_member_->Tick(now);
+  control_.Tick(now);
+  const control_lease& lease = control_.lease();
+  control_freshness freshness;
+  freshness.config_version = control_.published() == nullptr
+                                 ? 0
+                                 : control_.published()->config_version;
+  freshness.state_version = lease.confirmed_version();
+  freshness.age = lease.Age(now).value_or(duration::max());
+  cluster_.SetFreshness(freshness, now);
+  cluster_.Tick(now);
+  queries_.SetSendingAllowed(lease.Valid(now), now);
+  queries_.Tick(now);
+  ledger_.Tick(now);
+  operators_.Tick(now);
+  if (shutting_down_) CheckShutdown(now);
+}
+
+void daemon_process::OnPeerConnected(const instance_name& peer) {
+  LogEvent(log_level::kInfo, "peer_connected", {{"peer", peer}});
+  cluster_.OnPeerConnected(peer, Now());
+}
+
+void daemon_process::OnPeerDisconnected(const instance_name& peer) {
+  const time_point now = Now();
+  LogEvent(log_level::kInfo, "peer_disconnected", {{"peer", peer}});
+  control_.OnPeerDisconnected(peer, now);
+  queries_.OnPeerDisconnected(peer, now);
+}
+
+void daemon_process::OnPeerFrame(const instance_name& peer,
+                                 const wire::peer_frame& frame) {
+  const auto* route =
+      std::find_if(std::begin(kFrameRoutes), std::end(kFrameRoutes),
+                   [&](const frame_route& each) {
+                     return each.type == frame.payload_type();
+                   });
+  if (route == std::end(kFrameRoutes)) return;
+  (this->*route->handle)(peer, frame, Now());
+}
+
+void daemon_process::OnConsensus(const instance_name&,
+                                 const wire::peer_frame& frame,
+                                 time_point now) {
+  if (control_member_ == nullptr) return;
+  control_member_->OnConsensusFrame(
+      ToText(frame.payload_as_consensus()->payload()), now);
+}
+
+void daemon_process::OnMembership(const instance_name& peer,
+                                  const wire::peer_frame& frame,
+                                  time_point now) {
+  cluster_.OnMembershipFrame(
+      peer, ToText(frame.payload_as_membership()->payload()), now);
+}
+
+void daemon_process::OnGossip(const instance_name& peer,
+                              const wire::peer_frame& frame, time_point now) {
+  cluster_.OnGossipFrame(peer, ToText(frame.payload_as_gossip()->payload()),
+                         now);
+}
+
+void daemon_process::OnControlPoll(const instance_name& peer,
+                                   const wire::peer_frame& frame,
+                                   time_point now) {
+  const wire::control_poll* poll = frame.payload_as_control_poll();
+  control_news news;
+  if (control_member_ != nullptr) {
+    news = control_member_->News(poll->published_version(), now);
+  }
+  if (!news.confirmed) news = control_.Relay(poll->published_version(), now);
+  transport_.Send(peer, MakeFrame(ToWire(news, poll->poll_id())));
+}
+
+void daemon_process::OnControlNews(const instance_name& peer,
+                                   const wire::peer_frame& frame,
+                                   time_point now) {
+  control_.OnNews(peer, *frame.payload_as_control_news(), now);
+}
+
+void daemon_process::OnPropose(const instance_name& peer,
+                               const wire::peer_frame& frame, time_point) {
+  const wire::propose* propose = frame.payload_as_propose();
+  const std::uint64_t id = propose->proposal_id();
+  const auto reply = [this, peer, id](const control_reply& answer) {
+    wire::propose_resultT result;
+    result.proposal_id = id;
+    result.code = Describe(answer.code).number;
+    result.outcome = ToBytes(answer.body);
+    result.leader = answer.leader;
+    transport_.Send(peer, MakeFrame(std::move(result)));
+  };
+  if (control_member_ == nullptr) {
+    return reply({result_code::kNotLeader, "", control_.leader()});
+  }
+  control_member_->Propose(ToText(propose->command()), reply);
+}
+
+void daemon_process::OnProposeResult(const instance_name&,
+                                     const wire::peer_frame& frame,
+                                     time_point now) {
+  control_.OnProposeResult(*frame.payload_as_propose_result(), now);
+}
+
+void daemon_process::OnRead(const instance_name& peer,
+                            const wire::peer_frame& frame, time_point) {
+  const wire::read* read = frame.payload_as_read();
+  const std::uint64_t id = read->read_id();
+  const auto reply = [this, peer, id](const control_reply& answer) {
+    wire::read_resultT result;
+    result.read_id = id;
+    result.code = Describe(answer.code).number;
+    result.body = answer.body;
+    result.leader = answer.leader;
+    transport_.Send(peer, MakeFrame(std::move(result)));
+  };
+  const std::string view = ToText(read->view());
+  if (view == "in_force") {
+    const published_state* published = control_.published();
+    return reply(
+        {result_code::kOk,
+         std::to_string(published == nullptr ? 0 : published->config_version),
+         ""});
+  }
+  if (control_member_ == nullptr) {
+    return reply({result_code::kNotLeader, "", control_.leader()});
+  }
+  control_member_->Read(view, ToText(read->argument()), reply);
+}
+
+void daemon_process::OnReadResult(const instance_name& peer,
+                                  const wire::peer_frame& frame,
+                                  time_point now) {
+  const wire::read_result* result = frame.payload_as_read_result();
+  operators_.OnInForce(peer, *result);
+  control_.OnReadResult(*result, now);
+}
+
+void daemon_process::OnQueryFrame(const instance_name& peer,
+                                  const wire::peer_frame& frame,
+                                  time_point now) {
+  queries_.OnPeerFrame(peer, frame, now);
+}
+
+void daemon_process::OnBackendServer(const backend_server_record& record) {
+  queries_.OnBackendServer(record, Now());
+}
+
+void daemon_process::OnOwnership() { queries_.OnOwnership(Now()); }
+
+void daemon_process::OnFreshness(const freshness_received& received) {
+  const time_point now = Now();
+  const control_freshness& freshness = received.freshness;
+  if (received.probe_sent_at.has_value() && freshness.age != duration::max()) {
+    control_.OnRelayed(received.from, *received.probe_sent_at, freshness.age,
+                       freshness.state_version, now);
+  } else {
+    control_.OnHint(received.from, freshness.state_version, now);
+  }
+}
+
+void daemon_process::OnCrashEvidence(const crash_evidence_record& record) {
+  queries_.OnCrashEvidence(record, Now());
+}
+
+void daemon_process::OnPublished(const published_state& state) {
+  LogEvent(log_level::kInfo, "configuration_in_force",
+           {{"version", state.config_version},
+            {"published_version", state.published_version}});
+  queries_.OnPublished(state, Now());
+}
+
+bool daemon_process::Ready(time_point now) const {
+  return config_.entry && !shutting_down_ && control_.lease().Valid(now) &&
+         control_.published() != nullptr;
+}
+
+void daemon_process::HandleHttp(http_request request, http_responder respond) {
+  const std::string& path = request.path;
+  const bool get = request.method == "GET";
+  const bool post = request.method == "POST";
+  if (path == "/query" && config_.entry) {
+    if (!post) return respond(ProblemResponse(result_code::kMethodNotAllowed));
+    return callers_.Query(std::move(request), std::move(respond));
+  }
+  if (path == "/announce" && config_.entry) {
+    if (!post) return respond(ProblemResponse(result_code::kMethodNotAllowed));
+    return HandleAnnounce(request, std::move(respond));
+  }
+  if (path == "/healthz" && get) {
+    return respond({200, "application/json", R"({"status":"ok"})", 0});
+  }
+  if (path == "/readyz" && get) {
+    if (Ready(Now())) {
+      return respond({200, "application/json", R"({"status":"ready"})", 0});
+    }
+    return respond(ProblemResponse(shutting_down_
+                                       ? result_code::kShuttingDown
+                                       : result_code::kControlLeaseExpired));
+  }
+  if (path == "/metrics" && get) return HandleMetrics(std::move(respond));
+  if (operators_.Handle(request, respond)) return;
+  respond(ProblemResponse(result_code::kUnknownPath));
+}
+
+void daemon_process::HandleAnnounce(const http_request& request,
+                                    http_responder respond) {
+  boost::system::error_code error;
+  const json::value body = json::parse(request.body, error);
+  if (error || !body.is_object()) {
+    return respond(ProblemResponse(result_code::kMalformedRequest));
+  }
+  backend_server_record record;
+  try {
+    record = ParseAnnouncement(body.get_object());
+  } catch (const std::exception& fault) {
+    return respond(ProblemResponse(result_code::kInvalidField, fault.what()));
+  }
+  result_code code = RecordShardSets(record);
+  if (code == result_code::kOk) code = cluster_.Announce(record, Now());
+  if (code != result_code::kOk) return respond(ProblemResponse(code));
+  respond({200, "application/json",
+           json::serialize(json::object{{"registrar", config_.name}}), 0});
+}
+
+result_code daemon_process::RecordShardSets(
+    const backend_server_record& record) {
+  const std::string& service = record.key.shard.service;
+  const published_state* published = control_.published();
+  if (published == nullptr) return result_code::kOk;
+  for (const index_version version : record.versions) {
+    const auto count =
+        queries_.directory().RecordedShardCount(service, version);
+    if (count.has_value()) {
+      if (*count != record.shard_count) return result_code::kShardCountConflict;
+      continue;
+    }
+    if (!proposed_shard_sets_.insert({service, version}).second) continue;
+    LogDecision("shard_set_proposed",
+                {{"service", service},
+                 {"version", static_cast<std::uint64_t>(version)},
+                 {"shard_count", record.shard_count}});
+    control_.Propose(
+        EncodeCommand(shard_set_record{service, version, record.shard_count}),
+        Now() + kShardSetWait, [this, service, version](const control_reply&) {
+          proposed_shard_sets_.erase({service, version});
+        });
+  }
+  return result_code::kOk;
+}
+
+void daemon_process::HandleMetrics(http_responder respond) {
+  const peer_transport_counters& peers = transport_.counters();
+  const dispatch_counters& dispatch = queries_.dispatcher().counters();
+  const coordinator_counters& coordinator = queries_.coordinator().counters();
+  const struct {
+    const char* name;
+    const char* help;
+    std::uint64_t value;
+  } rows[] = {
+      {"bilberrycourse_queries_in_flight", "Queries of this origin.",
+       queries_.coordinator().in_flight()},
+      {"bilberrycourse_backend_connections", "Open or opening connections.",
+       queries_.backend_connections()},
+      {"bilberrycourse_peer_bytes_sent", "Bytes sent to peers.",
+       peers.bytes_sent},
+      {"bilberrycourse_peer_bytes_received", "Bytes received from peers.",
+       peers.bytes_received},
+      {"bilberrycourse_peer_links_rejected", "Links without a valid proof.",
+       peers.rejected_links},
+      {"bilberrycourse_first_attempts", "First attempts sent as owner.",
+       dispatch.first_attempts},
+      {"bilberrycourse_hedges", "Hedged attempts sent as owner.",
+       dispatch.hedges},
+      {"bilberrycourse_probes", "Probing attempts sent as owner.",
+       dispatch.probes},
+      {"bilberrycourse_retries", "Retries sent as owner.", dispatch.retries},
+      {"bilberrycourse_sheds", "Attempts that searchers refused.",
+       dispatch.sheds},
+      {"bilberrycourse_crashes", "Connections broken while running.",
+       dispatch.crashes},
+      {"bilberrycourse_late_replies", "Replies after the result.",
+       dispatch.late_replies},
+      {"bilberrycourse_wrong_version_replies",
+       "Replies of another index version, dropped.",
+       dispatch.wrong_version_replies + coordinator.wrong_version_results},
+      {"bilberrycourse_dropped_results", "Results of abandoned requests.",
+       coordinator.dropped_results},
+      {"bilberrycourse_restarted_queries",
+       "Queries that moved to another version.", coordinator.restarted},
+      {"bilberrycourse_sent_to_deputy", "Requests sent to a deputy.",
+       coordinator.sent_to_deputy},
+  };
+  for (const auto& row : rows) {
+    metrics_.SetGauge(row.name, row.help, static_cast<double>(row.value));
+  }
+  respond({200, "text/plain; version=0.0.4", metrics_.Text(), 0});
+}
+
+void daemon_process::BeginShutdown() {
+  if (shutting_down_) return;
+  shutting_down_ = true;
+  shutdown_started_ = Now();
+  LogEvent(log_level::kInfo, "shutdown_started",
+           {{"in_flight", callers_.in_flight()}});
+  callers_.Drain();
+  cluster_.Leave(shutdown_started_);
+  if (control_member_ != nullptr) {
+    control_member_->TransferLeadership(shutdown_started_);
+  }
+}
+
+void daemon_process::CheckShutdown(time_point now) {
+  const bool handed_over = now - shutdown_started_ >= kHandoverTime;
+  const bool idle = callers_.in_flight() == 0 && queries_.drained();
+  const bool out_of_time = now - shutdown_started_ >= config_.shutdown_grace;
+  if (!(handed_over && idle) && !out_of_time) return;
+  // Refusals that are being written may finish; then idle connections close.
+  http_.StopAccepting();
+  if (http_.pending() > 0 && !out_of_time) return;
+  LogEvent(log_level::kInfo, "shutdown_finished",
+           {{"unfinished", callers_.in_flight()}});
+  http_.Close();
+  transport_.Close();
+  context_.stop();
+}
+
+}  // namespace bilberrycourse
--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -18,17 +18,6 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
-http_response Problem(result_code code) {
-  const result_code_info& info = Describe(code);
-  boost::json::object body{{"type", "about:blank"},
-                           {"title", info.explanation},
-                           {"status", info.http_status},
-                           {"code", info.number},
-                           {"name", info.name}};
-  return {static_cast<unsigned>(info.http_status), "application/problem+json",
-          boost::json::serialize(body), 0};
-}
-
 result_code CodeOfReadError(const beast::error_code& error) {
   if (error == http::error::body_limit || error == http::error::header_limit) {
     return result_code::kRequestTooLarge;
@@ -45,6 +34,20 @@
 
 }  // namespace
 
+http_response ProblemResponse(result_code code, std::string_view detail,
+                              boost::json::object members) {
+  const result_code_info& info = Describe(code);
+  boost::json::object body{{"type", "about:blank"},
+                           {"title", info.explanation},
+                           {"status", info.http_status},
+                           {"code", info.number},
+                           {"name", info.name}};
+  if (!detail.empty()) body["detail"] = detail;
+  for (auto& member : members) body[member.key()] = std::move(member.value());
+  return {static_cast<unsigned>(info.http_status), "application/problem+json",
+          boost::json::serialize(body), 0};
+}
+
 class http_server::impl : public std::enable_shared_from_this<impl> {
  public:
   impl(asio::any_io_executor executor, http_server_options options,
@@ -122,7 +125,7 @@
     if (error) {
       keep_alive_ = false;
       ++server_->pending_;
-      return Write(Problem(CodeOfReadError(error)));
+      return Write(ProblemResponse(CodeOfReadError(error)));
     }
     stream_.expires_never();
     Handle();
--- a/app/http_server.h
+++ b/app/http_server.h
@@ -14,16 +14,19 @@
 // problem before the connection is closed.
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/json.hpp>
 #include <boost/leaf/result.hpp>
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "app/settings.h"
+#include "bilberrycourse/result_code.h"
 
 namespace bilberrycourse {
 
@@ -49,6 +52,11 @@
   unsigned retry_after = 0;
 };
 
+// Problem details by RFC 9457 with the number and name of the code; `members`
+// are added to the object.
+http_response ProblemResponse(result_code code, std::string_view detail = {},
+                              boost::json::object members = {});
+
 using http_responder = std::function<void(http_response)>;
 using http_handler = std::function<void(http_request, http_responder)>;
 
--- /dev/null
+++ b/app/query_service.h
@@ -0,0 +1,199 @@
+#ifndef APP_QUERY_SERVICE_H_
+#define APP_QUERY_SERVICE_H_
+
+// The entry role of an instance: the origin of its callers' queries, the owner
+// of its shards and the admission instance of its scopes, wired to peer links
+// and backend server connections.
+//
+//   query_service queries(executor, settings, incarnation, &transport,
+//                         &cluster, &control);
+//   queries.Submit(query, [](const answer& a) { ... });
+//   queries.OnShardBatch(peer, batch, now);
+//   queries.Tick(now);                       // every 10 ms and at next_due()
+//
+// All parts run on one executor. Effects of one part are events of another;
+// they go through queues that Run() empties, so that no part is entered twice.
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/json.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "app/backend_client.h"
+#include "app/cluster_service.h"
+#include "app/metrics.h"
+#include "app/peer_transport.h"
+#include "app/settings.h"
+#include "bilberrycourse/admission_client.h"
+#include "bilberrycourse/admission_controller.h"
+#include "bilberrycourse/config_document.h"
+#include "bilberrycourse/control_state.h"
+#include "bilberrycourse/crash_evidence.h"
+#include "bilberrycourse/query_coordinator.h"
+#include "bilberrycourse/shard_directory.h"
+#include "bilberrycourse/shard_dispatcher.h"
+
+namespace bilberrycourse {
+
+// A checked request of a caller.
+struct caller_query {
+  std::string target;
+  caller_name caller;
+  double caller_weight = 1.0;
+  time_point deadline{};
+  bool idempotent = true;
+  shared_body body;
+  std::string traceparent;
+  service_policy policy;
+};
+
+class query_service : public backend_client_handler {
+ public:
+  using answer_callback = std::function<void(const answer&)>;
+
+  query_service(boost::asio::any_io_executor executor, const settings& config,
+                std::uint64_t incarnation, peer_transport* transport,
+                cluster_service* cluster, metrics* counters);
+  ~query_service() override;
+
+  // The callback is called exactly once unless Abandon() comes first.
+  query_id Submit(const caller_query& query, time_point now,
+                  answer_callback callback);
+  void Abandon(query_id query, time_point now);
+
+  void OnPublished(const published_state& state, time_point now);
+  void OnBackendServer(const backend_server_record& record, time_point now);
+  void OnOwnership(time_point now);
+  void OnCrashEvidence(const crash_evidence_record& record, time_point now);
+  void SetSendingAllowed(bool allowed, time_point now);
+
+  void OnPeerFrame(const instance_name& peer, const wire::peer_frame& frame,
+                   time_point now);
+  void OnPeerDisconnected(const instance_name& peer, time_point now);
+  void Tick(time_point now);
+  std::optional<time_point> next_due() const;
+
+  // New queries are refused; running ones and the work of other origins end.
+  void Drain() { coordinator_.Drain(); }
+  bool drained() const;
+
+  bool Knows(const std::string& target) const {
+    return directory_.Contains(target);
+  }
+  const shard_directory& directory() const { return directory_; }
+  const shard_dispatcher& dispatcher() const { return dispatcher_; }
+  const query_coordinator& coordinator() const { return coordinator_; }
+  const admission_controller& admission() const { return admission_; }
+  std::size_t backend_connections() const { return backend_.connections(); }
+
+  void OnBackendOpened(connection_id connection) override;
+  void OnBackendClosed(connection_id connection, bool was_open) override;
+  void OnBackendReply(connection_id connection, attempt_id attempt,
+                      const backend_reply& reply) override;
+
+ private:
+  // What this origin sent to one owner and has no result for.
+  struct owner_link {
+    std::set<shard_request_id> outstanding;
+    time_point silent_since{};
+    bool reported_silent = false;
+  };
+  // What is sent to one peer at the end of a round.
+  struct outgoing {
+    std::vector<std::unique_ptr<wire::shard_requestT>> requests;
+    std::vector<std::unique_ptr<wire::shard_resultT>> results;
+    std::vector<std::uint64_t> cancels;
+    std::unique_ptr<wire::admission_batchT> admission;
+  };
+  struct running_query {
+    answer_callback callback;
+    fingerprint content{};
+    time_point started{};
+    std::string target;
+    bool crashed = false;
+  };
+
+  void Run(time_point now);
+  void Flush(time_point now);
+
+  void Do(request_admission& effect, time_point now);
+  void Do(release_admission& effect, time_point now);
+  void Do(send_shard_request& effect, time_point now);
+  void Do(cancel_shard_requests& effect, time_point now);
+  void Do(answer& effect, time_point now);
+  void Do(coordinator_decision& effect, time_point now);
+
+  void Do(send_admission_request& effect, time_point now);
+  void Do(send_admission_release& effect, time_point now);
+  void Do(admission_result& effect, time_point now);
+  void Do(admission_mode_changed& effect, time_point now);
+
+  void Do(open_connection& effect, time_point now);
+  void Do(close_connection& effect, time_point now);
+  void Do(send_attempt& effect, time_point now);
+  void Do(cancel_attempt& effect, time_point now);
+  void Do(finish_request& effect, time_point now);
+  void Do(report_crash& effect, time_point now);
+  void Do(dispatch_decision& effect, time_point now);
+
+  void Do(admission_reply& effect, time_point now);
+
+  void OnShardBatch(const instance_name& peer, const wire::shard_batch& batch,
+                    time_point now);
+  void OnResultBatch(const instance_name& peer,
+                     const wire::shard_result_batch& batch, time_point now);
+  void OnAdmissionBatch(const instance_name& peer,
+                        const wire::admission_batch& batch, time_point now);
+  void TakeResult(const shard_result& result, time_point now);
+  void CheckSilentOwners(time_point now);
+  void SendHeartbeats(time_point now);
+  instance_name ChooseOwner(const shard_key& shard, bool deputy) const;
+  wire::admission_batchT& AdmissionBatch(const instance_name& peer);
+  std::string WireId(attempt_id attempt) const;
+
+  const settings& config_;
+  const std::uint64_t incarnation_;
+  peer_transport* transport_;
+  cluster_service* cluster_;
+  metrics* metrics_;
+  shard_directory directory_;
+  crash_evidence evidence_;
+  query_coordinator coordinator_;
+  shard_dispatcher dispatcher_;
+  admission_controller admission_;
+  admission_client admission_client_;
+  backend_client backend_;
+
+  query_coordinator::effects coordinator_out_;
+  dispatch_effects dispatch_out_;
+  admission_client::effects admission_client_out_;
+  admission_controller::effects admission_out_;
+  bool running_ = false;
+  std::map<instance_name, outgoing> outgoing_;
+
+  std::uint64_t next_query_ = 1;
+  std::unordered_map<std::uint64_t, running_query> queries_;
+  std::map<instance_name, owner_link> owners_;
+  std::unordered_map<std::uint64_t, instance_name> owner_of_request_;
+  std::map<std::string, instance_name> admission_of_scope_;
+  // When an origin last sent work here and was last sent a frame.
+  std::map<instance_name, time_point> origins_;
+  std::map<instance_name, time_point> last_sent_;
+  std::map<backend_server_key, std::string> addresses_;
+  std::map<connection_id, backend_server_key> connections_;
+  std::set<shard_key> owned_;
+  std::set<std::string> groups_;
+  std::set<caller_name> weighted_callers_;
+  bool sending_allowed_ = false;
+};
+
+}  // namespace bilberrycourse
+
+#endif  // APP_QUERY_SERVICE_H_
