--- a/bilberrycourse/backend_server_table.h
+++ b/bilberrycourse/backend_server_table.h
@@ -23,7 +23,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -52,6 +52,9 @@
   // Lost searchers are remembered this long, so that lower incarnations are
   // still refused.
   duration lost_retention = std::chrono::hours(2);
+  // The part of a gap between ticks beyond this counts as a pause, in which
+  // renewals were not read.
+  duration pause_threshold = std::chrono::milliseconds(500);
   std::size_t max_records = 32768;
   std::size_t max_versions = 64;
   std::size_t max_name_bytes = 128;
@@ -88,42 +91,50 @@
   std::uint64_t malformed() const { return malformed_; }
 
  private:
-  struct due_tag;
-  struct entry : boost::intrusive::list_base_hook<> {
-    // As known by gossip; the view can have the state kLost instead.
+  // Member of exactly one of the lists below.
+  struct entry
+      : boost::intrusive::list_base_hook<
+            boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+    // As known by gossip.
     backend_server_record published;
+    // The same, but lost when the registrar is not alive after the grace.
     backend_server_record view;
-    time_point renewed_at{};
-    // Since when the registrar is not alive; valid for orphans.
-    time_point orphaned_at{};
-    time_point lost_at{};
+    // When the entry entered its list or was renewed.
+    time_point since{};
   };
-  // Entries in order of the time at which they need attention; each list has
-  // one constant delay, so appending keeps the order.
+  // Entries of one list wait equally long, so appending keeps the order of
+  // their due times and a tick looks at the front only.
   using entry_list =
       boost::intrusive::list<entry,
                              boost::intrusive::constant_time_size<false>>;
 
-  result_code Check(const backend_server_record& record) const;
+  bool IsValid(const backend_server_record& record) const;
+  bool IsAlive(const instance_name& name) const;
+  void MoveTo(entry_list* list, entry* e, time_point now);
+  // Puts an entry that changed into the list of its state and registrar.
   void Classify(entry* e, time_point now);
-  void SetView(entry* e, backend_server_state state, time_point now,
+  void SetView(entry* e, const backend_server_record& view,
                std::vector<backend_server_effect>* out);
-  void Publish(const entry& e, std::vector<backend_server_effect>* out) const;
-  bool IsAlive(const instance_name& name) const;
+  // Takes `record` as the newest version and publishes it.
+  void Publish(entry* e, backend_server_record record, time_point now,
+               std::vector<backend_server_effect>* out);
+  void PublishLost(entry* e, time_point now,
+                   std::vector<backend_server_effect>* out);
 
   const instance_name self_;
   const backend_server_options options_;
   std::map<backend_server_key, entry> entries_;
-  // Renewed here, by time of renewal.
+  // This instance is the registrar.
   entry_list renewed_;
-  // Registrar not alive, by time since when; before and after the grace.
+  // The registrar is alive elsewhere.
+  entry_list remote_;
+  // The registrar is not alive; within the grace, and after it.
   entry_list orphaned_;
   entry_list abandoned_;
-  // Lost, by time.
+  // Published as lost.
   entry_list lost_;
-  // Served by an alive registrar elsewhere.
-  entry_list remote_;
   std::vector<instance_name> alive_;
+  std::optional<time_point> last_tick_;
   std::uint64_t malformed_ = 0;
 };
 
--- a/bilberrycourse/gossip_table.h
+++ b/bilberrycourse/gossip_table.h
@@ -27,7 +27,6 @@
 #include <boost/intrusive/set.hpp>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <random>
 #include <span>
@@ -114,6 +113,11 @@
   std::uint64_t digests_differed = 0;
 };
 
+struct gossip_records;
+struct gossip_digest;
+struct gossip_summary;
+struct gossip_request;
+
 class gossip_table {
  public:
   gossip_table(instance_name self, gossip_options options);
@@ -165,46 +169,55 @@
   struct expiry_tag;
   using auto_unlink =
       boost::intrusive::link_mode<boost::intrusive::auto_unlink>;
-  struct entry
-      : boost::intrusive::list_base_hook<boost::intrusive::tag<push_tag>,
-                                         auto_unlink>,
-        boost::intrusive::list_base_hook<boost::intrusive::tag<bucket_tag>,
-                                         auto_unlink>,
-        boost::intrusive::set_base_hook<boost::intrusive::tag<expiry_tag>,
-                                        auto_unlink> {
+  using push_hook_type =
+      boost::intrusive::list_base_hook<boost::intrusive::tag<push_tag>,
+                                       auto_unlink>;
+  using bucket_hook_type =
+      boost::intrusive::list_base_hook<boost::intrusive::tag<bucket_tag>,
+                                       auto_unlink>;
+  using expiry_hook_type =
+      boost::intrusive::set_base_hook<boost::intrusive::tag<expiry_tag>,
+                                      auto_unlink>;
+  using unsized = boost::intrusive::constant_time_size<false>;
+
+  struct entry : push_hook_type, bucket_hook_type, expiry_hook_type {
     soft_record record;
     std::uint64_t key_hash = 0;
     std::uint64_t content_hash = 0;
+    // Valid while linked into the expiries.
     time_point expires_at{};
     friend bool operator<(const entry& a, const entry& b) {
       return a.expires_at < b.expires_at;
     }
   };
-  using push_list = boost::intrusive::list<
-      entry,
-      boost::intrusive::base_hook<boost::intrusive::list_base_hook<
-          boost::intrusive::tag<push_tag>, auto_unlink>>,
-      boost::intrusive::constant_time_size<false>>;
+  using push_list =
+      boost::intrusive::list<entry, boost::intrusive::base_hook<push_hook_type>,
+                             unsized>;
   using bucket_list = boost::intrusive::list<
-      entry,
-      boost::intrusive::base_hook<boost::intrusive::list_base_hook<
-          boost::intrusive::tag<bucket_tag>, auto_unlink>>,
-      boost::intrusive::constant_time_size<false>>;
+      entry, boost::intrusive::base_hook<bucket_hook_type>, unsized>;
   using expiry_set = boost::intrusive::multiset<
-      entry,
-      boost::intrusive::base_hook<boost::intrusive::set_base_hook<
-          boost::intrusive::tag<expiry_tag>, auto_unlink>>,
-      boost::intrusive::constant_time_size<false>>;
+      entry, boost::intrusive::base_hook<expiry_hook_type>, unsized>;
+
+  static constexpr std::size_t kSummaryEntryBytes = 32;
 
   entry* FindEntry(std::uint64_t key_hash);
-  bool Store(soft_record record, time_point now, bool push, entry** stored);
   void Erase(entry* e);
-  bool MergeAll(const std::vector<soft_record>& records, time_point now,
-                bool push, std::vector<gossip_effect>* out);
+  bool MakeRoom();
+  // Stores a record that is newer than the known one; false otherwise.
+  bool Store(soft_record record, time_point now, bool push);
+  void Handle(const instance_name& from, gossip_records& message,
+              time_point now, std::vector<gossip_effect>* out);
+  void Handle(const instance_name& from, const gossip_digest& digest,
+              time_point now, std::vector<gossip_effect>* out);
+  void Handle(const instance_name& from, const gossip_summary& summary,
+              time_point now, std::vector<gossip_effect>* out);
+  void Handle(const instance_name& from, const gossip_request& request,
+              time_point now, std::vector<gossip_effect>* out);
   void FlushPushes(time_point now, std::vector<gossip_effect>* out);
   void SendRecords(const instance_name& to,
                    const std::vector<const entry*>& entries, bool more,
                    time_point now, std::vector<gossip_effect>* out);
+  // The record with the lifetime that remains.
   soft_record Outgoing(const entry& e, time_point now) const;
 
   const instance_name self_;
--- a/bilberrycourse/membership.h
+++ b/bilberrycourse/membership.h
@@ -22,10 +22,13 @@
 // while this instance sees the peer alive: an instance that was cut off and
 // returns must not remove the others from every view.
 //
-// After a gap between ticks (the process was paused) running probes are
-// dropped and suspicions are prolonged by the gap, because acks may be waiting
-// unread.
+// A gap between ticks (the process was paused) prolongs running probes and
+// suspicions, because acks and refutations may be waiting unread.
+//
+// An instance that learns that it was declared dead refutes, and withdraws its
+// own claims that others are suspect or dead: it was probably cut off itself.
 
+#include <boost/intrusive/list.hpp>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -61,8 +64,8 @@
   std::string address;
   std::string bytes;
 };
-// The status or the facts of a peer changed in the view of this instance. For
-// a peer whose record was forgotten after the retention the status is kDead.
+// The status or the facts of a peer changed in the view of this instance; for
+// this instance itself no effect is emitted.
 struct instance_changed {
   instance_record record;
   instance_status status = instance_status::kAlive;
@@ -107,11 +110,14 @@
   duration ack_timeout = std::chrono::milliseconds(100);
   duration suspicion_timeout = std::chrono::seconds(1);
   std::uint32_t indirect_probes = 3;
-  // One dead peer and one unreached seed are tried in this interval, so that
-  // both sides of a healed partition find each other.
+  // Dead peers and unreached seeds are tried at most one each in this
+  // interval, so that both sides of a healed partition find each other.
   duration reconnect_period = std::chrono::seconds(1);
-  // A tick that comes later than this after the previous one is a pause.
-  duration pause_threshold = std::chrono::milliseconds(150);
+  // All instances together try each dead peer about this often per interval;
+  // 1,700 attempts a second to one restarting instance would overload it.
+  double reconnect_attempts = 4;
+  // The part of a gap between ticks beyond this counts as a pause.
+  duration pause_threshold = std::chrono::milliseconds(50);
   // Peer addresses from the settings; the own address is ignored.
   std::vector<std::string> seeds;
   std::size_t max_instances = 16384;
@@ -128,6 +134,13 @@
   std::uint64_t malformed = 0;
 };
 
+struct instance_knowledge;
+struct probe_message;
+struct ack_message;
+struct probe_request_message;
+struct indirect_ack_message;
+struct notice_message;
+
 class membership {
  public:
   membership(instance_record self, membership_options options);
@@ -168,20 +181,31 @@
   std::uint64_t view_term() const { return view_term_; }
   const instance_record& self() const { return self_; }
   bool leaving() const { return leaving_; }
+  // The record of a known instance, dead and leaving ones included; nullptr if
+  // unknown. The daemon finds the address of a send effect here.
+  const instance_record* Find(const instance_name& name) const;
   // Status of a known instance, nullopt if it is unknown.
   std::optional<instance_status> Status(const instance_name& name) const;
   const membership_counters& counters() const { return counters_; }
 
  private:
-  struct peer {
+  using auto_unlink =
+      boost::intrusive::link_mode<boost::intrusive::auto_unlink>;
+  // Linked into suspects_ while suspected.
+  struct peer : boost::intrusive::list_base_hook<auto_unlink> {
     instance_record record;
-    instance_status status = instance_status::kAlive;
+    instance_status status = instance_status::kDead;
     // Valid while suspected.
     time_point dead_at{};
-    // Links of the peer's place in the probe order.
-    bool in_order = false;
+    // The claim about this peer was withdrawn: equal incarnations count as
+    // news.
+    bool withdrawn = false;
   };
+  // All suspicions last equally long, so appending keeps the order of dead_at.
+  using suspect_list =
+      boost::intrusive::list<peer, boost::intrusive::constant_time_size<false>>;
   struct probe {
+    // Empty for a seed whose name is not known yet.
     instance_name target;
     std::string seed_address;
     time_point sent_at{};
@@ -193,36 +217,68 @@
     std::uint64_t requester_probe = 0;
   };
 
-  void PublishSelf(std::vector<membership_effect>* out);
-  void Refute(std::uint64_t claimed_incarnation, instance_status claimed,
-              const instance_name& by, time_point now,
+  void Handle(const instance_name& from, const probe_message& m, time_point now,
               std::vector<membership_effect>* out);
-  void Learn(const instance_record& record, instance_status status,
-             bool from_gossip, time_point now,
-             std::vector<membership_effect>* out);
-  void SetStatus(peer* p, instance_status status, time_point now,
+  void Handle(const instance_name& from, const ack_message& m, time_point now,
+              std::vector<membership_effect>* out);
+  void Handle(const instance_name& from, const probe_request_message& m,
+              time_point now, std::vector<membership_effect>* out);
+  void Handle(const instance_name& from, const indirect_ack_message& m,
+              time_point now, std::vector<membership_effect>* out);
+  void Handle(const instance_name& from, const notice_message& m,
+              time_point now, std::vector<membership_effect>* out);
+
+  // Takes facts and status of an instance. `direct`: stated by the instance
+  // itself, not by gossip.
+  void Learn(const instance_record& record, instance_status status, bool direct,
+             time_point now, std::vector<membership_effect>* out);
+  // Raises the own incarnation if a peer believes this instance not alive or
+  // knows a higher incarnation. Returns true if it did.
+  bool RefuteIfNeeded(const instance_knowledge& known, const instance_name& by,
+                      std::vector<membership_effect>* out);
+  // Tells `to` the own facts if `known`, its knowledge of them, is outdated.
+  void CorrectIfOutdated(const instance_knowledge& known,
+                         const instance_name& to,
+                         std::vector<membership_effect>* out) const;
+  void SetStatus(peer* p, instance_status status, time_point now);
+  void Publish(const instance_record& record, instance_status status,
+               std::vector<membership_effect>* out) const;
+  // Inserts, replaces or removes one instance of the view.
+  void UpdateView(const instance_record& record, bool present,
+                  std::vector<membership_effect>* out);
+
+  void AbsorbPause(time_point now);
+  void CheckProbes(time_point now, std::vector<membership_effect>* out);
+  void Suspect(const instance_name& name, time_point now,
+               std::vector<membership_effect>* out);
+  void AskOthers(std::uint64_t id, const probe& p,
                  std::vector<membership_effect>* out);
-  void PublishClaim(const peer& p, instance_status status,
-                    std::vector<membership_effect>* out);
   void ProbeNext(time_point now, std::vector<membership_effect>* out);
   void Reconnect(time_point now, std::vector<membership_effect>* out);
-  void SendProbe(probe p, time_point now, std::vector<membership_effect>* out);
-  void AskOthers(std::uint64_t id, const probe& p,
+  void ContactSeed(const std::string& address, time_point now,
+                   std::vector<membership_effect>* out);
+  void SendProbe(probe p, instance_knowledge known, time_point now,
                  std::vector<membership_effect>* out);
-  void RebuildView(std::vector<membership_effect>* out);
+
+  std::size_t RandomBelow(std::size_t bound);
+  bool SeedIsReached(const std::string& address) const;
+  instance_knowledge Knowledge(const instance_name& name) const;
   control_freshness FreshnessAt(time_point now) const;
 
   instance_record self_;
   const membership_options options_;
   bool leaving_ = false;
   std::map<instance_name, peer> peers_;
+  suspect_list suspects_;
   std::map<std::uint64_t, probe> probes_;
   std::uint64_t next_probe_id_ = 1;
+  // Shuffled round of probe targets.
   std::vector<instance_name> order_;
   std::size_t next_in_order_ = 0;
   time_point next_probe_{};
   time_point next_reconnect_{};
   std::optional<time_point> last_tick_;
+  // Names learned by contacting a seed.
   std::map<std::string, instance_name> seed_names_;
   std::size_t next_seed_ = 0;
   std::vector<instance_record> alive_;
--- /dev/null
+++ b/bilberrycourse/testing/membership_test.cc
@@ -0,0 +1,166 @@
+#include "bilberrycourse/membership.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <string>
+
+#include "bilberrycourse/testing/soft_state_network.h"
+
+namespace bilberrycourse {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kSize = 8;
+
+class membership_test : public ::testing::Test {
+ protected:
+  membership_test() { Settle(); }
+  void Settle() {
+    net_.RunUntil([&] { return net_.ViewsAgree(); }, seconds(10));
+    ASSERT_TRUE(net_.ViewsAgree());
+  }
+  std::optional<instance_status> StatusAt(std::size_t at, std::size_t of) {
+    return net_.node(at).members.Status(net_.NameOf(of));
+  }
+
+  soft_state_network net_{kSize};
+};
+
+// Guards against instances that know only their seeds.
+TEST_F(membership_test, Start_OnlySeedsKnown_AllViewsAgreeWithin2s) {
+  EXPECT_LE(net_.now() - time_point{}, seconds(2));
+  net_.Run(seconds(20));
+  EXPECT_TRUE(net_.ViewsAgree());
+  EXPECT_EQ(net_.TotalRemovals(), 0);
+}
+
+// Guards against an instance that dies unnoticed or is noticed late.
+TEST_F(membership_test, Tick_InstanceDies_AllOthersRemoveItWithin2500ms) {
+  for (std::size_t victim = 0; victim < 3; ++victim) {
+    net_.node(victim).running = false;
+    const duration took =
+        net_.RunUntil([&] { return net_.ViewsAgree(); }, seconds(10));
+    EXPECT_LE(took, milliseconds(2500));
+  }
+}
+
+// Guards against the removal of a healthy instance by a single bad link, one
+// way or both.
+TEST_F(membership_test, Tick_OneLinkCut_RemovesNobody) {
+  net_.Cut(0, 1);
+  net_.Run(seconds(20));
+  net_.CutBoth(0, 1);
+  net_.Run(seconds(20));
+  EXPECT_TRUE(net_.ViewsAgree());
+  EXPECT_EQ(net_.TotalRemovals(), 0);
+}
+
+// Guards against a silent partition that only one side notices, and against
+// sides that do not find each other again.
+TEST_F(membership_test, Tick_Partition_BothSidesNoticeAndRejoin) {
+  for (std::size_t a = 0; a < 3; ++a) {
+    for (std::size_t b = 3; b < kSize; ++b) net_.CutBoth(a, b);
+  }
+  net_.Run(seconds(6));
+  EXPECT_EQ(net_.node(0).members.alive().size(), 3u);
+  EXPECT_EQ(net_.node(7).members.alive().size(), 5u);
+  net_.Heal();
+  const duration took =
+      net_.RunUntil([&] { return net_.ViewsAgree(); }, seconds(30));
+  EXPECT_LE(took, seconds(5));
+}
+
+// Guards against an isolated instance whose outdated claims remove healthy
+// instances when it returns.
+TEST_F(membership_test, Tick_IsolatedInstanceReturns_RemovesNobodyElse) {
+  net_.Isolate(7);
+  net_.Run(seconds(10));
+  EXPECT_EQ(net_.node(7).members.alive().size(), 1u);
+  net_.Heal();
+  const duration took =
+      net_.RunUntil([&] { return net_.ViewsAgree(); }, seconds(30));
+  EXPECT_LE(took, seconds(5));
+  net_.Run(seconds(5));
+  EXPECT_TRUE(net_.ViewsAgree());
+  for (std::size_t i = 0; i < 7; ++i) {
+    EXPECT_EQ(net_.node(i).removals.size(), 1u) << i;
+    EXPECT_TRUE(net_.node(i).removals.contains("e7"));
+  }
+}
+
+// Guards against a paused instance that stays removed, or that blames the
+// others for its own pause.
+TEST_F(membership_test, Tick_PausedInstanceContinues_RefutesAndBlamesNobody) {
+  const std::uint64_t before = net_.node(4).members.self().incarnation;
+  net_.node(4).running = false;
+  net_.Run(seconds(5));
+  EXPECT_EQ(StatusAt(0, 4), instance_status::kDead);
+  net_.node(4).running = true;
+  const duration took =
+      net_.RunUntil([&] { return net_.ViewsAgree(); }, seconds(10));
+  EXPECT_LE(took, seconds(2));
+  EXPECT_GT(net_.node(4).members.self().incarnation, before);
+  EXPECT_EQ(net_.node(4).members.counters().suspicions, 0u);
+  EXPECT_TRUE(net_.node(4).removals.empty());
+}
+
+// Guards against a restarted process that is taken for its predecessor, also
+// when its clock went back.
+TEST_F(membership_test, Start_AfterRestart_RejoinsWithHigherIncarnation) {
+  for (const std::uint64_t incarnation : {2000ull, 5ull}) {
+    const std::uint64_t known = net_.node(0).members.Find("e5")->incarnation;
+    net_.Restart(5, incarnation);
+    net_.Run(seconds(3));
+    EXPECT_TRUE(net_.ViewsAgree());
+    EXPECT_GT(net_.node(0).members.Find("e5")->incarnation, known);
+  }
+}
+
+// Guards against a leaving instance that stays in views until it times out.
+TEST_F(membership_test, Leave_Always_RemovedFromAllViewsAtOnce) {
+  const std::uint64_t term = net_.node(0).members.view_term();
+  net_.node(3).members.Leave(net_.now(), &net_.node(3).membership_out);
+  net_.Process(3);
+  net_.Run(milliseconds(300));
+  EXPECT_TRUE(net_.ViewsAgree());
+  EXPECT_EQ(StatusAt(0, 3), instance_status::kLeaving);
+  EXPECT_GT(net_.node(0).members.view_term(), term);
+  EXPECT_EQ(net_.TotalRemovals(), 0);
+}
+
+// Guards against freshness that claims to be newer than it is.
+TEST_F(membership_test, SetFreshness_Relayed_NeverNewerThanMeasured) {
+  const time_point confirmed = net_.now() - milliseconds(70);
+  net_.node(1).members.SetFreshness({9, 12, milliseconds(70)}, net_.now());
+  net_.CutBoth(0, 1);  // Reported through others as well.
+  net_.node(0).freshness.clear();
+  net_.Run(seconds(5));
+  int reports = 0;
+  for (const freshness_received& f : net_.node(0).freshness) {
+    if (f.from != "e1") continue;
+    ++reports;
+    EXPECT_EQ(f.freshness.config_version, 9u);
+    EXPECT_LE(*f.probe_sent_at - f.freshness.age, confirmed);
+  }
+  EXPECT_GT(reports, 0);
+}
+
+// Guards against effects of malformed or forged bytes.
+TEST_F(membership_test, Receive_Malformed_CountedWithoutEffect) {
+  auto& n = net_.node(0);
+  const std::string inputs[] = {"", "x", std::string(200, '\xff'),
+                                std::string(64, '\0')};
+  for (const std::string& bytes : inputs) {
+    n.members.Receive("e1", bytes, net_.now(), &n.membership_out);
+    n.gossip.Receive("e1", bytes, net_.now(), &n.gossip_out);
+  }
+  EXPECT_EQ(n.members.counters().malformed, std::size(inputs));
+  EXPECT_TRUE(n.membership_out.empty());
+  EXPECT_TRUE(n.gossip_out.empty());
+}
+
+}  // namespace
+}  // namespace bilberrycourse
