--- a/bilberrycourse/gossip_table.cc
+++ b/bilberrycourse/gossip_table.cc
@@ -20,6 +20,9 @@
 // a larger group is a table that a new instance copies, which is no news.
 constexpr std::size_t kMaxRepairPush = 16;
 
+// Root table, payload table, vtables and vector length of a message.
+constexpr std::size_t kMessageOverhead = 96;
+
 std::uint64_t Hash(std::string_view bytes, std::uint64_t seed) {
   return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
 }
@@ -171,6 +174,11 @@
   return record;
 }
 
+std::size_t gossip_table::message_budget() const {
+  return options_.max_message_bytes -
+         std::min(options_.max_message_bytes, kMessageOverhead);
+}
+
 void gossip_table::FlushPushes(time_point now,
                                std::vector<gossip_effect>* out) {
   // The first push after a quiet interval leaves at once; further ones wait, so
@@ -188,7 +196,7 @@
   while (!push_queue_.empty()) {
     const entry& e = push_queue_.front();
     const std::size_t size = EncodedSizeBound(e.record);
-    if (!message.records.empty() && bytes + size > options_.max_message_bytes) {
+    if (!message.records.empty() && bytes + size > message_budget()) {
       break;
     }
     bytes += size;
@@ -215,7 +223,7 @@
   std::size_t bytes = 0;
   for (const entry* e : entries) {
     const std::size_t size = EncodedSizeBound(e->record);
-    if (!message.records.empty() && bytes + size > options_.max_message_bytes) {
+    if (!message.records.empty() && bytes + size > message_budget()) {
       out->push_back(gossip_send{to, EncodeGossip(message)});
       message.records.clear();
       bytes = 0;
@@ -300,7 +308,7 @@
         exchange_bytes += EncodedSizeBound(e.record);
         continue;
       }
-      if (summary_bytes + kSummaryEntryBytes > options_.max_message_bytes) {
+      if (summary_bytes + kSummaryEntryBytes > message_budget()) {
         send_summary();
       }
       summary.entries.push_back({e.key_hash, e.record.version, e.content_hash});
--- a/bilberrycourse/gossip_table.h
+++ b/bilberrycourse/gossip_table.h
@@ -94,6 +94,7 @@
   duration anti_entropy_period = std::chrono::seconds(1);
   // Longer than the longest expected loss of contact between regions (1 h).
   duration tombstone_retention = std::chrono::hours(2);
+  // A record larger than this still travels, alone in its message.
   std::size_t max_message_bytes = 16 * 1024;
   // Bound on what one digest may cause the receiver to send.
   std::size_t max_exchange_bytes = 128 * 1024;
@@ -217,6 +218,8 @@
   void SendRecords(const instance_name& to,
                    const std::vector<const entry*>& entries, bool more,
                    time_point now, std::vector<gossip_effect>* out);
+  // Bytes for records or summary entries in one message.
+  std::size_t message_budget() const;
   // The record with the lifetime that remains.
   soft_record Outgoing(const entry& e, time_point now) const;
 
