Implement shard_directory

Cause: a query needs the shards of its target at one version, and the version that covers most of them. Change: counts of serving replicas and slots per recorded shard set, kept up to date per announcement; plans are cached per target until a service of the target changes. Versions are compared by the share of their shards that is served, so that a half-loaded repartition does not beat a complete older version.

--- a/bilberrycourse/shard_directory.h
+++ b/bilberrycourse/shard_directory.h
@@ -40,6 +40,7 @@
   std::size_t max_versions_per_service = 64;
   std::size_t max_backend_servers = 65536;
   std::size_t max_groups = 4096;
+  std::size_t max_services = 65536;
 };
 
 struct planned_shard {
@@ -85,9 +86,10 @@
   // order of names that lists the service, or else the service.
   std::string ScopeOf(const std::string& target) const;
 
-  // The plan of the version with the most serving shards, the newest of equal
-  // ones. Null if the target is unknown. If nothing is recorded, the plan has
-  // version 0 and one shard that does not serve for each service.
+  // The plan of the version with the largest share of serving shards, the
+  // newest of equal ones. Null if the target is unknown. If nothing is
+  // recorded, the plan has version 0 and one shard that does not serve for each
+  // service.
   std::shared_ptr<const snapshot_plan> Pick(const std::string& target) const;
   // As Pick, without `excluded`. Null if there is no other version.
   std::shared_ptr<const snapshot_plan> PickOther(const std::string& target,
@@ -126,25 +128,28 @@
   };
   struct plan_cache {
     std::uint64_t revision = 0;
+    // The best plans only; a restart needs the second.
     std::vector<std::shared_ptr<const snapshot_plan>> best_first;
     std::uint32_t smallest_shard_slots = 1;
   };
-  struct group_entry {
-    std::vector<std::string> services;
-  };
 
   // Adds or removes the replica from the counts of every version it serves.
   void Count(const backend_server_record& record, bool add);
-  void CountAt(const backend_server_record& record, index_version version,
-               shard_set* set, bool add);
+  static void CountAt(const backend_server_record& record, shard_set* set,
+                      bool add);
   void Evict(service_entry* service);
+  void RebuildScopes();
+  const service_entry* FindService(const std::string& service) const;
   std::vector<std::string> ServicesOf(const std::string& target) const;
   std::shared_ptr<const snapshot_plan> BuildPlan(
       const std::vector<std::string>& services, index_version version) const;
-  const plan_cache& Cached(const std::string& target) const;
+  // Null if the target is unknown.
+  const plan_cache* Cached(const std::string& target) const;
 
   shard_directory_options options_;
-  std::map<std::string, group_entry> groups_;
+  std::map<std::string, std::vector<std::string>> groups_;
+  // Group of each grouped service.
+  std::unordered_map<std::string, std::string> scopes_;
   std::unordered_map<std::string, service_entry> services_;
   std::map<backend_server_key, backend_server_record> replicas_;
   std::uint64_t revision_ = 1;
