Implement query_coordinator

Change: the table of queries with pin, canary, fan-out, deputy, restart, straggler cut-off and answer.

--- /dev/null
+++ b/bilberrycourse/query_coordinator.cc
@@ -0,0 +1,781 @@
+#include "bilberrycourse/query_coordinator.h"
+
+#include <algorithm>
+#include <boost/intrusive/set.hpp>
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <iterator>
+#include <utility>
+
+namespace bilberrycourse {
+namespace {
+
+// A shard request id is block (40 bits), round (4 bits), shard index (20 bits).
+// Each query takes one block per snapshot, so that a result finds its query
+// with one look-up and ids of an abandoned snapshot are never reused.
+constexpr std::uint32_t kIndexBits = 20;
+constexpr std::uint32_t kRoundBits = 4;
+constexpr std::uint64_t kMaxShards = 1ull << kIndexBits;
+constexpr std::uint64_t kBlockMask = (1ull << 40) - 1;
+// Rounds of one shard: the owner, the deputy, and one after kNotOwner.
+constexpr std::uint32_t kMaxRounds = 3;
+
+constexpr std::string_view kOutcomeNames[] = {"complete", "partial", "not_run",
+                                              "unknown"};
+constexpr std::string_view kDecisionNames[] = {
+    "snapshot_pinned",   "canary_sent",    "canary_passed",  "canary_failed",
+    "canary_wait_ended", "fanned_out",     "sent_to_deputy", "restarted",
+    "restart_declined",  "stragglers_cut", "answered",       "abandoned"};
+
+enum class query_phase : std::uint8_t { kAdmission, kCanary, kCollecting };
+enum class shard_state : std::uint8_t { kUnsent, kSent, kAnswered, kMissing };
+
+}  // namespace
+
+std::string_view ToString(query_outcome outcome) {
+  return kOutcomeNames[static_cast<std::size_t>(outcome)];
+}
+
+std::string_view ToString(coordinator_decision_kind kind) {
+  return kDecisionNames[static_cast<std::size_t>(kind)];
+}
+
+struct query_coordinator::shard_entry {
+  shard_state state = shard_state::kUnsent;
+  // Why there is no answer.
+  result_code code = result_code::kOk;
+  // True if a round ended without the proof that no attempt ran.
+  bool may_have_run = false;
+  // True if a deputy was asked because the owner did not respond.
+  bool deputy = false;
+  // True if the request was sent again after kNotOwner.
+  bool redirected = false;
+  std::uint8_t rounds = 0;
+  // Bit r is set while a result of round r can arrive.
+  std::uint8_t live = 0;
+  std::string replica;
+  shared_body body;
+};
+
+struct query_coordinator::query_entry
+    : public boost::intrusive::set_base_hook<
+          boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+  query_request request;
+  std::string scope;
+  query_phase phase = query_phase::kAdmission;
+  bool idempotent = true;
+  // True while a grant or a request for one must be released.
+  bool admission_open = false;
+  bool sent = false;
+  bool restarted = false;
+  bool decline_noted = false;
+  // True if work on an abandoned snapshot may have run.
+  bool ran_before = false;
+  time_point submitted{};
+  time_point due{};
+  time_point canary_due{};
+  std::uint64_t block = 0;
+  std::shared_ptr<const snapshot_plan> plan;
+  std::vector<shard_entry> shards;
+  std::size_t canary = 0;
+  std::uint32_t searched = 0;
+  std::uint32_t missing = 0;
+  std::uint32_t extra_attempts = 0;
+  duration queue_wait{0};
+  duration service_time{0};
+  // What the abandoned snapshot had, in case the new one covers less.
+  std::shared_ptr<const snapshot_plan> earlier_plan;
+  std::vector<shard_entry> earlier_shards;
+  std::uint32_t earlier_searched = 0;
+
+  friend bool operator<(const query_entry& a, const query_entry& b) {
+    return a.due < b.due;
+  }
+};
+
+struct query_coordinator::tables {
+  using due_set =
+      boost::intrusive::multiset<query_entry,
+                                 boost::intrusive::constant_time_size<false>>;
+  boost::unordered_flat_map<query_id, std::unique_ptr<query_entry>> queries;
+  boost::unordered_flat_map<std::uint64_t, query_entry*> blocks;
+  due_set by_due;
+};
+
+query_coordinator::query_coordinator(const shard_directory* directory,
+                                     query_coordinator_options options)
+    : directory_(directory),
+      options_(options),
+      next_block_(options.first_block),
+      tables_(std::make_unique<tables>()) {}
+
+query_coordinator::~query_coordinator() = default;
+
+std::size_t query_coordinator::in_flight() const {
+  return tables_->queries.size();
+}
+
+query_coordinator::query_entry* query_coordinator::FindQuery(
+    query_id query) const {
+  const auto position = tables_->queries.find(query);
+  return position == tables_->queries.end() ? nullptr : position->second.get();
+}
+
+shard_request_id query_coordinator::RequestId(const query_entry& query,
+                                              std::size_t index,
+                                              std::uint32_t round) const {
+  return shard_request_id{(query.block << (kRoundBits + kIndexBits)) |
+                          (std::uint64_t{round} << kIndexBits) | index};
+}
+
+query_coordinator::live_request query_coordinator::FindRequest(
+    shard_request_id id) const {
+  const auto value = static_cast<std::uint64_t>(id);
+  const auto position =
+      tables_->blocks.find(value >> (kRoundBits + kIndexBits));
+  if (position == tables_->blocks.end()) return {};
+  live_request request{position->second,
+                       static_cast<std::size_t>(value & (kMaxShards - 1)),
+                       static_cast<std::uint32_t>((value >> kIndexBits) &
+                                                  ((1u << kRoundBits) - 1))};
+  const auto& shards = request.query->shards;
+  if (request.round >= kMaxRounds || request.index >= shards.size() ||
+      (shards[request.index].live & (1u << request.round)) == 0) {
+    return {};
+  }
+  return request;
+}
+
+void query_coordinator::Note(coordinator_decision_kind kind,
+                             const query_entry& query, std::uint32_t shards,
+                             result_code code, effects* out,
+                             std::optional<shard_key> shard) const {
+  coordinator_decision decision;
+  decision.kind = kind;
+  decision.query = query.request.query;
+  decision.target = query.request.target;
+  if (query.plan != nullptr) {
+    decision.version = query.plan->version;
+    decision.total = static_cast<std::uint32_t>(query.plan->shards.size());
+  }
+  decision.shards = shards;
+  decision.shard = std::move(shard);
+  decision.code = code;
+  out->push_back(std::move(decision));
+}
+
+void query_coordinator::Refuse(const query_request& request, result_code code,
+                               effects* out) {
+  answer refusal;
+  refusal.query = request.query;
+  refusal.outcome = query_outcome::kNotRun;
+  refusal.code = code;
+  if (code == result_code::kNoServingReplica) {
+    const auto plan = directory_->Pick(request.target);
+    refusal.snapshot = plan->version;
+    refusal.coverage.total = static_cast<std::uint32_t>(plan->shards.size());
+    for (const planned_shard& shard : plan->shards) {
+      refusal.coverage.missing.push_back(
+          {shard.key, shard.serving ? result_code::kCancelled : code});
+    }
+  }
+  ++counters_.answered[static_cast<std::size_t>(refusal.outcome)];
+  coordinator_decision decision;
+  decision.kind = coordinator_decision_kind::kAnswered;
+  decision.query = request.query;
+  decision.target = request.target;
+  decision.code = code;
+  out->push_back(std::move(refusal));
+  out->push_back(std::move(decision));
+}
+
+result_code query_coordinator::Submit(const query_request& request,
+                                      time_point now, effects* out) {
+  if (tables_->queries.contains(request.query)) {
+    return result_code::kInvalidField;
+  }
+  ++counters_.submitted;
+  const auto plan = directory_->Pick(request.target);
+  const bool idempotent = request.idempotent && request.policy.idempotent;
+  result_code refusal = result_code::kOk;
+  if (plan == nullptr) {
+    refusal = result_code::kUnknownTarget;
+  } else if (draining_) {
+    refusal = result_code::kShuttingDown;
+  } else if (request.deadline <= now) {
+    refusal = result_code::kDeadlinePassed;
+  } else if (tables_->queries.size() >= options_.max_in_flight ||
+             plan->shards.size() > kMaxShards) {
+    refusal = result_code::kOverloaded;
+  } else if (plan->serving == 0 ||
+             (!idempotent && plan->serving < plan->shards.size())) {
+    // A non-idempotent request that runs on some shards only cannot be
+    // repeated, so it is refused while nothing has run.
+    refusal = result_code::kNoServingReplica;
+  }
+  if (refusal != result_code::kOk) {
+    Refuse(request, refusal, out);
+    return result_code::kOk;
+  }
+
+  auto owned = std::make_unique<query_entry>();
+  query_entry* query = owned.get();
+  tables_->queries.emplace(request.query, std::move(owned));
+  query->request = request;
+  query->request.deadline =
+      std::min(request.deadline, now + request.policy.max_deadline);
+  query->idempotent = idempotent;
+  query->submitted = now;
+  if (!request.policy.admission) {
+    Begin(query, now, out);
+    return result_code::kOk;
+  }
+  query->scope = directory_->ScopeOf(request.target);
+  query->admission_open = true;
+  Schedule(query, now);
+  out->push_back(request_admission{request.query, query->scope, request.caller,
+                                   request.caller_weight,
+                                   std::min(request.policy.max_admission_wait,
+                                            query->request.deadline - now),
+                                   query->request.deadline});
+  return result_code::kOk;
+}
+
+void query_coordinator::OnAdmission(query_id id, bool granted, result_code code,
+                                    duration retry_after, time_point now,
+                                    effects* out) {
+  query_entry* query = FindQuery(id);
+  if (query == nullptr || query->phase != query_phase::kAdmission) {
+    // The release of such a query has been sent when it ended.
+    ++counters_.late_admissions;
+    return;
+  }
+  if (granted) {
+    Begin(query, now, out);
+    return;
+  }
+  query->admission_open = false;
+  RefuseQueued(query,
+               code == result_code::kOk ? result_code::kOverloaded : code,
+               retry_after, out);
+}
+
+void query_coordinator::RefuseQueued(query_entry* query, result_code code,
+                                     duration retry_after, effects* out) {
+  answer refusal;
+  refusal.query = query->request.query;
+  refusal.outcome = query_outcome::kNotRun;
+  refusal.code = code;
+  refusal.retry_after = retry_after;
+  ++counters_.answered[static_cast<std::size_t>(refusal.outcome)];
+  Note(coordinator_decision_kind::kAnswered, *query, 0, code, out);
+  out->push_back(std::move(refusal));
+  Finish(query, out);
+}
+
+void query_coordinator::Pin(query_entry* query,
+                            std::shared_ptr<const snapshot_plan> plan) {
+  if (query->block != 0) tables_->blocks.erase(query->block);
+  query->block = next_block_++ & kBlockMask;
+  if (query->block == 0) query->block = next_block_++;
+  tables_->blocks.emplace(query->block, query);
+  query->plan = std::move(plan);
+  query->shards.clear();
+  query->shards.resize(query->plan->shards.size());
+  query->searched = 0;
+  query->missing = 0;
+  for (std::size_t index = 0; index < query->shards.size(); ++index) {
+    if (!query->plan->shards[index].serving) {
+      Miss(query, index, result_code::kNoServingReplica);
+    }
+  }
+}
+
+void query_coordinator::Begin(query_entry* query, time_point now,
+                              effects* out) {
+  // Pinned at the last moment: the directory may have changed while the query
+  // waited for admission.
+  auto plan = directory_->Pick(query->request.target);
+  if (plan == nullptr || plan->shards.size() > kMaxShards) {
+    RefuseQueued(query, result_code::kUnknownTarget, {}, out);
+    return;
+  }
+  query->phase = query_phase::kCollecting;
+  if (plan->serving == 0 ||
+      (!query->idempotent && plan->serving < plan->shards.size())) {
+    Pin(query, std::move(plan));
+    for (std::size_t index = 0; index < query->shards.size(); ++index) {
+      if (query->shards[index].state == shard_state::kUnsent) {
+        Miss(query, index, result_code::kCancelled);
+      }
+    }
+    Answer(query, out);
+    return;
+  }
+  Pin(query, std::move(plan));
+  Note(coordinator_decision_kind::kSnapshotPinned, *query, query->plan->serving,
+       result_code::kOk, out);
+  if (query->request.canary_needed && query->request.policy.canary) {
+    query->phase = query_phase::kCanary;
+    query->canary_due = now + query->request.policy.canary_wait;
+    SendCanary(query, now, out);
+  } else {
+    SendRest(query, out);
+  }
+  Schedule(query, now);
+}
+
+void query_coordinator::Send(query_entry* query, std::size_t index, bool canary,
+                             bool deputy, effects* out) {
+  shard_entry& shard = query->shards[index];
+  const std::uint32_t round = shard.rounds++;
+  shard.state = shard_state::kSent;
+  shard.live |= 1u << round;
+  query->sent = true;
+  auto& effect = std::get<send_shard_request>(
+      out->emplace_back(std::in_place_type<send_shard_request>));
+  effect.query = query->request.query;
+  effect.deputy = deputy;
+  shard_request& request = effect.request;
+  request.id = RequestId(*query, index, round);
+  request.shard = query->plan->shards[index].key;
+  request.version = query->plan->version;
+  request.deadline = query->request.deadline;
+  request.caller = query->request.caller;
+  request.scope = query->request.target;
+  request.content = query->request.content;
+  request.idempotent = query->idempotent;
+  request.canary = canary;
+  request.deputy = deputy;
+  request.body = query->request.body;
+  request.traceparent = query->request.traceparent;
+}
+
+void query_coordinator::SendCanary(query_entry* query, time_point now,
+                                   effects* out) {
+  // The content selects the first shard, so that the canaries of different
+  // contents are spread and a repeated content meets the same shard.
+  const std::size_t count = query->shards.size();
+  const std::size_t start =
+      static_cast<std::uint64_t>(query->request.content) % count;
+  for (std::size_t offset = 0; offset < count && now < query->canary_due;
+       ++offset) {
+    const std::size_t index = (start + offset) % count;
+    if (query->shards[index].state != shard_state::kUnsent) continue;
+    query->canary = index;
+    Send(query, index, true, false, out);
+    Note(coordinator_decision_kind::kCanarySent, *query, 1, result_code::kOk,
+         out, query->plan->shards[index].key);
+    return;
+  }
+  SendRest(query, out);
+}
+
+void query_coordinator::SendRest(query_entry* query, effects* out) {
+  query->phase = query_phase::kCollecting;
+  out->reserve(out->size() + query->shards.size() + 2);
+  std::uint32_t sent = 0;
+  for (std::size_t index = 0; index < query->shards.size(); ++index) {
+    if (query->shards[index].state != shard_state::kUnsent) continue;
+    Send(query, index, false, false, out);
+    ++sent;
+  }
+  Note(coordinator_decision_kind::kFannedOut, *query, sent, result_code::kOk,
+       out);
+}
+
+bool query_coordinator::SendToDeputy(query_entry* query, std::size_t index,
+                                     effects* out) {
+  shard_entry& shard = query->shards[index];
+  if (!query->idempotent || query->request.policy.max_attempts < 2 ||
+      shard.deputy || shard.rounds >= kMaxRounds) {
+    return false;
+  }
+  shard.deputy = true;
+  ++query->extra_attempts;
+  ++counters_.sent_to_deputy;
+  const bool canary =
+      query->phase == query_phase::kCanary && index == query->canary;
+  Send(query, index, canary, true, out);
+  Note(coordinator_decision_kind::kSentToDeputy, *query, 1,
+       result_code::kOwnerUnreachable, out, query->plan->shards[index].key);
+  return true;
+}
+
+void query_coordinator::Miss(query_entry* query, std::size_t index,
+                             result_code code) {
+  shard_entry& shard = query->shards[index];
+  shard.state = shard_state::kMissing;
+  shard.code = code;
+  ++query->missing;
+}
+
+void query_coordinator::OnShardResult(const shard_result& result,
+                                      time_point now, effects* out) {
+  const live_request live = FindRequest(result.id);
+  if (live.query == nullptr) {
+    ++counters_.dropped_results;
+    return;
+  }
+  query_entry* query = live.query;
+  shard_entry& shard = query->shards[live.index];
+  shard.live &= ~(1u << live.round);
+  query->queue_wait = std::max(query->queue_wait, result.queue_wait);
+  query->service_time = std::max(query->service_time, result.service_time);
+  if (result.attempts > 1) query->extra_attempts += result.attempts - 1;
+
+  const bool ok = result.code == result_code::kOk;
+  if (ok && result.version == query->plan->version) {
+    shard.state = shard_state::kAnswered;
+    shard.code = result_code::kOk;
+    shard.may_have_run = true;
+    shard.replica = result.replica;
+    shard.body = result.body;
+    ++query->searched;
+    if (shard.live != 0) {
+      cancel_shard_requests cancel{query->request.query, {}};
+      for (std::uint32_t round = 0; round < kMaxRounds; ++round) {
+        if ((shard.live & (1u << round)) != 0) {
+          cancel.requests.push_back(RequestId(*query, live.index, round));
+        }
+      }
+      shard.live = 0;
+      out->push_back(std::move(cancel));
+    }
+    if (query->phase == query_phase::kCanary && live.index == query->canary) {
+      OnCanarySettled(query, now, out);
+    }
+    Advance(query, now, out);
+    return;
+  }
+  if (ok) {
+    ++counters_.wrong_version_results;
+    EndRound(query, live.index, result_code::kVersionGone, false, now, out);
+    return;
+  }
+  if (result.code == result_code::kNotOwner && result.not_run &&
+      !shard.redirected && shard.rounds < kMaxRounds) {
+    // The two views of ownership differ. The next instance in the order owns
+    // the shard in the other view, or takes it as deputy.
+    shard.redirected = true;
+    const bool canary =
+        query->phase == query_phase::kCanary && live.index == query->canary;
+    Send(query, live.index, canary, true, out);
+    Note(coordinator_decision_kind::kSentToDeputy, *query, 1, result.code, out,
+         query->plan->shards[live.index].key);
+    return;
+  }
+  EndRound(query, live.index, result.code, result.not_run, now, out);
+}
+
+void query_coordinator::EndRound(query_entry* query, std::size_t index,
+                                 result_code code, bool not_run, time_point now,
+                                 effects* out) {
+  shard_entry& shard = query->shards[index];
+  // The reason of a round that may have run outweighs a plain refusal.
+  const bool keep = shard.may_have_run && not_run;
+  if (!keep) shard.code = code;
+  shard.may_have_run = shard.may_have_run || !not_run;
+  if (shard.live != 0) return;
+  Miss(query, index, shard.code);
+  if ((code == result_code::kVersionGone ||
+       code == result_code::kNoServingReplica) &&
+      RestartIfBetter(query, now, out)) {
+    return;
+  }
+  if (query->phase == query_phase::kCanary && index == query->canary) {
+    OnCanarySettled(query, now, out);
+  }
+  Advance(query, now, out);
+}
+
+void query_coordinator::OnCanarySettled(query_entry* query, time_point now,
+                                        effects* out) {
+  const shard_entry& shard = query->shards[query->canary];
+  const shard_key& key = query->plan->shards[query->canary].key;
+  if (shard.state == shard_state::kAnswered) {
+    Note(coordinator_decision_kind::kCanaryPassed, *query, 1, result_code::kOk,
+         out, key);
+    SendRest(query, out);
+  } else if (shard.code == result_code::kBackendServerCrashed ||
+             shard.code == result_code::kSuspectedCrasher) {
+    Note(coordinator_decision_kind::kCanaryFailed, *query, 1, shard.code, out,
+         key);
+    query->phase = query_phase::kCollecting;
+    const result_code code = shard.code == result_code::kSuspectedCrasher
+                                 ? result_code::kSuspectedCrasher
+                                 : result_code::kCanaryNotPassed;
+    for (std::size_t index = 0; index < query->shards.size(); ++index) {
+      if (query->shards[index].state == shard_state::kUnsent) {
+        Miss(query, index, code);
+      }
+    }
+  } else if (shard.may_have_run) {
+    // It failed without a crash, for example by its deadline.
+    SendRest(query, out);
+  } else {
+    // It never ran, so that it says nothing about the content.
+    SendCanary(query, now, out);
+  }
+  Schedule(query, now);
+}
+
+bool query_coordinator::RestartIfBetter(query_entry* query, time_point now,
+                                        effects* out) {
+  if (query->restarted) return false;
+  const auto other =
+      directory_->PickOther(query->request.target, query->plan->version);
+  const auto total = static_cast<std::uint64_t>(query->shards.size());
+  const std::uint64_t reachable = total - query->missing;
+  const duration needed = std::max(options_.least_restart_time,
+                                   query->queue_wait + query->service_time);
+  bool better = other != nullptr && other->shards.size() <= kMaxShards &&
+                other->serving * total > reachable * other->shards.size() &&
+                query->request.deadline - now >= needed;
+  if (better && !query->idempotent) {
+    better = other->serving == other->shards.size() &&
+             std::ranges::none_of(query->shards, [](const shard_entry& shard) {
+               return shard.may_have_run || shard.live != 0;
+             });
+  }
+  if (!better) {
+    if (!query->decline_noted) {
+      query->decline_noted = true;
+      Note(coordinator_decision_kind::kRestartDeclined, *query,
+           static_cast<std::uint32_t>(reachable), result_code::kVersionGone,
+           out);
+    }
+    return false;
+  }
+
+  CancelLive(query, out);
+  for (const shard_entry& shard : query->shards) {
+    // Work on the abandoned snapshot is done again on the other one.
+    if (shard.may_have_run || shard.live != 0) {
+      ++query->extra_attempts;
+      query->ran_before = true;
+    }
+  }
+  query->restarted = true;
+  ++counters_.restarted;
+  if (query->searched > 0) {
+    query->earlier_plan = query->plan;
+    query->earlier_shards = std::move(query->shards);
+    query->earlier_searched = query->searched;
+  }
+  Pin(query, other);
+  Note(coordinator_decision_kind::kRestarted, *query, other->serving,
+       result_code::kVersionGone, out);
+  if (query->phase == query_phase::kCanary) {
+    SendCanary(query, now, out);
+  } else {
+    SendRest(query, out);
+  }
+  Schedule(query, now);
+  return true;
+}
+
+void query_coordinator::OnOwnerUnresponsive(
+    std::span<const shard_request_id> requests, time_point, effects* out) {
+  for (const shard_request_id id : requests) {
+    const live_request live = FindRequest(id);
+    if (live.query != nullptr) SendToDeputy(live.query, live.index, out);
+  }
+}
+
+void query_coordinator::OnOwnerLost(std::span<const shard_request_id> requests,
+                                    time_point now, effects* out) {
+  for (const shard_request_id id : requests) {
+    const live_request live = FindRequest(id);
+    if (live.query == nullptr) continue;
+    shard_entry& shard = live.query->shards[live.index];
+    shard.live &= ~(1u << live.round);
+    shard.may_have_run = true;
+    shard.code = result_code::kOwnerUnreachable;
+    if (shard.live == 0 && SendToDeputy(live.query, live.index, out)) continue;
+    EndRound(live.query, live.index, result_code::kOwnerUnreachable, false, now,
+             out);
+  }
+}
+
+void query_coordinator::OnCallerGone(query_id id, time_point, effects* out) {
+  query_entry* query = FindQuery(id);
+  if (query == nullptr) return;
+  ++counters_.abandoned;
+  CancelLive(query, out);
+  Note(coordinator_decision_kind::kAbandoned, *query, query->searched,
+       result_code::kCancelled, out);
+  Finish(query, out);
+}
+
+void query_coordinator::Advance(query_entry* query, time_point now,
+                                effects* out) {
+  const std::size_t total = query->shards.size();
+  if (query->searched + query->missing == total) {
+    Answer(query, out);
+    return;
+  }
+  const service_policy& policy = query->request.policy;
+  if (!policy.coverage_first && query->idempotent &&
+      query->phase == query_phase::kCollecting && query->searched > 0 &&
+      now >= query->submitted + policy.straggler_cutoff &&
+      query->searched >= policy.least_coverage * static_cast<double>(total)) {
+    Note(coordinator_decision_kind::kStragglersCutOff, *query, query->searched,
+         result_code::kDeadlineExceeded, out);
+    Answer(query, out);
+  }
+}
+
+void query_coordinator::Schedule(query_entry* query, time_point now) {
+  time_point due = query->request.deadline;
+  const service_policy& policy = query->request.policy;
+  if (query->phase == query_phase::kCanary) {
+    due = std::min(due, query->canary_due);
+  } else if (query->phase == query_phase::kCollecting &&
+             !policy.coverage_first && query->idempotent &&
+             query->submitted + policy.straggler_cutoff > now) {
+    due = std::min(due, query->submitted + policy.straggler_cutoff);
+  }
+  if (query->is_linked() && query->due == due) return;
+  query->unlink();
+  query->due = due;
+  tables_->by_due.insert(*query);
+}
+
+std::optional<time_point> query_coordinator::next_due() const {
+  if (tables_->by_due.empty()) return std::nullopt;
+  return tables_->by_due.begin()->due;
+}
+
+void query_coordinator::Tick(time_point now, effects* out) {
+  auto& by_due = tables_->by_due;
+  while (!by_due.empty() && by_due.begin()->due <= now) {
+    query_entry* query = &*by_due.begin();
+    if (now >= query->request.deadline) {
+      Answer(query, out);
+    } else if (query->phase == query_phase::kCanary) {
+      Note(coordinator_decision_kind::kCanaryWaitEnded, *query, 1,
+           result_code::kOk, out, query->plan->shards[query->canary].key);
+      SendRest(query, out);
+      Schedule(query, now);
+    } else {
+      // Schedule first: Advance may end the query.
+      Schedule(query, now);
+      Advance(query, now, out);
+    }
+  }
+}
+
+void query_coordinator::CancelLive(query_entry* query, effects* out) {
+  cancel_shard_requests cancel{query->request.query, {}};
+  for (std::size_t index = 0; index < query->shards.size(); ++index) {
+    const std::uint32_t live = query->shards[index].live;
+    if (live == 0) continue;
+    for (std::uint32_t round = 0; round < kMaxRounds; ++round) {
+      if ((live & (1u << round)) != 0) {
+        cancel.requests.push_back(RequestId(*query, index, round));
+      }
+    }
+  }
+  if (!cancel.requests.empty()) out->push_back(std::move(cancel));
+}
+
+void query_coordinator::Answer(query_entry* query, effects* out) {
+  CancelLive(query, out);
+  answer result;
+  result.query = query->request.query;
+  result.extra_attempts = query->extra_attempts;
+  result.restarted = query->restarted;
+  bool ran = query->ran_before;
+  // The answer's reason is that of a shard that may have run, else of one that
+  // was asked, else of the first missing one. Without any shard, the query
+  // waited for admission until its deadline.
+  result_code reason = result_code::kQueueDeadline;
+  int reason_rank = -1;
+  for (std::size_t index = 0; index < query->shards.size(); ++index) {
+    shard_entry& shard = query->shards[index];
+    if (shard.state == shard_state::kUnsent) {
+      Miss(query, index, result_code::kQueueDeadline);
+    } else if (shard.state == shard_state::kSent) {
+      shard.may_have_run = true;
+      Miss(query, index, result_code::kDeadlineExceeded);
+    }
+    if (shard.state == shard_state::kAnswered) {
+      ran = true;
+      continue;
+    }
+    ran = ran || shard.may_have_run;
+    const int rank = shard.may_have_run                      ? 3
+                     : shard.rounds > 0                      ? 2
+                     : shard.code != result_code::kCancelled ? 1
+                                                             : 0;
+    if (rank > reason_rank) {
+      reason = shard.code;
+      reason_rank = rank;
+    }
+  }
+  // The abandoned snapshot is better after all if the new one covers less.
+  const bool earlier =
+      query->earlier_plan != nullptr &&
+      std::uint64_t{query->earlier_searched} * query->shards.size() >
+          std::uint64_t{query->searched} * query->earlier_shards.size();
+  if (earlier) {
+    query->plan = query->earlier_plan;
+    query->shards = std::move(query->earlier_shards);
+    query->searched = query->earlier_searched;
+    reason = result_code::kVersionGone;
+  }
+  const auto total = static_cast<std::uint32_t>(query->shards.size());
+  result.coverage.searched = query->searched;
+  result.coverage.total = total;
+  if (query->plan != nullptr) result.snapshot = query->plan->version;
+  result.results.reserve(query->searched);
+  for (std::size_t index = 0; index < total; ++index) {
+    shard_entry& shard = query->shards[index];
+    const shard_key& key = query->plan->shards[index].key;
+    if (shard.state == shard_state::kAnswered) {
+      result.results.push_back(
+          {key, std::move(shard.replica), std::move(shard.body)});
+    } else {
+      // Shards that were open when the snapshot was abandoned were cancelled.
+      const result_code code = shard.state == shard_state::kMissing
+                                   ? shard.code
+                                   : result_code::kCancelled;
+      result.coverage.missing.push_back({key, code});
+    }
+  }
+
+  const double least = query->request.policy.least_coverage;
+  if (total > 0 && query->searched == total) {
+    result.outcome = query_outcome::kComplete;
+  } else if (!ran) {
+    result.outcome = query_outcome::kNotRun;
+    result.code = reason;
+  } else if (!query->idempotent) {
+    result.outcome = query_outcome::kUnknown;
+    result.code = result_code::kOutcomeUnknown;
+  } else {
+    result.outcome = query_outcome::kPartial;
+    if (query->searched == 0) {
+      result.code = reason;
+    } else if (query->searched < least * static_cast<double>(total)) {
+      result.code = result_code::kCoverageTooLow;
+    }
+  }
+  ++counters_.answered[static_cast<std::size_t>(result.outcome)];
+  Note(coordinator_decision_kind::kAnswered, *query, query->searched,
+       result.code, out);
+  out->push_back(std::move(result));
+  Finish(query, out);
+}
+
+void query_coordinator::Finish(query_entry* query, effects* out) {
+  if (query->admission_open) {
+    out->push_back(release_admission{query->request.query, query->scope,
+                                     query->sent, query->queue_wait,
+                                     query->service_time});
+  }
+  if (query->block != 0) tables_->blocks.erase(query->block);
+  tables_->queries.erase(query->request.query);
+}
+
+}  // namespace bilberrycourse
--- a/bilberrycourse/query_coordinator.h
+++ b/bilberrycourse/query_coordinator.h
@@ -199,9 +199,10 @@
   query_coordinator& operator=(const query_coordinator&) = delete;
   ~query_coordinator();
 
-  // The query id must not be in flight; a repeated one is answered not_run with
-  // kInvalidField, and the first one goes on.
-  void Submit(const query_request& request, time_point now, effects* out);
+  // Returns kOk if exactly one answer follows or is among the effects. Returns
+  // kInvalidField without any effect if the query id is in flight already.
+  result_code Submit(const query_request& request, time_point now,
+                     effects* out);
   void OnAdmission(query_id query, bool granted, result_code code,
                    duration retry_after, time_point now, effects* out);
   void OnShardResult(const shard_result& result, time_point now, effects* out);
@@ -227,31 +228,46 @@
   struct query_entry;
   struct shard_entry;
   struct tables;
+  struct live_request {
+    query_entry* query = nullptr;
+    std::size_t index = 0;
+    std::uint32_t round = 0;
+  };
 
-  query_entry* FindQuery(query_id query);
-  // The query and shard of a live request, or nulls.
-  query_entry* FindRequest(shard_request_id id, shard_entry** shard);
+  query_entry* FindQuery(query_id query) const;
+  // The live request with this id; `query` is null if there is none.
+  live_request FindRequest(shard_request_id id) const;
 
   void Refuse(const query_request& request, result_code code, effects* out);
+  // Refuses a query that waits for admission.
+  void RefuseQueued(query_entry* query, result_code code, duration retry_after,
+                    effects* out);
+  // Pins the snapshot and sends the canary or all shard requests.
   void Begin(query_entry* query, time_point now, effects* out);
+  void Pin(query_entry* query, std::shared_ptr<const snapshot_plan> plan);
   void SendCanary(query_entry* query, time_point now, effects* out);
-  void SendRest(query_entry* query, time_point now, effects* out);
+  void SendRest(query_entry* query, effects* out);
   void Send(query_entry* query, std::size_t index, bool canary, bool deputy,
             effects* out);
-  bool Resend(query_entry* query, std::size_t index, effects* out);
-  void OnCanaryResult(query_entry* query, shard_entry* shard,
-                      const shard_result& result, time_point now, effects* out);
-  void Miss(query_entry* query, shard_entry* shard, result_code code,
-            bool not_run);
+  bool SendToDeputy(query_entry* query, std::size_t index, effects* out);
+  // Ends one round of a shard without an answer.
+  void EndRound(query_entry* query, std::size_t index, result_code code,
+                bool not_run, time_point now, effects* out);
+  void Miss(query_entry* query, std::size_t index, result_code code);
+  void OnCanarySettled(query_entry* query, time_point now, effects* out);
   bool RestartIfBetter(query_entry* query, time_point now, effects* out);
+  // Answers if nothing more is to be waited for.
   void Advance(query_entry* query, time_point now, effects* out);
-  void Schedule(query_entry* query);
-  void Answer(query_entry* query, result_code open_code, time_point now,
-              effects* out);
+  void Schedule(query_entry* query, time_point now);
+  // Answers with what has arrived; open shards are missing.
+  void Answer(query_entry* query, effects* out);
   void Finish(query_entry* query, effects* out);
   void CancelLive(query_entry* query, effects* out);
+  shard_request_id RequestId(const query_entry& query, std::size_t index,
+                             std::uint32_t round) const;
   void Note(coordinator_decision_kind kind, const query_entry& query,
-            std::uint32_t shards, result_code code, effects* out) const;
+            std::uint32_t shards, result_code code, effects* out,
+            std::optional<shard_key> shard = std::nullopt) const;
 
   const shard_directory* directory_;
   query_coordinator_options options_;
