Implement admission_controller and admission_client

Change: deficit round robin among callers over all origins with precedence for callers in their first turn, adaptive limit, refusal by expected wait, grants that end with their origin; on the origin's side an equal share of the last limit while the admission instance is silent. The origin's fallback is the same controller with a fixed limit. A queued request is acknowledged, so that the origin can tell a wait from silence.

--- a/bilberrycourse/admission_client.h
+++ b/bilberrycourse/admission_client.h
@@ -104,12 +104,24 @@
   struct pending;
 
   scope_entry& Scope(const std::string& name);
-  void DecideHere(scope_entry* scope, query_id query, time_point now,
-                  effects* out);
+  void Ask(pending* entry, time_point now, effects* out);
+  // Passes a request to the fallback.
+  void DecideHere(pending* entry, time_point now, effects* out);
+  // Counts a query that the admission instance granted in the fallback, so
+  // that the equal share is known at once when the instance falls silent.
+  void CountAsRunning(pending* entry, time_point now);
+  // Tells the admission instance of a query that it does not know of.
+  void ReportRunning(pending* entry, effects* out);
   void MarkUnresponsive(scope_entry* scope, time_point now, effects* out);
-  void MarkResponsive(scope_entry* scope, time_point now, effects* out);
-  void Forward(admission_controller::effects* replies, time_point now,
-               effects* out);
+  void MarkResponsive(scope_entry* scope, effects* out);
+  void Refuse(pending* entry, result_code code, duration retry_after,
+              effects* out);
+  void Erase(pending* entry);
+  void StartTimer(pending* entry, time_point due);
+  void StopTimer(pending* entry);
+  void SetFallbackLimit(const scope_entry& scope, time_point now, effects* out);
+  // Turns decisions of the fallback into results.
+  void Forward(const admission_controller::effects& replies, effects* out);
   std::uint32_t ShareOf(const scope_entry& scope) const;
 
   admission_client_options options_;
--- /dev/null
+++ b/bilberrycourse/admission_controller.cc
@@ -0,0 +1,466 @@
+#include "bilberrycourse/admission_controller.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <boost/intrusive/list.hpp>
+#include <boost/intrusive/set.hpp>
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <utility>
+
+namespace bilberrycourse {
+namespace {
+
+namespace bi = boost::intrusive;
+
+struct caller_tag;
+struct origin_tag;
+struct due_tag;
+using caller_hook = bi::list_base_hook<bi::tag<caller_tag>>;
+using origin_hook = bi::list_base_hook<bi::tag<origin_tag>>;
+using due_hook = bi::set_base_hook<bi::tag<due_tag>>;
+
+// Weight of one new sample in the smoothed rates and times.
+constexpr double kSmoothing = 0.2;
+constexpr duration kLeastRetryAfter = std::chrono::milliseconds(100);
+constexpr duration kMostRetryAfter = std::chrono::seconds(5);
+
+duration Microseconds(double value) {
+  return duration(static_cast<duration::rep>(value));
+}
+
+void Smooth(double sample, double* value) {
+  *value += (*value == 0 ? 1 : kSmoothing) * (sample - *value);
+}
+
+}  // namespace
+
+// One request that waits, or one grant.
+struct admission_controller::ticket : public caller_hook,
+                                      public origin_hook,
+                                      public due_hook {
+  std::uint32_t origin = 0;
+  query_id query{};
+  scope_entry* scope = nullptr;
+  // Null once the request is granted.
+  caller_entry* caller = nullptr;
+  bool running = false;
+  time_point due{};
+  time_point deadline{};
+  time_point started{};
+
+  friend bool operator<(const ticket& a, const ticket& b) {
+    return a.due < b.due;
+  }
+};
+
+struct admission_controller::caller_entry : public bi::list_base_hook<> {
+  using queue = bi::list<ticket, bi::base_hook<caller_hook>>;
+  const caller_name* name = nullptr;
+  queue waiting;
+  std::uint32_t weight = 1;
+  // Grants left in this turn.
+  std::uint32_t deficit = 0;
+  // True while the caller is in `fresh`, false while it is in `active`.
+  bool fresh = false;
+};
+
+struct admission_controller::scope_entry {
+  using caller_list = bi::list<caller_entry>;
+  const std::string* name = nullptr;
+  // A fractional part carries slow growth over several windows.
+  double limit = 0;
+  std::uint32_t floor = 1;
+  std::size_t running = 0;
+  std::size_t waiting = 0;
+  std::unordered_map<caller_name, caller_entry> callers;
+  // Callers in their first turn are served before those in later turns, so
+  // that a caller which asks rarely does not wait for the round of the others.
+  caller_list fresh;
+  caller_list active;
+  // Measuring window.
+  time_point window_start{};
+  std::size_t window_samples = 0;
+  duration window_queue_wait{0};
+  duration window_service_time{0};
+  bool window_full = false;
+  // Smoothed, in microseconds. Residence is the time from grant to release.
+  double residence = 0;
+  double queue_wait = 0;
+  double service_time = 0;
+  std::uint64_t granted = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t expired = 0;
+
+  std::size_t whole_limit() const { return static_cast<std::size_t>(limit); }
+};
+
+struct admission_controller::tables {
+  using due_set = bi::multiset<ticket, bi::base_hook<due_hook>,
+                               bi::constant_time_size<false>>;
+  struct origin_entry {
+    instance_name name;
+    bi::list<ticket, bi::base_hook<origin_hook>> tickets;
+  };
+  std::unordered_map<std::string, scope_entry> scopes;
+  std::unordered_map<instance_name, std::uint32_t> origin_numbers;
+  std::vector<std::unique_ptr<origin_entry>> origins;
+  boost::unordered_flat_map<ticket_key, std::unique_ptr<ticket>,
+                            ticket_key_hash>
+      tickets;
+  due_set by_due;
+};
+
+std::size_t admission_controller::ticket_key_hash::operator()(
+    const ticket_key& key) const {
+  return XXH3_64bits_withSeed(&key.query, sizeof(key.query), key.origin);
+}
+
+admission_controller::admission_controller(admission_controller_options options)
+    : options_(options), tables_(std::make_unique<tables>()) {}
+
+admission_controller::~admission_controller() {
+  tables_->by_due.clear();
+  for (auto& origin : tables_->origins) origin->tickets.clear();
+  for (auto& [name, scope] : tables_->scopes) {
+    scope.fresh.clear();
+    scope.active.clear();
+    for (auto& [caller_name, caller] : scope.callers) caller.waiting.clear();
+  }
+}
+
+admission_controller::scope_entry* admission_controller::FindScope(
+    const std::string& name) {
+  const auto position = tables_->scopes.find(name);
+  return position == tables_->scopes.end() ? nullptr : &position->second;
+}
+
+admission_controller::scope_entry* admission_controller::FindOrCreateScope(
+    const std::string& name) {
+  scope_entry* known = FindScope(name);
+  if (known != nullptr) return known;
+  if (tables_->scopes.size() >= options_.max_scopes) return nullptr;
+  const auto position = tables_->scopes.try_emplace(name).first;
+  position->second.name = &position->first;
+  position->second.limit = options_.initial_limit;
+  return &position->second;
+}
+
+std::uint32_t admission_controller::OriginNumber(const instance_name& origin) {
+  const auto known = tables_->origin_numbers.find(origin);
+  if (known != tables_->origin_numbers.end()) return known->second;
+  const auto number = static_cast<std::uint32_t>(tables_->origins.size());
+  tables_->origins.push_back(std::make_unique<tables::origin_entry>());
+  tables_->origins.back()->name = origin;
+  tables_->origin_numbers.emplace(origin, number);
+  return number;
+}
+
+void admission_controller::SetFloor(const std::string& scope,
+                                    std::uint32_t floor) {
+  scope_entry* entry = FindOrCreateScope(scope);
+  if (entry == nullptr) return;
+  entry->floor = std::clamp(floor, 1u, options_.max_limit);
+  if (options_.adaptive) {
+    entry->limit = std::max(entry->limit, static_cast<double>(entry->floor));
+  }
+}
+
+void admission_controller::SetLimit(const std::string& scope,
+                                    std::uint32_t limit, time_point now,
+                                    effects* out) {
+  scope_entry* entry = FindOrCreateScope(scope);
+  if (entry == nullptr) return;
+  entry->limit = limit;
+  Grant(entry, now, out);
+}
+
+void admission_controller::Reply(const ticket& entry, admission_verdict verdict,
+                                 result_code code, duration retry_after,
+                                 effects* out) const {
+  admission_reply& reply = out->emplace_back();
+  reply.origin = tables_->origins[entry.origin]->name;
+  reply.decision.query = entry.query;
+  reply.decision.scope = *entry.scope->name;
+  reply.decision.verdict = verdict;
+  reply.decision.code = code;
+  reply.decision.retry_after = retry_after;
+  reply.decision.limit = static_cast<std::uint32_t>(entry.scope->limit);
+}
+
+duration admission_controller::ExpectedWait(const scope_entry& scope,
+                                            const caller_entry* caller) const {
+  if (scope.running < scope.whole_limit() && scope.waiting == 0) return {};
+  std::size_t ahead = scope.fresh.size() + 1;
+  if (caller != nullptr && caller->is_linked()) {
+    // Each other caller is granted about as much as this one meanwhile.
+    const std::size_t callers = scope.fresh.size() + scope.active.size();
+    const std::size_t turns = caller->waiting.size() / caller->weight + 1;
+    ahead = std::min(turns * callers, scope.waiting + 1);
+  }
+  // A full scope ends limit / residence grants per unit of time.
+  const double per_grant = scope.residence / std::max(scope.limit, 1.0);
+  return Microseconds(static_cast<double>(ahead) * per_grant);
+}
+
+void admission_controller::OnRequest(const instance_name& origin,
+                                     const admission_request& request,
+                                     time_point now, effects* out) {
+  scope_entry* scope = FindOrCreateScope(request.scope);
+  const std::uint32_t number = OriginNumber(origin);
+  if (scope == nullptr) {
+    if (request.running) return;
+    admission_reply& reply = out->emplace_back();
+    reply.origin = origin;
+    reply.decision = {request.query,
+                      request.scope,
+                      admission_verdict::kRefused,
+                      result_code::kOverloaded,
+                      kMostRetryAfter,
+                      0};
+    return;
+  }
+  auto [position, inserted] =
+      tables_->tickets.try_emplace(ticket_key{number, request.query});
+  if (!inserted) {
+    ticket* known = position->second.get();
+    // The origin stopped waiting for the decision and admitted by itself.
+    if (request.running && !known->running) Start(known, now);
+    return;
+  }
+  position->second = std::make_unique<ticket>();
+  ticket* entry = position->second.get();
+  entry->origin = number;
+  entry->query = request.query;
+  entry->scope = scope;
+  entry->deadline = request.deadline;
+  tables_->origins[number]->tickets.push_back(*entry);
+  if (request.running) {
+    Start(entry, now);
+    return;
+  }
+  auto caller_position = scope->callers.find(request.caller);
+  const bool known_caller = caller_position != scope->callers.end();
+  if (scope->waiting >= options_.max_waiting_per_scope ||
+      scope->running >= options_.max_running_per_scope ||
+      (!known_caller &&
+       scope->callers.size() >= options_.max_callers_per_scope) ||
+      ExpectedWait(*scope, known_caller ? &caller_position->second : nullptr) >
+          request.max_wait) {
+    Refuse(entry, result_code::kOverloaded, out);
+    return;
+  }
+  if (!known_caller) {
+    caller_position = scope->callers.try_emplace(request.caller).first;
+    caller_position->second.name = &caller_position->first;
+  }
+  caller_entry& caller = caller_position->second;
+  caller.weight = std::max(request.weight, 1u);
+  if (!caller.is_linked()) {
+    caller.fresh = true;
+    caller.deficit = caller.weight;
+    scope->fresh.push_back(caller);
+  }
+  entry->caller = &caller;
+  entry->due = std::min(now + request.max_wait, request.deadline);
+  caller.waiting.push_back(*entry);
+  ++scope->waiting;
+  tables_->by_due.insert(*entry);
+  Grant(scope, now, out);
+  if (!entry->running) {
+    Reply(*entry, admission_verdict::kQueued, result_code::kOk, {}, out);
+  }
+}
+
+void admission_controller::Grant(scope_entry* scope, time_point now,
+                                 effects* out) {
+  while (scope->waiting > 0 && scope->running < scope->whole_limit()) {
+    auto& from = scope->fresh.empty() ? scope->active : scope->fresh;
+    caller_entry& caller = from.front();
+    if (caller.waiting.empty() && !caller.fresh) {
+      from.pop_front();
+      scope->callers.erase(scope->callers.find(*caller.name));
+      continue;
+    }
+    if (caller.waiting.empty() || caller.deficit == 0) {
+      // A caller that emptied its queue in its first turn also passes through
+      // `active`; otherwise it could stay ahead of the others by asking for
+      // one query at a time.
+      from.pop_front();
+      caller.deficit = caller.weight;
+      caller.fresh = false;
+      scope->active.push_back(caller);
+      continue;
+    }
+    ticket& entry = caller.waiting.front();
+    --caller.deficit;
+    Start(&entry, now);
+    ++scope->granted;
+    Reply(entry, admission_verdict::kGranted, result_code::kOk, {}, out);
+  }
+  if (scope->running >= scope->whole_limit()) scope->window_full = true;
+  Trim(scope);
+}
+
+void admission_controller::Trim(scope_entry* scope) {
+  if (scope->waiting > 0) return;
+  scope->fresh.clear();
+  scope->active.clear();
+  scope->callers.clear();
+}
+
+void admission_controller::Withdraw(ticket* entry) {
+  if (entry->caller == nullptr) return;
+  auto& waiting = entry->caller->waiting;
+  waiting.erase(waiting.iterator_to(*entry));
+  --entry->scope->waiting;
+  entry->caller = nullptr;
+}
+
+void admission_controller::Start(ticket* entry, time_point now) {
+  Withdraw(entry);
+  entry->running = true;
+  entry->started = now;
+  ++entry->scope->running;
+  auto& by_due = tables_->by_due;
+  if (entry->due_hook::is_linked()) by_due.erase(by_due.iterator_to(*entry));
+  entry->due = entry->deadline + options_.grant_grace;
+  by_due.insert(*entry);
+}
+
+void admission_controller::Refuse(ticket* entry, result_code code,
+                                  effects* out) {
+  scope_entry* scope = entry->scope;
+  ++scope->refused;
+  // Spread over half to one and a half times the time in which a queue of the
+  // present length drains, so that refused callers do not return together.
+  const double spread =
+      0.5 + static_cast<double>(
+                ticket_key_hash()({entry->origin, entry->query}) % 1024) /
+                1024;
+  const double drain = static_cast<double>(scope->waiting + scope->running) *
+                       scope->residence / std::max(scope->limit, 1.0);
+  const duration retry_after = std::clamp(
+      Microseconds(drain * spread),
+      Microseconds(spread * kLeastRetryAfter.count()), kMostRetryAfter);
+  Reply(*entry, admission_verdict::kRefused, code, retry_after, out);
+  Erase(entry);
+  Trim(scope);
+}
+
+void admission_controller::Erase(ticket* entry) {
+  Withdraw(entry);
+  if (entry->running) --entry->scope->running;
+  auto& by_due = tables_->by_due;
+  if (entry->due_hook::is_linked()) by_due.erase(by_due.iterator_to(*entry));
+  auto& tickets = tables_->origins[entry->origin]->tickets;
+  tickets.erase(tickets.iterator_to(*entry));
+  tables_->tickets.erase(ticket_key{entry->origin, entry->query});
+}
+
+void admission_controller::OnRelease(const instance_name& origin,
+                                     const admission_release& release,
+                                     time_point now, effects* out) {
+  const auto position =
+      tables_->tickets.find(ticket_key{OriginNumber(origin), release.query});
+  if (position == tables_->tickets.end()) return;
+  ticket* entry = position->second.get();
+  scope_entry* scope = entry->scope;
+  if (entry->running) {
+    Smooth(static_cast<double>((now - entry->started).count()),
+           &scope->residence);
+    Measure(scope, release, now);
+  }
+  Erase(entry);
+  Grant(scope, now, out);
+}
+
+void admission_controller::Measure(scope_entry* scope,
+                                   const admission_release& release,
+                                   time_point now) {
+  if (release.measured) {
+    ++scope->window_samples;
+    scope->window_queue_wait += release.queue_wait;
+    scope->window_service_time += release.service_time;
+  }
+  const duration length =
+      std::max(options_.window, Microseconds(scope->service_time));
+  if (now - scope->window_start < length || scope->window_samples == 0) return;
+  const auto samples = static_cast<double>(scope->window_samples);
+  const double wait =
+      static_cast<double>(scope->window_queue_wait.count()) / samples;
+  Smooth(wait, &scope->queue_wait);
+  Smooth(static_cast<double>(scope->window_service_time.count()) / samples,
+         &scope->service_time);
+  if (options_.adaptive) {
+    const double target =
+        std::max(static_cast<double>(options_.least_target_delay.count()),
+                 options_.target_delay_factor * scope->service_time);
+    if (wait > target) {
+      scope->limit *= options_.decrease_factor;
+    } else if (scope->window_full) {
+      scope->limit += std::max(options_.increase_step,
+                               options_.increase_share * scope->limit);
+    }
+    scope->limit = std::clamp(scope->limit, static_cast<double>(scope->floor),
+                              static_cast<double>(options_.max_limit));
+  }
+  scope->window_start = now;
+  scope->window_samples = 0;
+  scope->window_queue_wait = {};
+  scope->window_service_time = {};
+  scope->window_full = scope->running >= scope->whole_limit();
+}
+
+void admission_controller::OnOriginLost(const instance_name& origin,
+                                        time_point now, effects* out) {
+  const auto number = tables_->origin_numbers.find(origin);
+  if (number == tables_->origin_numbers.end()) return;
+  auto& tickets = tables_->origins[number->second]->tickets;
+  while (!tickets.empty()) Erase(&tickets.front());
+  for (auto& [name, scope] : tables_->scopes) Grant(&scope, now, out);
+}
+
+void admission_controller::Tick(time_point now, effects* out) {
+  auto& by_due = tables_->by_due;
+  while (!by_due.empty() && by_due.begin()->due <= now) {
+    ticket* entry = &*by_due.begin();
+    if (!entry->running) {
+      Refuse(entry,
+             now >= entry->deadline ? result_code::kQueueDeadline
+                                    : result_code::kOverloaded,
+             out);
+      continue;
+    }
+    scope_entry* scope = entry->scope;
+    ++scope->expired;
+    Erase(entry);
+    Grant(scope, now, out);
+  }
+}
+
+std::optional<time_point> admission_controller::next_due() const {
+  if (tables_->by_due.empty()) return std::nullopt;
+  return tables_->by_due.begin()->due;
+}
+
+std::optional<admission_scope_status> admission_controller::Status(
+    const std::string& name) const {
+  const auto position = tables_->scopes.find(name);
+  if (position == tables_->scopes.end()) return std::nullopt;
+  const scope_entry& scope = position->second;
+  admission_scope_status status;
+  status.limit = static_cast<std::uint32_t>(scope.limit);
+  status.floor = scope.floor;
+  status.running = scope.running;
+  status.waiting = scope.waiting;
+  status.callers = scope.callers.size();
+  status.granted = scope.granted;
+  status.refused = scope.refused;
+  status.expired = scope.expired;
+  status.recent_queue_wait = Microseconds(scope.queue_wait);
+  status.recent_service_time = Microseconds(scope.service_time);
+  return status;
+}
+
+}  // namespace bilberrycourse
--- a/bilberrycourse/admission_controller.h
+++ b/bilberrycourse/admission_controller.h
@@ -24,8 +24,6 @@
 //
 // Each event costs O(1) on average, the expiry queue O(log waiting).
 
-#include <boost/intrusive/list.hpp>
-#include <boost/intrusive/set.hpp>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -124,21 +122,26 @@
   struct ticket_key_hash {
     std::size_t operator()(const ticket_key& key) const;
   };
-  struct by_due;
 
   scope_entry* FindScope(const std::string& name);
   scope_entry* FindOrCreateScope(const std::string& name);
   std::uint32_t OriginNumber(const instance_name& origin);
+  // Grants while the limit allows.
   void Grant(scope_entry* scope, time_point now, effects* out);
-  void Start(scope_entry* scope, ticket* entry, time_point now);
-  void Refuse(ticket* entry, result_code code, time_point now, effects* out);
+  // Forgets the callers of a scope in which nothing waits.
+  static void Trim(scope_entry* scope);
+  // Takes a ticket out of its caller's queue.
+  static void Withdraw(ticket* entry);
+  void Start(ticket* entry, time_point now);
+  void Refuse(ticket* entry, result_code code, effects* out);
   void Reply(const ticket& entry, admission_verdict verdict, result_code code,
              duration retry_after, effects* out) const;
   void Erase(ticket* entry);
   void Measure(scope_entry* scope, const admission_release& release,
                time_point now);
-  duration ExpectedWait(const scope_entry& scope, const caller_entry& caller,
-                        time_point now) const;
+  // `caller` is null if it is not known to the scope.
+  duration ExpectedWait(const scope_entry& scope,
+                        const caller_entry* caller) const;
 
   admission_controller_options options_;
   struct tables;
