--- a/bilberrycourse/config_document.h
+++ b/bilberrycourse/config_document.h
@@ -138,7 +138,7 @@
 std::string ExceptionText(const config_exception& exception);
 
 // Returns the paths at which the texts differ, at most limits.max_reported.
-// Exceptions are compared by id, everything else by position and name.
+// Exceptions are compared by id, objects by name, other values as a whole.
 std::vector<document_change> Difference(std::string_view before,
                                         std::string_view after,
                                         const config_limits& limits = {});
