--- /dev/null
+++ b/bilberrycourse/control_codec.h
@@ -0,0 +1,43 @@
+#ifndef BILBERRYCOURSE_CONTROL_CODEC_H_
+#define BILBERRYCOURSE_CONTROL_CODEC_H_
+
+// FlatBuffers root shared by commands, outcomes, snapshots and the published
+// state; used only by the files that implement those encodings.
+//
+//   control_wire::control_rootT root;
+//   root.body.Set(control_wire::outcomeT{...});
+//   std::string bytes = PackRoot(root);
+//   auto read = UnpackRoot(bytes, control_wire::root_body::outcome);
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "bilberrycourse/control_command.h"
+#include "bilberrycourse/control_state_generated.h"
+
+namespace bilberrycourse {
+
+std::string PackRoot(const control_wire::control_rootT& root);
+
+// Verifies the bytes; returns nullptr if they are damaged or of another kind.
+std::unique_ptr<control_wire::control_rootT> UnpackRoot(
+    std::string_view bytes, control_wire::root_body kind);
+
+control_wire::outcomeT ToWire(const control_outcome& outcome);
+// Returns false for values that no encoder writes.
+bool FromWire(const control_wire::outcomeT& wire, control_outcome* outcome);
+
+std::unique_ptr<control_wire::request_runT> ToWire(const request_run& run);
+bool FromWire(const std::unique_ptr<control_wire::request_runT>& wire,
+              request_run* run);
+
+control_wire::shard_setT ToWire(const shard_set_record& record);
+shard_set_record FromWire(const control_wire::shard_setT& wire);
+
+// Returns false for numbers that are not in the table of result codes.
+bool CodeFromWire(std::uint16_t number, result_code* code);
+
+}  // namespace bilberrycourse
+
+#endif  // BILBERRYCOURSE_CONTROL_CODEC_H_
--- a/bilberrycourse/control_command.h
+++ b/bilberrycourse/control_command.h
@@ -118,8 +118,11 @@
   result_code code = result_code::kOk;
   // Changes: the accepted version; on kVersionConflict the current one.
   std::uint64_t version = 0;
-  // JSON object with `errors` [{path, message}], or `winner` {version, author,
-  // reason, change_id} and `difference` [{path, before, after}]; may be empty.
+  // JSON object, may be empty. kInvalidDocument: `errors` [{path, message}].
+  // kVersionConflict: `winner` {version, change_id, author, reason,
+  // accepted_at_ms}, and as lists of {path, before, after} `difference`
+  // (current to refused document) and `changed_since_base` (base to current).
+  // Other codes: `message`.
   std::string detail;
   request_decision decision = request_decision::kRefuse;
   result_code recorded_code = result_code::kOk;
--- /dev/null
+++ b/bilberrycourse/control_state_snapshot.cc
@@ -0,0 +1,229 @@
+// Snapshots of control_state and the published state, as bytes.
+
+#include <xxhash.h>
+
+#include <cstring>
+#include <memory>
+#include <utility>
+
+#include "bilberrycourse/control_codec.h"
+#include "bilberrycourse/control_state.h"
+
+namespace bilberrycourse {
+namespace {
+
+namespace wire = control_wire;
+
+constexpr std::uint32_t kSnapshotFormat = 1;
+
+template <typename T>
+T Little(T value) {
+  return flatbuffers::EndianScalar(value);
+}
+
+// The verifier of FlatBuffers does not notice changed text, so the bytes end
+// with their hash.
+std::string WithHash(std::string bytes) {
+  const std::uint64_t hash =
+      Little<std::uint64_t>(XXH3_64bits(bytes.data(), bytes.size()));
+  bytes.append(reinterpret_cast<const char*>(&hash), sizeof(hash));
+  return bytes;
+}
+
+std::optional<std::string_view> WithoutHash(std::string_view bytes) {
+  std::uint64_t hash = 0;
+  if (bytes.size() < sizeof(hash)) return std::nullopt;
+  const std::string_view content = bytes.substr(0, bytes.size() - sizeof(hash));
+  std::memcpy(&hash, content.data() + content.size(), sizeof(hash));
+  if (Little(hash) != XXH3_64bits(content.data(), content.size())) {
+    return std::nullopt;
+  }
+  return content;
+}
+
+std::unique_ptr<wire::request_recordT> RequestToWire(
+    const std::string& caller, const std::string& key,
+    const request_record& record) {
+  auto out = std::make_unique<wire::request_recordT>();
+  out->caller = caller;
+  out->key = key;
+  out->phase = static_cast<std::uint8_t>(record.phase);
+  out->run = ToWire(record.run);
+  out->target = record.target;
+  out->body_hash = record.body_hash;
+  out->issued_at_ms = record.issued_at_ms;
+  out->begun_at_ms = record.begun_at_ms;
+  out->ended_at_ms = record.ended_at_ms;
+  out->deadline_ms = record.deadline_ms;
+  out->idempotent = record.idempotent;
+  out->keep = record.keep;
+  out->code = static_cast<std::uint16_t>(record.code);
+  out->answer = record.answer;
+  out->answer_omitted = record.answer_omitted;
+  for (const auto& run : record.abandoned_runs) {
+    out->abandoned_runs.push_back(ToWire(run));
+  }
+  return out;
+}
+
+bool RequestFromWire(const wire::request_recordT& in, request_record* record) {
+  if (in.phase > static_cast<std::uint8_t>(request_phase::kAbandoned) ||
+      !CodeFromWire(in.code, &record->code) ||
+      !FromWire(in.run, &record->run)) {
+    return false;
+  }
+  record->phase = static_cast<request_phase>(in.phase);
+  record->target = in.target;
+  record->body_hash = in.body_hash;
+  record->issued_at_ms = in.issued_at_ms;
+  record->begun_at_ms = in.begun_at_ms;
+  record->ended_at_ms = in.ended_at_ms;
+  record->deadline_ms = in.deadline_ms;
+  record->idempotent = in.idempotent;
+  record->keep = in.keep;
+  record->answer = in.answer;
+  record->answer_omitted = in.answer_omitted;
+  for (const auto& run : in.abandoned_runs) {
+    if (!FromWire(run, &record->abandoned_runs.emplace_back())) return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+std::string control_state::SaveSnapshot() const {
+  wire::snapshotT out;
+  out.format = kSnapshotFormat;
+  out.applied_index = applied_index_;
+  out.now_ms = now_ms_;
+  out.config_version = config_version_;
+  out.published_version = published_version_;
+  out.document = document_.text();
+  for (const auto& entry : history_) {
+    auto row = std::make_unique<wire::history_entryT>();
+    row->version = entry.version;
+    row->change_id = entry.change_id;
+    row->author = entry.author;
+    row->reason = entry.reason;
+    row->accepted_at_ms = entry.accepted_at_ms;
+    row->document = entry.document;
+    out.history.push_back(std::move(row));
+  }
+  for (const auto& [recorded_at, id] : change_order_) {
+    const auto change = changes_.find(id);
+    if (change == changes_.end() ||
+        change->second.recorded_at_ms != recorded_at) {
+      continue;
+    }
+    auto row = std::make_unique<wire::change_recordT>();
+    row->change_id = id;
+    row->content_hash = change->second.content_hash;
+    row->recorded_at_ms = recorded_at;
+    row->result =
+        std::make_unique<wire::outcomeT>(ToWire(change->second.outcome));
+    out.changes.push_back(std::move(row));
+  }
+  for (const auto& record : ShardSets()) {
+    out.shard_sets.push_back(
+        std::make_unique<wire::shard_setT>(ToWire(record)));
+  }
+  for (const auto& [key, record] : requests_) {
+    out.requests.push_back(RequestToWire(key.first, key.second, record));
+  }
+  wire::control_rootT root;
+  root.body.Set(std::move(out));
+  return WithHash(PackRoot(root));
+}
+
+bool control_state::LoadSnapshot(std::string_view bytes) {
+  const auto content = WithoutHash(bytes);
+  if (!content) return false;
+  const auto root = UnpackRoot(*content, wire::root_body::snapshot);
+  if (root == nullptr) return false;
+  const wire::snapshotT& in = *root->body.Assnapshot();
+  if (in.format != kSnapshotFormat || in.applied_index < applied_index_) {
+    return false;
+  }
+  control_state loaded(options_);
+  loaded.applied_index_ = in.applied_index;
+  loaded.now_ms_ = in.now_ms;
+  loaded.config_version_ = in.config_version;
+  loaded.published_version_ = in.published_version;
+  std::vector<document_error> errors;
+  auto document = ParseConfig(in.document, &errors, options_.limits);
+  if (!document) return false;
+  loaded.document_ = std::move(*document);
+  for (const auto& row : in.history) {
+    loaded.history_.push_back({row->version, row->change_id, row->author,
+                               row->reason, row->accepted_at_ms,
+                               row->document});
+  }
+  const std::uint64_t newest =
+      loaded.history_.empty() ? 0 : loaded.history_.back().version;
+  if (newest != loaded.config_version_) return false;
+  if (Has(control_fault::kRevertVersionOnReload) && newest > 1) {
+    loaded.history_.pop_back();
+    loaded.config_version_ = newest - 1;
+  }
+  for (const auto& row : in.changes) {
+    change_record change;
+    change.content_hash = row->content_hash;
+    change.recorded_at_ms = row->recorded_at_ms;
+    if (row->result == nullptr || !FromWire(*row->result, &change.outcome)) {
+      return false;
+    }
+    if (Has(control_fault::kForgetChangeIdsInSnapshot)) continue;
+    loaded.change_order_.emplace_back(change.recorded_at_ms, row->change_id);
+    loaded.changes_[row->change_id] = std::move(change);
+  }
+  for (const auto& row : in.shard_sets) {
+    const shard_set_record record = FromWire(*row);
+    loaded.shard_sets_[record.service][record.version] = record.shard_count;
+  }
+  for (const auto& row : in.requests) {
+    request_record record;
+    if (!RequestFromWire(*row, &record)) return false;
+    loaded.answer_bytes_ += record.answer.size();
+    const request_key key{row->caller, row->key};
+    loaded.request_order_.emplace(record.issued_at_ms, key);
+    if (!loaded.requests_.emplace(key, std::move(record)).second) return false;
+  }
+  *this = std::move(loaded);
+  return true;
+}
+
+std::string control_state::SavePublished() const {
+  wire::publishedT out;
+  out.config_version = config_version_;
+  out.published_version = published_version_;
+  out.document = document_.text();
+  for (const auto& record : ShardSets()) {
+    out.shard_sets.push_back(
+        std::make_unique<wire::shard_setT>(ToWire(record)));
+  }
+  wire::control_rootT root;
+  root.body.Set(std::move(out));
+  return WithHash(PackRoot(root));
+}
+
+std::optional<published_state> LoadPublished(std::string_view bytes,
+                                             const config_limits& limits) {
+  const auto content = WithoutHash(bytes);
+  if (!content) return std::nullopt;
+  const auto root = UnpackRoot(*content, wire::root_body::published);
+  if (root == nullptr) return std::nullopt;
+  const wire::publishedT& in = *root->body.Aspublished();
+  std::vector<document_error> errors;
+  auto document = ParseConfig(in.document, &errors, limits);
+  if (!document) return std::nullopt;
+  published_state result;
+  result.config_version = in.config_version;
+  result.published_version = in.published_version;
+  result.document = std::move(*document);
+  for (const auto& row : in.shard_sets) {
+    result.shard_sets.push_back(FromWire(*row));
+  }
+  return result;
+}
+
+}  // namespace bilberrycourse
