--- /dev/null
+++ b/bilberrycourse/connection_pool.cc
@@ -0,0 +1,113 @@
+#include "bilberrycourse/connection_pool.h"
+
+#include <algorithm>
+
+namespace bilberrycourse {
+
+void connection_pool::Open(std::uint32_t target, time_point now,
+                           std::uint64_t* next_id,
+                           std::vector<connection_id>* opening) {
+  if (now < open_after_) return;
+  if (failures_ > 0 && opening_ > 0) return;
+  while (connections_.size() < target) {
+    const connection_id id{(*next_id)++};
+    connections_[id].id = id;
+    ++opening_;
+    opening->push_back(id);
+    if (failures_ > 0) return;
+  }
+}
+
+bool connection_pool::OnOpened(connection_id id) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end() ||
+      found->second.state != link_state::kOpening) {
+    return false;
+  }
+  --opening_;
+  found->second.state = link_state::kIdle;
+  idle_.push_front(found->second);
+  ++idle_count_;
+  failures_ = 0;
+  open_after_ = time_point::min();
+  return true;
+}
+
+bool connection_pool::OnFailed(connection_id id, time_point now) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end() ||
+      found->second.state != link_state::kOpening) {
+    return false;
+  }
+  --opening_;
+  connections_.erase(found);
+  const duration wait =
+      options_.reconnect_wait * (std::int64_t{1} << std::min(failures_, 16u));
+  open_after_ = now + std::min(wait, options_.max_reconnect_wait);
+  ++failures_;
+  return true;
+}
+
+bool connection_pool::OnClosed(connection_id id, time_point now) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) return false;
+  if (found->second.state == link_state::kOpening) return OnFailed(id, now);
+  Unlink(&found->second);
+  connections_.erase(found);
+  // A searcher that accepts and closes at once must not cause a busy loop.
+  open_after_ = std::max(open_after_, now + options_.reconnect_wait);
+  return true;
+}
+
+std::optional<connection_id> connection_pool::Take() {
+  if (idle_.empty()) return std::nullopt;
+  link& entry = idle_.front();
+  Unlink(&entry);
+  entry.state = link_state::kBusy;
+  return entry.id;
+}
+
+void connection_pool::Release(connection_id id) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end() || found->second.state != link_state::kBusy) {
+    return;
+  }
+  found->second.state = link_state::kIdle;
+  idle_.push_front(found->second);
+  ++idle_count_;
+}
+
+void connection_pool::Forget(connection_id id) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) return;
+  if (found->second.state == link_state::kOpening) --opening_;
+  Unlink(&found->second);
+  connections_.erase(found);
+}
+
+void connection_pool::ForgetFailures() {
+  failures_ = 0;
+  open_after_ = time_point::min();
+}
+
+void connection_pool::ForgetUnused(std::vector<connection_id>* closed) {
+  for (auto entry = connections_.begin(); entry != connections_.end();) {
+    link& unused = entry->second;
+    if (unused.state == link_state::kBusy) {
+      ++entry;
+      continue;
+    }
+    if (unused.state == link_state::kOpening) --opening_;
+    Unlink(&unused);
+    closed->push_back(unused.id);
+    entry = connections_.erase(entry);
+  }
+}
+
+void connection_pool::Unlink(link* entry) {
+  if (!entry->is_linked()) return;
+  idle_.erase(idle_.iterator_to(*entry));
+  --idle_count_;
+}
+
+}  // namespace bilberrycourse
--- /dev/null
+++ b/bilberrycourse/crash_evidence.cc
@@ -0,0 +1,246 @@
+#include "bilberrycourse/crash_evidence.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace bilberrycourse {
+namespace {
+
+constexpr std::string_view kVerdictNames[] = {"unknown", "recently_good",
+                                              "suspect", "condemned"};
+
+}  // namespace
+
+std::string_view ToString(crash_verdict verdict) {
+  return kVerdictNames[static_cast<std::size_t>(verdict)];
+}
+
+fingerprint MakeFingerprint(std::string_view target,
+                            std::string_view canonical_body) {
+  // The hash of the target seeds that of the body, so that no choice of the
+  // boundary between both gives the same input.
+  const XXH64_hash_t seed = XXH64(target.data(), target.size(), 0);
+  return fingerprint{XXH64(canonical_body.data(), canonical_body.size(), seed)};
+}
+
+crash_evidence::crash_evidence(const crash_evidence_options& options)
+    : options_(options) {}
+
+crash_evidence::~crash_evidence() {
+  suspect_order_.clear();
+  good_order_.clear();
+}
+
+bool crash_evidence::RecordCrash(const crash_report& report, time_point now) {
+  bool changed = false;
+  for (const fingerprint content : report.contents) {
+    changed |= AddCrash(content, report.server, report.incarnation, now, now);
+  }
+  return changed;
+}
+
+void crash_evidence::RecordSuccess(fingerprint content, time_point now) {
+  AddSuccess(content, now, now);
+}
+
+bool crash_evidence::AddCrash(fingerprint content,
+                              const backend_server_key& server,
+                              std::uint64_t incarnation, time_point at,
+                              time_point now) {
+  if (at + options_.expiry <= now) return false;
+  auto found = suspects_.find(content);
+  if (found == suspects_.end()) {
+    if (suspects_.size() >= options_.max_suspects) {
+      suspect& oldest = suspect_order_.front();
+      suspect_order_.pop_front();
+      suspects_.erase(oldest.content);
+    }
+    found = suspects_.try_emplace(content).first;
+    found->second.content = content;
+  } else {
+    suspect_order_.erase(suspect_order_.iterator_to(found->second));
+  }
+  suspect& entry = found->second;
+  suspect_order_.push_back(entry);
+  for (const crash_event& known : entry.crashes) {
+    if (known.server == server && known.incarnation == incarnation) {
+      return false;
+    }
+  }
+  if (entry.crashes.size() >= options_.max_crashes) {
+    entry.crashes.erase(entry.crashes.begin());
+  }
+  entry.crashes.push_back(
+      {server, incarnation, at, /*cleared=*/at <= entry.last_success});
+  AddServerCrash(content, server, incarnation, at);
+  return true;
+}
+
+void crash_evidence::AddServerCrash(fingerprint content,
+                                    const backend_server_key& server,
+                                    std::uint64_t incarnation, time_point at) {
+  if (!servers_.contains(server) && servers_.size() >= options_.max_servers) {
+    auto oldest = std::min_element(
+        servers_.begin(), servers_.end(), [](const auto& a, const auto& b) {
+          return a.second.back().at < b.second.back().at;
+        });
+    servers_.erase(oldest);
+  }
+  std::vector<server_crash>& crashes = servers_[server];
+  for (server_crash& crash : crashes) {
+    if (crash.incarnation == incarnation) {
+      crash.contents.push_back(content);
+      return;
+    }
+  }
+  if (crashes.size() >= options_.max_crashes) crashes.erase(crashes.begin());
+  crashes.push_back({incarnation, at, {content}});
+}
+
+bool crash_evidence::AddSuccess(fingerprint content, time_point at,
+                                time_point now) {
+  if (at + options_.good_expiry <= now) return false;
+  auto good = good_.find(content);
+  if (good == good_.end()) {
+    if (good_.size() >= options_.max_good) {
+      good_content& oldest = good_order_.front();
+      good_order_.pop_front();
+      good_.erase(oldest.content);
+    }
+    good = good_.try_emplace(content).first;
+    good->second.content = content;
+    good->second.last_success = at;
+  } else {
+    good_order_.erase(good_order_.iterator_to(good->second));
+    good->second.last_success = std::max(good->second.last_success, at);
+  }
+  good_order_.push_back(good->second);
+
+  auto found = suspects_.find(content);
+  if (found == suspects_.end()) return false;
+  suspect& entry = found->second;
+  if (at <= entry.last_success || Condemned(entry, now)) return false;
+  entry.last_success = at;
+  for (crash_event& crash : entry.crashes) {
+    if (crash.at <= at) crash.cleared = true;
+  }
+  return true;
+}
+
+bool crash_evidence::Condemned(const suspect& entry, time_point now) const {
+  // Crashes kept for one content are few, so comparing all pairs is cheap.
+  std::size_t servers = 0;
+  for (std::size_t i = 0; i < entry.crashes.size(); ++i) {
+    const crash_event& crash = entry.crashes[i];
+    const auto counts = [&](const crash_event& other) {
+      return !other.cleared && other.at + options_.expiry > now &&
+             other.server == crash.server;
+    };
+    if (!counts(crash) || IsUnreliable(crash.server, now)) continue;
+    const auto same = static_cast<std::size_t>(
+        std::count_if(entry.crashes.begin(), entry.crashes.end(), counts));
+    if (same >= options_.condemned_after_same) return true;
+    if (std::none_of(entry.crashes.begin(), entry.crashes.begin() + i,
+                     counts)) {
+      ++servers;
+    }
+  }
+  return servers >= options_.condemned_after;
+}
+
+crash_verdict crash_evidence::Verdict(fingerprint content,
+                                      time_point now) const {
+  if (const auto found = suspects_.find(content); found != suspects_.end()) {
+    if (Condemned(found->second, now)) return crash_verdict::kCondemned;
+    for (const crash_event& crash : found->second.crashes) {
+      if (!crash.cleared && crash.at + options_.expiry > now &&
+          !IsUnreliable(crash.server, now)) {
+        return crash_verdict::kSuspect;
+      }
+    }
+  }
+  const auto good = good_.find(content);
+  if (good != good_.end() &&
+      good->second.last_success + options_.good_expiry > now) {
+    return crash_verdict::kRecentlyGood;
+  }
+  return crash_verdict::kUnknown;
+}
+
+bool crash_evidence::IsUnreliable(const backend_server_key& server,
+                                  time_point now) const {
+  const auto found = servers_.find(server);
+  if (found == servers_.end()) return false;
+  std::size_t crashes = 0;
+  std::unordered_map<fingerprint, std::size_t> seen;
+  std::size_t most = 0;
+  for (const server_crash& crash : found->second) {
+    if (crash.at + options_.expiry <= now) continue;
+    ++crashes;
+    for (const fingerprint content : crash.contents) {
+      most = std::max(most, ++seen[content]);
+    }
+  }
+  // No content was in flight in more than half of the crashes.
+  return crashes >= options_.unreliable_after && 2 * most <= crashes;
+}
+
+std::vector<crash_evidence_record> crash_evidence::Export(
+    time_point now) const {
+  std::vector<crash_evidence_record> records;
+  for (const suspect& entry : suspect_order_) {
+    for (const crash_event& crash : entry.crashes) {
+      if (crash.at + options_.expiry <= now) continue;
+      records.push_back({entry.content, /*success=*/false, crash.server,
+                         crash.incarnation, now - crash.at});
+    }
+    if (entry.last_success != time_point::min() &&
+        entry.last_success + options_.good_expiry > now) {
+      records.push_back(
+          {entry.content, /*success=*/true, {}, 0, now - entry.last_success});
+    }
+  }
+  return records;
+}
+
+bool crash_evidence::Merge(std::span<const crash_evidence_record> records,
+                           time_point now) {
+  bool changed = false;
+  for (const crash_evidence_record& record : records) {
+    // A negative age is damaged input; it counts as an event of this moment.
+    const time_point at = now - std::max(record.age, duration{0});
+    changed |= record.success ? AddSuccess(record.content, at, now)
+                              : AddCrash(record.content, record.server,
+                                         record.incarnation, at, now);
+  }
+  return changed;
+}
+
+void crash_evidence::Tick(time_point now) {
+  // The lists are in the order of the latest event, so that the expired
+  // entries are at the front.
+  while (!suspect_order_.empty()) {
+    suspect& oldest = suspect_order_.front();
+    if (std::any_of(oldest.crashes.begin(), oldest.crashes.end(),
+                    [&](const crash_event& crash) {
+                      return crash.at + options_.expiry > now;
+                    })) {
+      break;
+    }
+    suspect_order_.pop_front();
+    suspects_.erase(oldest.content);
+  }
+  while (!good_order_.empty() &&
+         good_order_.front().last_success + options_.good_expiry <= now) {
+    good_content& oldest = good_order_.front();
+    good_order_.pop_front();
+    good_.erase(oldest.content);
+  }
+  std::erase_if(servers_, [&](const auto& server) {
+    return server.second.back().at + options_.expiry <= now;
+  });
+}
+
+}  // namespace bilberrycourse
--- a/bilberrycourse/crash_evidence.h
+++ b/bilberrycourse/crash_evidence.h
@@ -11,10 +11,12 @@
 //
 // A crash counts once for each (content, searcher, incarnation), whichever
 // instance reported it, so merging is idempotent. A content is condemned after
-// two crashes without a success in between. Crashes of a searcher that dies
-// with contents that have nothing in common count against the searcher and not
-// against the contents. Memory is bounded by the options; the entry that is
-// oldest by its latest event makes room.
+// crashes of two searchers, or three crashes of one, without a success in
+// between; the latter bounds what a content does to a shard whose other replica
+// is gone. Crashes of a searcher that dies with contents that have nothing in
+// common count against the searcher and not against the contents. Memory is
+// bounded by the options; the entry that is oldest by its latest event makes
+// room.
 
 #include <boost/intrusive/list.hpp>
 #include <cstddef>
@@ -67,16 +69,23 @@
   duration expiry = std::chrono::minutes(10);
   // Lifetime of a success.
   duration good_expiry = std::chrono::minutes(10);
-  // Crashes after which a content is condemned.
+  // Distinct searchers crashed after which a content is condemned.
   std::size_t condemned_after = 2;
+  // Crashes of one searcher after which a content is condemned.
+  std::size_t condemned_after_same = 3;
   // Crashes of one searcher from which its contents are compared.
   std::size_t unreliable_after = 3;
   std::size_t max_suspects = 4096;
   std::size_t max_good = 65536;
   std::size_t max_servers = 1024;
-  std::size_t max_crashes_per_server = 16;
+  // Crashes kept for one content and for one searcher.
+  std::size_t max_crashes = 16;
 };
 
+// The identity of a request's content: xxHash64 of target and canonical body.
+fingerprint MakeFingerprint(std::string_view target,
+                            std::string_view canonical_body);
+
 class crash_evidence {
  public:
   explicit crash_evidence(const crash_evidence_options& options = {});
@@ -115,6 +124,8 @@
     backend_server_key server;
     std::uint64_t incarnation = 0;
     time_point at{};
+    // True after a later success; kept so that a repeated report stays known.
+    bool cleared = false;
   };
   // A content with at least one crash.
   struct suspect : list_hook {
@@ -136,8 +147,10 @@
 
   bool AddCrash(fingerprint content, const backend_server_key& server,
                 std::uint64_t incarnation, time_point at, time_point now);
+  void AddServerCrash(fingerprint content, const backend_server_key& server,
+                      std::uint64_t incarnation, time_point at);
   bool AddSuccess(fingerprint content, time_point at, time_point now);
-  bool Live(time_point at, time_point now) const;
+  bool Condemned(const suspect& entry, time_point now) const;
 
   crash_evidence_options options_;
   std::unordered_map<fingerprint, suspect> suspects_;
--- a/bilberrycourse/dispatch_effects.h
+++ b/bilberrycourse/dispatch_effects.h
@@ -37,8 +37,7 @@
   kVersionNotServed,
   kSendingForbidden,
   kContentCondemned,
-  // Results after an attempt.
-  kAnswered,
+  // Results after an attempt; an answer is no decision.
   kDeadlineWhileRunning,
   kConnectionBroken,
   kShed,
--- a/bilberrycourse/service_time_estimator.h
+++ b/bilberrycourse/service_time_estimator.h
@@ -42,7 +42,8 @@
   void Record(duration sample, time_point now);
 
   // Accounts an attempt that was given up after `elapsed`: its service time is
-  // at least that long. The average never falls by such a sample.
+  // at least that long. The average never falls by such a sample, but a
+  // searcher that does not win against others stays estimated.
   void RecordAtLeast(duration elapsed, time_point now);
 
   // The moving average; nothing before the first sample.
--- a/bilberrycourse/shard_dispatcher.h
+++ b/bilberrycourse/shard_dispatcher.h
@@ -30,6 +30,7 @@
 #include "bilberrycourse/backend_server_record.h"
 #include "bilberrycourse/crash_evidence.h"
 #include "bilberrycourse/dispatch_effects.h"
+#include "bilberrycourse/replica_choice.h"
 #include "bilberrycourse/service_policy.h"
 #include "bilberrycourse/service_time_estimator.h"
 #include "bilberrycourse/shard_protocol.h"
@@ -76,6 +77,9 @@
   // A cancelled or expired attempt without a reply for this long loses its
   // connection, because its searcher may hang.
   duration cancel_grace = std::chrono::milliseconds(500);
+  // How replicas are compared (docs/decisions/replica-choice.md).
+  completion_model completion = completion_model::kParallelSlots;
+  bool hold_for_faster = true;
   bool record_decisions = true;
   service_time_options service_time;
   attempt_budget_options budget;
