--- /dev/null
+++ b/app/log_store.cc
@@ -0,0 +1,412 @@
+#include "app/log_store.h"
+
+#include <dirent.h>
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <random>
+#include <utility>
+
+namespace bilberrycourse {
+namespace {
+
+constexpr std::string_view kLogPrefix = "log-";
+constexpr std::string_view kTemporarySuffix = ".tmp";
+const char kMarkName[] = "sync-mark";
+
+result_code CodeOfError(int error) {
+  return error == ENOSPC || error == EDQUOT ? result_code::kDiskFull
+                                            : result_code::kStorageIo;
+}
+
+// Generation in a log file's name; 0 for any other file.
+std::uint64_t GenerationOf(std::string_view name) {
+  if (!name.starts_with(kLogPrefix)) return 0;
+  name.remove_prefix(kLogPrefix.size());
+  if (name.empty() || name.size() > 18) return 0;
+  std::uint64_t generation = 0;
+  for (const char c : name) {
+    if (c < '0' || c > '9') return 0;
+    generation = generation * 10 + static_cast<std::uint64_t>(c - '0');
+  }
+  return generation;
+}
+
+std::uint64_t RandomId() {
+  std::random_device device;
+  std::uint64_t id = 0;
+  while (id == 0) id = (std::uint64_t{device()} << 32) | device();
+  return id;
+}
+
+}  // namespace
+
+// ---- posix_storage_files ----
+
+posix_storage_files::posix_storage_files(std::string folder)
+    : folder_(std::move(folder)) {
+  if (::mkdir(folder_.c_str(), 0700) != 0 && errno != EEXIST) {
+    state_ = CodeOfError(errno);
+    return;
+  }
+  folder_descriptor_ =
+      ::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (folder_descriptor_ < 0 ||
+      ::flock(folder_descriptor_, LOCK_EX | LOCK_NB) != 0) {
+    state_ = result_code::kStorageIo;
+  }
+}
+
+posix_storage_files::~posix_storage_files() {
+  for (const open_file& file : open_) ::close(file.descriptor);
+  if (folder_descriptor_ >= 0) ::close(folder_descriptor_);
+}
+
+result_code posix_storage_files::List(std::vector<std::string>* names) {
+  if (state_ != result_code::kOk) return state_;
+  DIR* folder = ::opendir(folder_.c_str());
+  if (folder == nullptr) return CodeOfError(errno);
+  names->clear();
+  while (const dirent* entry = ::readdir(folder)) {
+    const std::string_view name = entry->d_name;
+    if (name != "." && name != "..") names->emplace_back(name);
+  }
+  ::closedir(folder);
+  std::sort(names->begin(), names->end());
+  return result_code::kOk;
+}
+
+int posix_storage_files::Descriptor(const std::string& name) {
+  for (const open_file& file : open_) {
+    if (file.name == name) return file.descriptor;
+  }
+  const int descriptor = ::openat(folder_descriptor_, name.c_str(),
+                                  O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  if (descriptor >= 0) open_.push_back({name, descriptor});
+  return descriptor;
+}
+
+void posix_storage_files::Close(const std::string& name) {
+  std::erase_if(open_, [&](const open_file& file) {
+    if (file.name != name) return false;
+    ::close(file.descriptor);
+    return true;
+  });
+}
+
+result_code posix_storage_files::Read(const std::string& name,
+                                      std::string* bytes) {
+  if (state_ != result_code::kOk) return state_;
+  const int descriptor = Descriptor(name);
+  if (descriptor < 0) return CodeOfError(errno);
+  bytes->clear();
+  char block[64 * 1024];
+  while (true) {
+    const ssize_t count = ::pread(descriptor, block, sizeof(block),
+                                  static_cast<off_t>(bytes->size()));
+    if (count < 0 && errno == EINTR) continue;
+    if (count < 0) return CodeOfError(errno);
+    if (count == 0) return result_code::kOk;
+    bytes->append(block, static_cast<std::size_t>(count));
+  }
+}
+
+result_code posix_storage_files::Write(const std::string& name,
+                                       std::uint64_t offset,
+                                       std::string_view bytes) {
+  if (state_ != result_code::kOk) return state_;
+  const int descriptor = Descriptor(name);
+  if (descriptor < 0) return CodeOfError(errno);
+  while (!bytes.empty()) {
+    const ssize_t count = ::pwrite(descriptor, bytes.data(), bytes.size(),
+                                   static_cast<off_t>(offset));
+    if (count < 0 && errno == EINTR) continue;
+    if (count < 0) return CodeOfError(errno);
+    if (count == 0) return result_code::kStorageIo;
+    bytes.remove_prefix(static_cast<std::size_t>(count));
+    offset += static_cast<std::uint64_t>(count);
+  }
+  return result_code::kOk;
+}
+
+result_code posix_storage_files::Truncate(const std::string& name,
+                                          std::uint64_t length) {
+  const int descriptor = Descriptor(name);
+  if (descriptor < 0 ||
+      ::ftruncate(descriptor, static_cast<off_t>(length)) != 0) {
+    return CodeOfError(errno);
+  }
+  return result_code::kOk;
+}
+
+result_code posix_storage_files::Sync(const std::string& name) {
+  const int descriptor = Descriptor(name);
+  if (descriptor < 0) return CodeOfError(errno);
+  return ::fdatasync(descriptor) == 0 ? result_code::kOk
+                                      : result_code::kSyncFailed;
+}
+
+result_code posix_storage_files::Rename(const std::string& from,
+                                        const std::string& to) {
+  Close(to);
+  if (::renameat(folder_descriptor_, from.c_str(), folder_descriptor_,
+                 to.c_str()) != 0) {
+    return CodeOfError(errno);
+  }
+  for (open_file& file : open_) {
+    if (file.name == from) file.name = to;
+  }
+  return result_code::kOk;
+}
+
+result_code posix_storage_files::Remove(const std::string& name) {
+  Close(name);
+  if (::unlinkat(folder_descriptor_, name.c_str(), 0) != 0 && errno != ENOENT) {
+    return CodeOfError(errno);
+  }
+  return result_code::kOk;
+}
+
+result_code posix_storage_files::SyncFolder() {
+  return ::fsync(folder_descriptor_) == 0 ? result_code::kOk
+                                          : result_code::kSyncFailed;
+}
+
+// ---- log_store ----
+
+log_store::log_store(storage_files* files, log_store_settings settings,
+                     callback completed)
+    : files_(files),
+      settings_(std::move(settings)),
+      completed_(std::move(completed)) {}
+
+log_store::~log_store() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  changed_.notify_all();
+  if (worker_.joinable()) worker_.join();
+}
+
+std::string log_store::LogName(std::uint64_t generation) const {
+  return std::string(kLogPrefix) + std::to_string(generation);
+}
+
+result_code log_store::WriteMark(std::string* reason) {
+  ++mark_.sequence;
+  mark_.generation = generation_;
+  mark_.length = length_;
+  const result_code code = files_->Write(
+      kMarkName, mark_.sequence % 2 * kSyncMarkBytes, EncodeSyncMark(mark_));
+  if (code != result_code::kOk) *reason = "cannot write the sync mark";
+  return code;
+}
+
+result_code log_store::StartGeneration(const recovered_log& contents,
+                                       std::string* reason) {
+  const std::uint64_t generation = generation_ + 1;
+  const std::string name = LogName(generation);
+  const std::string temporary = name + std::string(kTemporarySuffix);
+  const std::string bytes = EncodeLogFile(generation, contents);
+  *reason = "cannot write " + temporary;
+  result_code code = files_->Write(temporary, 0, bytes);
+  if (code != result_code::kOk) return code;
+  code = files_->Sync(temporary);
+  if (code != result_code::kOk) return code;
+  *reason = "cannot rename " + temporary;
+  code = files_->Rename(temporary, name);
+  if (code != result_code::kOk) return code;
+  code = files_->SyncFolder();
+  if (code != result_code::kOk) return code;
+  if (generation_ > 0) {
+    *reason = "cannot remove " + LogName(generation_);
+    code = files_->Remove(LogName(generation_));
+    if (code != result_code::kOk) return code;
+  }
+  generation_ = generation;
+  length_ = bytes.size();
+  reason->clear();
+  return result_code::kOk;
+}
+
+log_store::opened log_store::Open() {
+  opened result;
+  const auto failed = [&](result_code code, std::string reason) {
+    result.code = code;
+    result.reason = std::move(reason);
+    result.log = {};
+    return result;
+  };
+
+  std::vector<std::string> names;
+  result_code code = files_->List(&names);
+  if (code != result_code::kOk) {
+    return failed(code,
+                  "the data folder cannot be opened or is in use by another "
+                  "process");
+  }
+  std::vector<std::uint64_t> generations;
+  bool has_mark = false;
+  for (const std::string& name : names) {
+    if (const std::uint64_t generation = GenerationOf(name)) {
+      generations.push_back(generation);
+    }
+    has_mark = has_mark || name == kMarkName;
+  }
+  std::sort(generations.begin(), generations.end());
+
+  std::string reason;
+  std::string mark_bytes;
+  if (has_mark) {
+    code = files_->Read(kMarkName, &mark_bytes);
+    if (code != result_code::kOk) return failed(code, "cannot read the mark");
+  }
+  if (generations.empty()) {
+    if (has_mark) {
+      return failed(result_code::kLogDamaged,
+                    "the folder has a sync mark but no log file");
+    }
+    const std::uint64_t id =
+        settings_.new_member_id != 0 ? settings_.new_member_id : RandomId();
+    result.created = true;
+    result.log.identity = {settings_.group, member_id{id}, settings_.instance};
+    code = StartGeneration(result.log, &reason);
+    if (code != result_code::kOk) return failed(code, reason);
+  } else {
+    generation_ = generations.back();
+    std::string bytes;
+    code = files_->Read(LogName(generation_), &bytes);
+    if (code != result_code::kOk) return failed(code, "cannot read the log");
+    const std::optional<sync_mark> mark = DecodeSyncMarks(mark_bytes);
+    if (has_mark && !mark && !mark_bytes.empty()) {
+      return failed(result_code::kLogDamaged, "the sync mark is damaged");
+    }
+    if (mark && mark->generation > generation_) {
+      return failed(result_code::kLogDamaged,
+                    LogName(mark->generation) + " is missing");
+    }
+    recovery recovered =
+        RecoverLog(bytes, generation_,
+                   mark && mark->generation == generation_ ? mark->length : 0);
+    if (recovered.code != result_code::kOk) {
+      return failed(recovered.code, recovered.reason);
+    }
+    // The mark is synced before the first change is written, so only a folder
+    // whose creation was interrupted may lack it.
+    if (!mark && (generation_ != 1 || recovered.valid_length != bytes.size() ||
+                  recovered.log.state != hard_state{} ||
+                  !recovered.log.entries.empty())) {
+      return failed(result_code::kLogDamaged, "the sync mark is missing");
+    }
+    if (recovered.log.identity.group != settings_.group ||
+        recovered.log.identity.instance != settings_.instance) {
+      return failed(result_code::kDataFolderForeign,
+                    "the folder belongs to instance " +
+                        recovered.log.identity.instance + " of group " +
+                        recovered.log.identity.group);
+    }
+    if (mark) mark_ = *mark;
+    result.log = std::move(recovered.log);
+    result.torn_tail = recovered.torn_tail;
+    length_ = recovered.valid_length;
+    if (length_ < bytes.size()) {
+      code = files_->Truncate(LogName(generation_), length_);
+      if (code != result_code::kOk) return failed(code, "cannot cut the log");
+    }
+    // A killed process may have left complete records that were not synced.
+    code = files_->Sync(LogName(generation_));
+    if (code != result_code::kOk) return failed(code, "cannot sync the log");
+  }
+  code = WriteMark(&reason);
+  if (code == result_code::kOk) code = files_->Sync(kMarkName);
+  if (code == result_code::kOk) code = files_->SyncFolder();
+  if (code != result_code::kOk) return failed(code, "cannot sync the mark");
+  for (const std::string& name : names) {
+    const std::uint64_t generation = GenerationOf(name);
+    const bool leftover = (generation != 0 && generation != generation_) ||
+                          name.ends_with(kTemporarySuffix);
+    if (leftover) files_->Remove(name);
+  }
+  identity_ = result.log.identity;
+  worker_ = std::thread([this] { Run(); });
+  return result;
+}
+
+void log_store::Persist(persist effect) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (failed_) return;
+    queue_.push_back(std::move(effect));
+  }
+  changed_.notify_all();
+}
+
+void log_store::Drain() {
+  std::unique_lock lock(mutex_);
+  changed_.wait(lock, [&] { return failed_ || (queue_.empty() && !busy_); });
+}
+
+result_code log_store::WriteBatch(std::vector<persist>& batch,
+                                  std::string* reason) {
+  std::string bytes;
+  for (persist& effect : batch) {
+    if (effect.snapshot) {
+      // The effect holds the whole log, so what precedes it in the batch need
+      // not be written.
+      bytes.clear();
+      const recovered_log contents{identity_, effect.state,
+                                   std::move(effect.snapshot),
+                                   std::move(effect.entries)};
+      const result_code code = StartGeneration(contents, reason);
+      if (code != result_code::kOk) return code;
+    } else {
+      bytes += EncodeChanges(generation_, length_ + bytes.size(), effect);
+    }
+  }
+  if (!bytes.empty()) {
+    const std::string name = LogName(generation_);
+    *reason = "cannot write " + name;
+    result_code code = files_->Write(name, length_, bytes);
+    if (code != result_code::kOk) return code;
+    *reason = "cannot sync " + name;
+    code = files_->Sync(name);
+    if (code != result_code::kOk) return code;
+    length_ += bytes.size();
+  }
+  return WriteMark(reason);
+}
+
+void log_store::Run() {
+  std::vector<persist> batch;
+  std::unique_lock lock(mutex_);
+  while (true) {
+    changed_.wait(lock, [&] { return stopping_ || !queue_.empty(); });
+    // Work that is queued at shutdown is still written.
+    if (queue_.empty()) return;
+    batch.assign(std::make_move_iterator(queue_.begin()),
+                 std::make_move_iterator(queue_.end()));
+    queue_.clear();
+    busy_ = true;
+    lock.unlock();
+    log_store_event event{result_code::kOk, batch.back().position, {}};
+    event.code = WriteBatch(batch, &event.reason);
+    const bool failed = event.code != result_code::kOk;
+    if (!failed) event.reason.clear();
+    completed_(std::move(event));
+    lock.lock();
+    busy_ = false;
+    failed_ = failed;
+    if (failed) queue_.clear();
+    changed_.notify_all();
+    if (failed) return;
+  }
+}
+
+}  // namespace bilberrycourse
--- a/bilberrycourse/consensus_member.h
+++ b/bilberrycourse/consensus_member.h
@@ -15,6 +15,10 @@
 //     member.Compact(member.applied_index(), state.ToBytes(), &out);
 //   }
 //
+// The owner restores its state from recovered.snapshot before it constructs
+// the member; later snapshots arrive as effects. Committed entries after the
+// snapshot are applied again once a leader confirms them.
+//
 // Effects are executed in their order. `persist` effects are written and
 // synced in their order, possibly on another thread; messages that promise
 // what is being written are held back until OnPersisted().
@@ -71,7 +75,8 @@
   std::string address;
   // All control instances, this one included; equal on all of them.
   std::vector<control_instance> instances;
-  // Seeds the election timeouts.
+  // Seeds the election timeouts and the offset of the clock that followers
+  // send; must differ between members and between starts.
   std::uint64_t seed = 0;
   duration heartbeat = std::chrono::milliseconds(75);
   duration election_timeout_min = std::chrono::milliseconds(300);
@@ -308,7 +313,8 @@
   log_term LastTerm() const { return TermAt(last_index()); }
   bool formed() const { return last_index() > 0; }
 
-  void Append(std::vector<log_entry> entries, consensus_effects* out);
+  void Append(log_index truncate_from, std::vector<log_entry> entries,
+              consensus_effects* out);
   void AppendAsLeader(entry_kind kind, shared_body payload, time_point now,
                       consensus_effects* out);
   void TruncateFrom(log_index index);
@@ -363,7 +369,7 @@
                  time_point now);
   void NoteConfirmation(const consensus_message& message, time_point now);
   void PromoteConfirmation();
-  void SendAppendReply(member_id to, time_point now, consensus_effects* out);
+  void SendAppendReply(time_point now, consensus_effects* out);
   void AdvanceCommit(time_point now, consensus_effects* out);
   void ApplyCommitted(consensus_effects* out);
   void AnswerReads(time_point now, consensus_effects* out);
@@ -372,6 +378,12 @@
   std::uint64_t QuorumSequence() const;
   std::optional<time_point> QuorumTime(time_point now) const;
   void UpdatePeers(time_point now);
+  bool AddMembershipVersion(const log_entry& entry);
+  log_member Self() const;
+  bool LeaderHeardRecently(time_point now) const;
+  bool KnowsFormedPeer(time_point now) const;
+  consensus_message Reply(message_kind kind,
+                          const consensus_message& request) const;
   void InstallSnapshot(log_snapshot snapshot, time_point now,
                        consensus_effects* out);
 
@@ -427,6 +439,12 @@
   time_point discover_due_{};
   std::map<instance_name, discovered> discovered_;
 
+  // Added to the clock in follower_us, so that an echo of an earlier process
+  // with another clock is recognized.
+  std::int64_t clock_offset_ = 0;
+  std::int64_t started_us_ = 0;
+
+  bool stop_reported_ = false;
   result_code stop_code_ = result_code::kOk;
   std::string stop_reason_;
 };
--- /dev/null
+++ b/bilberrycourse/member_repair.cc
@@ -0,0 +1,81 @@
+#include "bilberrycourse/member_repair.h"
+
+#include <algorithm>
+
+namespace bilberrycourse {
+
+repair_view ViewOf(const consensus_member& member, time_point now) {
+  repair_view view;
+  if (member.role() != consensus_role::kLeader) return view;
+  view.self = member.identity().id;
+  view.membership = member.membership();
+  view.peers = member.peers(now);
+  view.spares = member.spares(now);
+  view.commit_index = member.commit_index();
+  view.change_pending = member.membership_change_pending();
+  const std::optional<duration> age = member.confirmation_age(now);
+  view.quorum_confirmed = age && *age < std::chrono::milliseconds(600);
+  return view;
+}
+
+std::optional<membership_change> member_repair::Plan(
+    const repair_view& view) const {
+  if (view.self == kNoMember || view.change_pending || !view.quorum_confirmed) {
+    return std::nullopt;
+  }
+  const auto change = [](membership_change_kind kind,
+                         const log_member& member) {
+    return std::optional<membership_change>({kind, member});
+  };
+
+  const peer_status* lost = nullptr;
+  const peer_status* least_advanced = nullptr;
+  const peer_status* learner = nullptr;
+  for (const peer_status& peer : view.peers) {
+    if (peer.member.role == member_role::kVoter) {
+      if (peer.silence >= options_.lost_after &&
+          (lost == nullptr || peer.silence > lost->silence)) {
+        lost = &peer;
+      }
+      if (least_advanced == nullptr || peer.match < least_advanced->match) {
+        least_advanced = &peer;
+      }
+    } else if (peer.silence >= options_.lost_after) {
+      // A lost learner would block the place of a working spare.
+      return change(membership_change_kind::kRemove, peer.member);
+    } else if (learner == nullptr) {
+      learner = &peer;
+    }
+  }
+
+  const std::size_t voters = view.membership.voter_count();
+  if (voters > options_.voters) {
+    // If the lost voter has come back meanwhile, the group has one too many.
+    const peer_status* surplus = lost != nullptr ? lost : least_advanced;
+    if (surplus == nullptr) return std::nullopt;
+    return change(membership_change_kind::kRemove, surplus->member);
+  }
+  if (voters == options_.voters && lost == nullptr) return std::nullopt;
+
+  if (learner != nullptr) {
+    if (learner->silence >= options_.alive_within ||
+        learner->receiving_snapshot || learner->match < view.commit_index) {
+      return std::nullopt;
+    }
+    return change(membership_change_kind::kPromote, learner->member);
+  }
+  // The lost instance itself, back with an empty folder, is preferred: it
+  // keeps the spread over availability zones.
+  const spare_status* chosen = nullptr;
+  for (const spare_status& spare : view.spares) {
+    if (spare.silence >= options_.alive_within) continue;
+    const bool same =
+        lost != nullptr && spare.member.instance == lost->member.instance;
+    if (chosen == nullptr || same) chosen = &spare;
+    if (same) break;
+  }
+  if (chosen == nullptr) return std::nullopt;
+  return change(membership_change_kind::kAddLearner, chosen->member);
+}
+
+}  // namespace bilberrycourse
--- /dev/null
+++ b/bilberrycourse/testing/consensus_member_test.cc
@@ -0,0 +1,182 @@
+#include "bilberrycourse/consensus_member.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "bilberrycourse/testing/consensus_cluster.h"
+
+namespace bilberrycourse {
+namespace {
+
+class consensus_member_test : public ::testing::Test {
+ protected:
+  void TearDown() override { EXPECT_EQ(cluster_.violation(), ""); }
+
+  // Runs until a leader has committed in its term.
+  std::size_t Elect() {
+    cluster_.Run(150);
+    return cluster_.leader();
+  }
+
+  consensus_cluster cluster_{{}};
+};
+
+// Guards against a group that needs an operator for its first start.
+TEST_F(consensus_member_test, FirstStart_EmptyFolders_FormsOneGroup) {
+  const std::size_t leader = Elect();
+  ASSERT_LT(leader, cluster_.size());
+  for (std::size_t i = 0; i < 3; ++i) {
+    EXPECT_EQ(cluster_.at(i).member->membership().voter_count(), 3u);
+    EXPECT_EQ(cluster_.at(i).member->leader_instance(),
+              cluster_.at(leader).name);
+  }
+  EXPECT_EQ(cluster_.at(3).member->role(), consensus_role::kUnformed);
+  EXPECT_EQ(cluster_.at(leader).member->spares(cluster_.now()).size(), 2u);
+}
+
+// Guards against a group that forms while an instance that may hold an older
+// group is unreachable.
+TEST_F(consensus_member_test, FirstStart_SpareUnreachable_WaitsForIt) {
+  cluster_.Isolate(4);
+  cluster_.Run(300);
+  EXPECT_EQ(cluster_.leader(), cluster_.size());
+  cluster_.Heal();
+  EXPECT_LT(Elect(), cluster_.size());
+}
+
+// Guards against a leader that is lost for longer than a second.
+TEST_F(consensus_member_test, LeaderCrashes_AnotherIsElectedWithinOneSecond) {
+  const std::size_t leader = Elect();
+  ASSERT_LT(leader, cluster_.size());
+  cluster_.Crash(leader, 0);
+  std::size_t ticks = 0;
+  while (cluster_.leader() == cluster_.size() && ticks < 200) {
+    cluster_.Run(1);
+    ++ticks;
+  }
+  EXPECT_LE(ticks, 100u);
+}
+
+// Guards against a cut-off leader that confirms changes or reads.
+TEST_F(consensus_member_test, LeaderCutOff_StepsDownAndConfirmsNothing) {
+  const std::size_t leader = Elect();
+  ASSERT_LT(leader, cluster_.size());
+  cluster_.Isolate(leader);
+  const log_index applied = cluster_.at(leader).applied;
+  cluster_.Propose(leader);
+  cluster_.Read(leader);
+  cluster_.Run(70);
+  EXPECT_NE(cluster_.at(leader).member->role(), consensus_role::kLeader);
+  EXPECT_EQ(cluster_.at(leader).applied, applied);
+  EXPECT_TRUE(cluster_.at(leader).reads.empty());
+  cluster_.Run(100);
+  const std::size_t next = cluster_.leader();
+  ASSERT_LT(next, cluster_.size());
+  cluster_.Propose(next);
+  cluster_.Heal();
+  cluster_.Run(50);
+  EXPECT_EQ(cluster_.at(leader).applied, cluster_.oracle().committed.size());
+}
+
+// Guards against reads that never complete, and against ages of confirmation
+// that are far above a heartbeat in a healthy group.
+TEST_F(consensus_member_test, HealthyGroup_ReadsAndConfirmationAgeAreCurrent) {
+  const std::size_t leader = Elect();
+  ASSERT_LT(leader, cluster_.size());
+  cluster_.Read(leader);
+  cluster_.Run(1);
+  EXPECT_TRUE(cluster_.at(leader).reads.empty());
+  for (std::size_t i = 0; i < 3; ++i) {
+    const auto age = cluster_.at(i).member->confirmation_age(
+        cluster_.now() + cluster_.at(i).clock_offset);
+    ASSERT_TRUE(age.has_value()) << i;
+    EXPECT_LE(*age, std::chrono::milliseconds(250)) << i;
+  }
+}
+
+// Guards against a shutdown that costs an election timeout.
+TEST_F(consensus_member_test, TransferLeadership_NewLeaderWithinOneHeartbeat) {
+  const std::size_t leader = Elect();
+  ASSERT_LT(leader, cluster_.size());
+  cluster_.Propose(leader);
+  cluster_.Transfer(leader);
+  cluster_.Run(8);
+  const std::size_t next = cluster_.leader();
+  ASSERT_LT(next, cluster_.size());
+  EXPECT_NE(next, leader);
+}
+
+// Guards against followers that can never catch up after compaction.
+TEST_F(consensus_member_test, LaggardBehindCompaction_ReceivesSnapshot) {
+  const std::size_t leader = Elect();
+  ASSERT_LT(leader, cluster_.size());
+  const std::size_t laggard = leader == 0 ? 1 : 0;
+  cluster_.Crash(laggard, 0);
+  for (int i = 0; i < 100; ++i) {
+    cluster_.Propose(leader);
+    cluster_.Run(1);
+  }
+  EXPECT_GT(cluster_.at(leader).member->snapshot_index(), 50u);
+  cluster_.Start(laggard);
+  cluster_.Run(50);
+  EXPECT_EQ(cluster_.at(laggard).applied, cluster_.oracle().committed.size());
+  EXPECT_EQ(cluster_.at(laggard).state, cluster_.at(leader).state);
+}
+
+// Guards against repairs that do not happen, leave too few voters, or let the
+// wiped instance act under its old identity.
+TEST_F(consensus_member_test, WipedVoter_IsReplacedUnderNewIdentity) {
+  const std::size_t leader = Elect();
+  ASSERT_LT(leader, cluster_.size());
+  const std::size_t wiped = leader == 0 ? 1 : 0;
+  const member_id old = cluster_.at(wiped).id;
+  cluster_.Crash(wiped, 0);
+  cluster_.Wipe(wiped);
+  cluster_.Start(wiped);
+  cluster_.Run(500);
+  const group_membership& membership = cluster_.oracle().membership;
+  EXPECT_EQ(membership.Find(old), nullptr);
+  EXPECT_EQ(membership.voter_count(), 3u);
+  EXPECT_TRUE(membership.IsVoter(cluster_.at(wiped).id));
+}
+
+// Guards against a folder restored from an old copy that goes on voting.
+TEST_F(consensus_member_test, FolderOlderThanAcknowledged_MemberStops) {
+  const std::size_t leader = Elect();
+  ASSERT_LT(leader, cluster_.size());
+  const std::size_t restored = leader == 0 ? 1 : 0;
+  const std::string old_copy = cluster_.at(restored).synced;
+  for (int i = 0; i < 5; ++i) cluster_.Propose(leader);
+  cluster_.Run(20);
+  cluster_.Crash(restored, 0);
+  cluster_.at(restored).synced = old_copy;
+  cluster_.Start(restored);
+  cluster_.Run(20);
+  EXPECT_EQ(cluster_.at(restored).member->stop_code(),
+            result_code::kDataFolderForeign);
+  EXPECT_NE(cluster_.violation().find("older than"), std::string::npos);
+  cluster_.oracle().violation.clear();
+}
+
+// Guards against unbounded queues and against proposals taken by followers.
+TEST_F(consensus_member_test, Propose_NotLeaderOrTooMany_IsRefused) {
+  const std::size_t leader = Elect();
+  ASSERT_LT(leader, cluster_.size());
+  consensus_effects out;
+  const auto body = std::make_shared<const std::string>("x");
+  const std::size_t other = leader == 0 ? 1 : 0;
+  EXPECT_EQ(cluster_.at(other).member->Propose(body, cluster_.now(), &out).code,
+            result_code::kNotLeader);
+  consensus_member& member = *cluster_.at(leader).member;
+  const time_point now = cluster_.now() + cluster_.at(leader).clock_offset;
+  proposal last;
+  for (int i = 0; i < 5000 && last.code == result_code::kOk; ++i) {
+    last = member.Propose(body, now, &out);
+  }
+  EXPECT_EQ(last.code, result_code::kOverloaded);
+  EXPECT_EQ(member.last_index() - member.commit_index(), 4096u);
+}
+
+}  // namespace
+}  // namespace bilberrycourse
