--- /dev/null
+++ b/bench/http_pool.h
@@ -0,0 +1,63 @@
+#ifndef BENCH_HTTP_POOL_H_
+#define BENCH_HTTP_POOL_H_
+
+// Keep-alive HTTP connections to one address.
+//
+//   http_pool pool(endpoint, &context);
+//   auto reply = co_await pool.Send(std::move(request), deadline);
+//
+// Used on the thread of the io_context only.
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "bench/endpoint.h"
+
+namespace bilberrycourse {
+
+enum class http_failure : std::uint8_t {
+  kNone,
+  // Nothing was sent.
+  kNotConnected,
+  kBroken,
+  kTimeout,
+};
+
+struct http_reply {
+  http_failure failure = http_failure::kNone;
+  boost::beast::http::response<boost::beast::http::string_body> response;
+};
+
+class http_pool {
+ public:
+  using clock = std::chrono::steady_clock;
+  using http_request =
+      boost::beast::http::request<boost::beast::http::string_body>;
+
+  http_pool(const tcp_endpoint& endpoint, boost::asio::io_context* context)
+      : endpoint_(endpoint), context_(context) {}
+
+  boost::asio::awaitable<http_reply> Send(http_request request,
+                                          clock::time_point deadline);
+  const tcp_endpoint& endpoint() const { return endpoint_; }
+
+ private:
+  using stream_ptr = std::unique_ptr<boost::beast::tcp_stream>;
+
+  // Returns an idle connection that the peer has not closed; null if none.
+  stream_ptr TakeIdle();
+
+  tcp_endpoint endpoint_;
+  boost::asio::io_context* context_;
+  std::vector<stream_ptr> idle_;
+};
+
+}  // namespace bilberrycourse
+
+#endif  // BENCH_HTTP_POOL_H_
--- /dev/null
+++ b/bench/load_generator.h
@@ -0,0 +1,154 @@
+#ifndef BENCH_LOAD_GENERATOR_H_
+#define BENCH_LOAD_GENERATOR_H_
+
+// Open-loop load over HTTP.
+//
+//   load_generator generator(ParseLoadOptions(json), &context);
+//   generator.Start();
+//   context.run();
+//   std::cout << generator.Report();
+//
+// Requests start at the times of a Poisson process, whether or not earlier
+// ones have been answered, and latencies count from the intended start.
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bench/http_pool.h"
+#include "bench/load_report.h"
+
+namespace bilberrycourse {
+
+struct rate_step {
+  double at_s = 0;
+  double factor = 1;
+};
+
+struct load_stream {
+  std::string name;
+  std::string target;
+  // Requests per second before the factors of `schedule`.
+  double rate = 0;
+  std::vector<rate_step> schedule;
+  double start_s = 0;
+  // 0: the length of the run.
+  double end_s = 0;
+  // Sends at equal intervals instead of Poisson times.
+  bool fixed_interval = false;
+  std::int64_t deadline_ms = 1000;
+  // Share of requests with Idempotency-Key and issued_at_ms.
+  double non_idempotent_share = 0;
+  // How often a non-idempotent request without a definite outcome is sent
+  // again with the same key.
+  std::int64_t resends = 0;
+  // 0: every request has its own content; else the number of contents.
+  std::int64_t contents = 0;
+  // Added to each body, for example the marker of a crash-causing request.
+  std::string text;
+  std::map<std::string, double> callers;
+};
+
+struct load_options {
+  std::vector<tcp_endpoint> entries;
+  std::vector<std::string> entry_names;
+  double seconds = 10;
+  std::uint64_t seed = 1;
+  // One-way delay between callers and entry instances; added to the measured
+  // times twice.
+  std::int64_t caller_delay_us = 0;
+  // Time after the deadline until an answer counts as lost.
+  std::int64_t grace_ms = 1000;
+  std::vector<load_stream> streams;
+  // Time ranges that get their own summary, in seconds.
+  std::vector<std::pair<double, double>> windows;
+  // Baseline: replicas by target and shard; requests go directly to one
+  // replica of each shard, chosen uniformly.
+  std::map<std::string, std::vector<std::vector<tcp_endpoint>>> direct;
+  // Lists the outcome of each non-idempotent request.
+  bool list_tokens = false;
+};
+
+// Throws std::exception if `object` is not valid.
+load_options ParseLoadOptions(const boost::json::object& object);
+
+class load_generator {
+ public:
+  load_generator(load_options options, boost::asio::io_context* context);
+
+  void Start();
+  boost::json::object Report() const;
+
+ private:
+  using clock = std::chrono::steady_clock;
+
+  struct request_state {
+    load_sample sample;
+    std::string content_id;
+    // Empty if the request is idempotent.
+    std::string token;
+    clock::time_point intended;
+    clock::time_point deadline;
+  };
+  struct direct_query {
+    std::size_t waiting = 0;
+    std::uint16_t searched = 0;
+    std::string snapshot;
+    bool mixed = false;
+    boost::asio::steady_timer done;
+  };
+
+  boost::asio::awaitable<void> Generate(std::size_t stream_index);
+  boost::asio::awaitable<void> Run(std::size_t stream_index,
+                                   clock::time_point intended);
+  boost::asio::awaitable<void> RunTier(const load_stream& stream,
+                                       request_state* state);
+  boost::asio::awaitable<void> RunDirect(const load_stream& stream,
+                                         request_state* state);
+  boost::asio::awaitable<void> RunDirectShard(
+      std::shared_ptr<direct_query> query, std::string body,
+      const std::vector<tcp_endpoint>* replicas, clock::time_point deadline);
+  boost::asio::awaitable<http_reply> SendToTier(
+      const boost::beast::http::request<boost::beast::http::string_body>&
+          request,
+      request_state* state);
+  // Reads an answer of the tier into the sample and the counters.
+  void Evaluate(const load_stream& stream, const http_reply& reply,
+                request_state* state);
+  void CheckResults(const boost::json::object& answer,
+                    std::string_view snapshot, const request_state& state);
+  double FactorAt(const load_stream& stream, double second) const;
+  std::uint16_t DrawCaller(const load_stream& stream);
+  http_pool* PoolOf(const tcp_endpoint& endpoint);
+  double Uniform();
+
+  load_options options_;
+  boost::asio::io_context* context_;
+  std::mt19937_64 random_;
+  clock::time_point start_;
+  std::vector<std::string> caller_names_;
+  std::map<tcp_endpoint, std::unique_ptr<http_pool>> pools_;
+  load_report report_;
+  std::uint64_t next_request_ = 0;
+  std::int64_t mixed_answers_ = 0;
+  std::int64_t foreign_results_ = 0;
+  std::int64_t coverage_mismatches_ = 0;
+  std::int64_t unnamed_missing_ = 0;
+  std::int64_t reconnects_ = 0;
+  std::map<std::string, std::int64_t> codes_;
+  std::map<std::string, std::int64_t> snapshots_;
+  std::map<std::string, std::string> token_outcomes_;
+};
+
+}  // namespace bilberrycourse
+
+#endif  // BENCH_LOAD_GENERATOR_H_
--- /dev/null
+++ b/bench/load_report.cc
@@ -0,0 +1,120 @@
+#include "bench/load_report.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bilberrycourse {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::array<std::string_view, kLoadOutcomeCount> kOutcomeNames = {
+    "complete", "partial", "not_run",       "unknown",
+    "cut_off",  "timeout", "not_connected", "malformed"};
+
+struct quantile_row {
+  std::string_view name;
+  double share;
+};
+constexpr quantile_row kQuantiles[] = {
+    {"p50", 0.5}, {"p90", 0.9}, {"p99", 0.99}, {"p999", 0.999}, {"max", 1}};
+
+json::object Quantiles(std::vector<std::uint32_t> values) {
+  json::object object{{"count", values.size()}};
+  if (values.empty()) return object;
+  std::ranges::sort(values);
+  for (const auto& row : kQuantiles) {
+    const auto rank = static_cast<std::size_t>(
+        row.share * static_cast<double>(values.size() - 1) + 0.5);
+    object[row.name] = values[rank] / 1000.0;
+  }
+  return object;
+}
+
+// The requests of one stream, caller or entry instance.
+struct group_sum {
+  std::vector<std::uint32_t> answered_us;
+  std::vector<std::uint32_t> refused_us;
+  std::array<std::int64_t, kLoadOutcomeCount> outcomes{};
+  std::int64_t within_deadline = 0;
+  std::int64_t searched = 0;
+  std::int64_t total = 0;
+  std::int64_t first_attempts = 0;
+  std::uint32_t max_send_lag_us = 0;
+
+  void Add(const load_sample& sample) {
+    ++outcomes[static_cast<std::size_t>(sample.outcome)];
+    if (sample.outcome == load_outcome::kNotRun) {
+      refused_us.push_back(sample.latency_us);
+    } else {
+      answered_us.push_back(sample.latency_us);
+    }
+    within_deadline += sample.within_deadline ? 1 : 0;
+    searched += sample.searched;
+    total += sample.total;
+    first_attempts += sample.first_attempts;
+    max_send_lag_us = std::max(max_send_lag_us, sample.send_lag_us);
+  }
+
+  json::object ToJson() const {
+    json::object counts;
+    for (std::size_t i = 0; i < kLoadOutcomeCount; ++i) {
+      counts[kOutcomeNames[i]] = outcomes[i];
+    }
+    return {{"requests", answered_us.size() + refused_us.size()},
+            {"outcomes", std::move(counts)},
+            {"latency_ms", Quantiles(answered_us)},
+            {"refusal_ms", Quantiles(refused_us)},
+            {"within_deadline", within_deadline},
+            {"shards_searched", searched},
+            {"shards_total", total},
+            {"first_attempts", first_attempts},
+            {"max_send_lag_ms", max_send_lag_us / 1000.0}};
+  }
+};
+
+json::object ToJson(const std::vector<std::string>& names,
+                    const std::vector<group_sum>& sums) {
+  json::object object;
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    object[names[i]] = sums[i].ToJson();
+  }
+  return object;
+}
+
+}  // namespace
+
+load_report::load_report(std::vector<std::string> streams,
+                         std::vector<std::string> callers,
+                         std::vector<std::string> entries)
+    : streams_(std::move(streams)),
+      callers_(std::move(callers)),
+      entries_(std::move(entries)) {}
+
+json::object load_report::Summarize(std::int64_t from_us,
+                                    std::int64_t to_us) const {
+  group_sum all;
+  std::vector<group_sum> streams(streams_.size());
+  std::vector<group_sum> callers(callers_.size());
+  std::vector<group_sum> entries(entries_.size());
+  for (const auto& sample : samples_) {
+    if (sample.start_us < from_us || sample.start_us >= to_us) continue;
+    all.Add(sample);
+    streams[sample.stream].Add(sample);
+    callers[sample.caller].Add(sample);
+    if (sample.entry < entries.size()) entries[sample.entry].Add(sample);
+  }
+  json::object object = all.ToJson();
+  object["from_s"] = static_cast<double>(from_us) / 1e6;
+  object["to_s"] = static_cast<double>(to_us) / 1e6;
+  object["streams"] = ToJson(streams_, streams);
+  object["callers"] = ToJson(callers_, callers);
+  object["entries"] = ToJson(entries_, entries);
+  return object;
+}
+
+std::string_view Name(load_outcome outcome) {
+  return kOutcomeNames[static_cast<std::size_t>(outcome)];
+}
+
+}  // namespace bilberrycourse
