Run the whole path: announce, configure, query, answer

Cause: the first run answered every readiness probe with 503, because shard sets were proposed only after a published state, and the state of an empty group is never published. Change: an instance starts from the empty state of version 0; the group codec functions got names of their own, since two codecs defined the same ones.

--- a/app/caller_api.cc
+++ b/app/caller_api.cc
@@ -189,7 +189,7 @@
   if (draining_) {
     return respond(Refusal(result_code::kShuttingDown, "", "not_run", ""));
   }
-  if (!control_->lease().Valid(now) || control_->published() == nullptr) {
+  if (!control_->lease().Valid(now)) {
     return respond(
         Refusal(result_code::kControlLeaseExpired, "", "not_run", ""));
   }
@@ -238,7 +238,7 @@
     *code = result_code::kDeadlinePassed;
     return std::nullopt;
   }
-  if (control_->published()->document.FindPolicy(parsed.query.target) ==
+  if (control_->published().document.FindPolicy(parsed.query.target) ==
           nullptr &&
       !queries_->Knows(parsed.query.target)) {
     *code = result_code::kUnknownTarget;
@@ -276,7 +276,7 @@
 }
 
 void caller_api::ApplyPolicy(parsed_query* parsed, time_point now) const {
-  const config_document& document = control_->published()->document;
+  const config_document& document = control_->published().document;
   const service_policy* policy = document.FindPolicy(parsed->query.target);
   parsed->query.policy =
       policy != nullptr ? *policy : document.default_policy();
--- a/app/control_client.cc
+++ b/app/control_client.cc
@@ -113,10 +113,10 @@
                {{"version", news.published_version}});
       return;
     }
-    published_ = std::move(state);
+    published_ = std::move(*state);
     published_bytes_ = news.state;
-    handler_->OnPublished(*published_);
-    lease_.OnApplied(published_->published_version);
+    handler_->OnPublished(published_);
+    lease_.OnApplied(published_.published_version);
   }
   if (!news.confirmed) return;
   poll_answered_ = true;
@@ -145,10 +145,9 @@
   news.confirmed = true;
   news.age = *age;
   news.published_version = lease_.confirmed_version();
-  if (published_.has_value() &&
-      published_->published_version > published_version) {
+  if (published_.published_version > published_version) {
     news.state = published_bytes_;
-    news.published_version = published_->published_version;
+    news.published_version = published_.published_version;
   }
   return news;
 }
--- a/app/control_client.h
+++ b/app/control_client.h
@@ -16,7 +16,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,10 +61,8 @@
             time_point deadline, control_callback callback);
 
   const control_lease& lease() const { return lease_; }
-  // nullptr before the first state arrived.
-  const published_state* published() const {
-    return published_ ? &*published_ : nullptr;
-  }
+  // The empty state of version 0 until the first one arrives.
+  const published_state& published() const { return published_; }
   const instance_name& leader() const { return leader_; }
 
  private:
@@ -102,7 +99,7 @@
   control_service* local_;
   control_client_handler* handler_;
   control_lease lease_;
-  std::optional<published_state> published_;
+  published_state published_;
   std::string published_bytes_;
   instance_name leader_;
   // Whom to poll; changes when a poll is not confirmed.
--- a/app/daemon.cc
+++ b/app/daemon.cc
@@ -192,9 +192,7 @@
   control_.Tick(now);
   const control_lease& lease = control_.lease();
   control_freshness freshness;
-  freshness.config_version = control_.published() == nullptr
-                                 ? 0
-                                 : control_.published()->config_version;
+  freshness.config_version = control_.published().config_version;
   freshness.state_version = lease.confirmed_version();
   freshness.age = lease.Age(now).value_or(duration::max());
   cluster_.SetFreshness(freshness, now);
@@ -306,11 +304,8 @@
   };
   const std::string view = ToText(read->view());
   if (view == "in_force") {
-    const published_state* published = control_.published();
-    return reply(
-        {result_code::kOk,
-         std::to_string(published == nullptr ? 0 : published->config_version),
-         ""});
+    return reply({result_code::kOk,
+                  std::to_string(control_.published().config_version), ""});
   }
   if (control_member_ == nullptr) {
     return reply({result_code::kNotLeader, "", control_.leader()});
@@ -361,8 +356,7 @@
 }
 
 bool daemon_process::Ready(time_point now) const {
-  return config_.entry && !shutting_down_ && control_.lease().Valid(now) &&
-         control_.published() != nullptr;
+  return config_.entry && !shutting_down_ && control_.lease().Valid(now);
 }
 
 void daemon_process::HandleHttp(http_request request, http_responder respond) {
@@ -416,8 +410,6 @@
 result_code daemon_process::RecordShardSets(
     const backend_server_record& record) {
   const std::string& service = record.key.shard.service;
-  const published_state* published = control_.published();
-  if (published == nullptr) return result_code::kOk;
   for (const index_version version : record.versions) {
     const auto count =
         queries_.directory().RecordedShardCount(service, version);
--- a/app/operator_api.cc
+++ b/app/operator_api.cc
@@ -129,15 +129,14 @@
         if (reply.code == result_code::kOk) {
           return respond({200, "application/json", reply.body, 0});
         }
-        const published_state* published = control_->published();
-        if (published == nullptr) return respond(ProblemResponse(reply.code));
+        const published_state& published = control_->published();
         json::array exceptions;
-        for (const config_exception& each : published->document.exceptions()) {
+        for (const config_exception& each : published.document.exceptions()) {
           exceptions.push_back(json::parse(ExceptionText(each)));
         }
         respond({200, "application/json",
                  json::serialize(
-                     json::object{{"version", published->config_version},
+                     json::object{{"version", published.config_version},
                                   {"confirmed", false},
                                   {"exceptions", std::move(exceptions)}}),
                  0});
@@ -292,9 +291,7 @@
   status_question question;
   question.due = Now() + kInForceWait;
   question.respond = std::move(respond);
-  question.in_force[config_.name] = control_->published() == nullptr
-                                        ? 0
-                                        : control_->published()->config_version;
+  question.in_force[config_.name] = control_->published().config_version;
   question.expected = 1;
   for (const instance_record& each : cluster_->members().alive()) {
     if (each.name == config_.name || !each.roles.Has(instance_role::kEntry)) {
@@ -365,16 +362,13 @@
                      {"versions", std::move(versions)},
                      {"owner", owner == nullptr ? "" : *owner}});
   });
-  json::object body{
-      {"instance", config_.name},
-      {"leader", control_->leader()},
-      {"lease_valid", control_->lease().Valid(now)},
-      {"config_version", control_->published() == nullptr
-                             ? std::uint64_t{0}
-                             : control_->published()->config_version},
-      {"in_force", std::move(in_force)},
-      {"alive", std::move(alive)},
-      {"backend_servers", std::move(servers)}};
+  json::object body{{"instance", config_.name},
+                    {"leader", control_->leader()},
+                    {"lease_valid", control_->lease().Valid(now)},
+                    {"config_version", control_->published().config_version},
+                    {"in_force", std::move(in_force)},
+                    {"alive", std::move(alive)},
+                    {"backend_servers", std::move(servers)}};
   if (queries_ != nullptr) {
     body["queries_in_flight"] = queries_->coordinator().in_flight();
   }
--- /dev/null
+++ b/app/serve.cc
@@ -0,0 +1,100 @@
+#include "app/serve.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/leaf/result.hpp>
+#include <boost/program_options.hpp>
+#include <functional>
+#include <iostream>
+#include <optional>
+
+#include "app/daemon.h"
+#include "app/json_log.h"
+#include "app/settings.h"
+#include "bilberrycourse/result_code.h"
+
+namespace bilberrycourse {
+namespace {
+
+namespace leaf = boost::leaf;
+namespace po = boost::program_options;
+
+// Reads --config; returns an exit code if the command ends here.
+std::optional<int> ReadConfigOption(const std::string& command,
+                                    const std::vector<std::string>& arguments,
+                                    std::string* file) {
+  po::options_description options("bilberrycourse " + command);
+  options.add_options()("help", "print this help")(
+      "config", po::value<std::string>(file)->required(),
+      "settings file in INI format");
+  po::positional_options_description positional;
+  positional.add("config", 1);
+  try {
+    po::variables_map values;
+    po::store(po::command_line_parser(arguments)
+                  .options(options)
+                  .positional(positional)
+                  .run(),
+              values);
+    if (values.contains("help")) {
+      std::cout << options;
+      return 0;
+    }
+    po::notify(values);
+  } catch (const po::error& error) {
+    std::cerr << error.what() << "\n" << options;
+    return Describe(result_code::kInvalidArguments).exit_code;
+  }
+  return std::nullopt;
+}
+
+// Loads the settings, hands them to `use` and reports every failure.
+int WithSettings(const std::string& file,
+                 const std::function<leaf::result<int>(settings)>& use) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(config, LoadSettings(file));
+        return use(std::move(config));
+      },
+      [](result_code code, const settings_errors& errors) {
+        std::cerr << ToText(errors);
+        return Describe(code).exit_code;
+      },
+      [](result_code code, const std::string& detail) {
+        const result_code_info& info = Describe(code);
+        std::cerr << "error " << info.number << " " << info.name << ": "
+                  << info.explanation << " (" << detail << ")\n";
+        return info.exit_code;
+      },
+      [] {
+        std::cerr << "error 901 internal\n";
+        return Describe(result_code::kInternal).exit_code;
+      });
+}
+
+}  // namespace
+
+int RunServe(const std::vector<std::string>& arguments) {
+  std::string file;
+  if (const auto code = ReadConfigOption("serve", arguments, &file)) {
+    return *code;
+  }
+  return WithSettings(file, [](settings config) -> leaf::result<int> {
+    ConfigureLog({config.name, config.level, config.decision_rate});
+    daemon_process process(std::move(config));
+    BOOST_LEAF_CHECK(process.Run());
+    return 0;
+  });
+}
+
+int RunCheckConfig(const std::vector<std::string>& arguments) {
+  std::string file;
+  if (const auto code = ReadConfigOption("check-config", arguments, &file)) {
+    return *code;
+  }
+  return WithSettings(file, [](const settings& config) -> leaf::result<int> {
+    std::cout << config.file << ": ok\n";
+    return 0;
+  });
+}
+
+}  // namespace bilberrycourse
--- /dev/null
+++ b/app/serve.h
@@ -0,0 +1,21 @@
+#ifndef APP_SERVE_H_
+#define APP_SERVE_H_
+
+// The subcommands that read a settings file.
+//
+//   int code = RunServe({"--config", "e1.ini"});
+
+#include <string>
+#include <vector>
+
+namespace bilberrycourse {
+
+// Runs the daemon until SIGTERM or SIGINT; returns the exit code.
+int RunServe(const std::vector<std::string>& arguments);
+
+// Checks a settings file and prints every problem.
+int RunCheckConfig(const std::vector<std::string>& arguments);
+
+}  // namespace bilberrycourse
+
+#endif  // APP_SERVE_H_
--- a/bilberrycourse/consensus_codec.cc
+++ b/bilberrycourse/consensus_codec.cc
@@ -162,7 +162,7 @@
   return message;
 }
 
-std::string EncodeMembership(const group_membership& membership) {
+std::string EncodeGroupMembership(const group_membership& membership) {
   flatbuffers::FlatBufferBuilder builder;
   const auto members =
       builder.CreateVector(EncodeMembers(builder, membership.members));
@@ -171,7 +171,7 @@
           builder.GetSize()};
 }
 
-std::optional<group_membership> DecodeMembership(std::string_view bytes) {
+std::optional<group_membership> DecodeGroupMembership(std::string_view bytes) {
   flatbuffers::Verifier verifier(
       reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
   if (!verifier.VerifyBuffer<wire::membership>(nullptr)) return std::nullopt;
--- a/bilberrycourse/consensus_codec.h
+++ b/bilberrycourse/consensus_codec.h
@@ -21,8 +21,8 @@
 std::optional<consensus_message> DecodeMessage(std::string_view bytes);
 
 // Payload of entries of kind kMembership.
-std::string EncodeMembership(const group_membership& membership);
-std::optional<group_membership> DecodeMembership(std::string_view bytes);
+std::string EncodeGroupMembership(const group_membership& membership);
+std::optional<group_membership> DecodeGroupMembership(std::string_view bytes);
 
 // The number that stands for a group id in messages.
 std::uint64_t GroupHash(std::string_view group);
--- a/bilberrycourse/consensus_member.cc
+++ b/bilberrycourse/consensus_member.cc
@@ -112,7 +112,8 @@
 bool consensus_member::AddMembershipVersion(const log_entry& entry) {
   if (entry.kind != entry_kind::kMembership) return true;
   if (entry.payload == nullptr) return false;
-  std::optional<group_membership> membership = DecodeMembership(*entry.payload);
+  std::optional<group_membership> membership =
+      DecodeGroupMembership(*entry.payload);
   if (!membership || membership->voter_count() == 0) return false;
   memberships_.push_back({entry.index, *std::move(membership)});
   return true;
@@ -1176,9 +1177,10 @@
       break;
   }
   const proposal accepted{result_code::kOk, last_index() + 1, state_.term};
-  AppendAsLeader(entry_kind::kMembership,
-                 std::make_shared<const std::string>(EncodeMembership(next)),
-                 now, out);
+  AppendAsLeader(
+      entry_kind::kMembership,
+      std::make_shared<const std::string>(EncodeGroupMembership(next)), now,
+      out);
   return accepted;
 }
 
@@ -1367,7 +1369,7 @@
   std::vector<log_entry> entries;
   entries.push_back(
       {1, 1, entry_kind::kMembership,
-       std::make_shared<const std::string>(EncodeMembership(initial))});
+       std::make_shared<const std::string>(EncodeGroupMembership(initial))});
   PersistState(out);
   Append(0, std::move(entries), out);
   SetRole(consensus_role::kFollower, kNoMember, out);
--- a/bilberrycourse/log_codec.cc
+++ b/bilberrycourse/log_codec.cc
@@ -110,7 +110,7 @@
   std::string payload;
   PutNumber(snapshot.index, 8, &payload);
   PutNumber(snapshot.term, 8, &payload);
-  PutText(EncodeMembership(snapshot.membership), &payload);
+  PutText(EncodeGroupMembership(snapshot.membership), &payload);
   if (snapshot.state != nullptr) payload += *snapshot.state;
   return payload;
 }
@@ -159,7 +159,7 @@
   snapshot->index = in.Number(8);
   snapshot->term = in.Number(8);
   const std::optional<group_membership> membership =
-      DecodeMembership(in.Text());
+      DecodeGroupMembership(in.Text());
   if (!in.ok || !membership) return false;
   snapshot->membership = *membership;
   snapshot->state = std::make_shared<const std::string>(in.rest);
--- a/bilberrycourse/testing/consensus_cluster.h
+++ b/bilberrycourse/testing/consensus_cluster.h
@@ -464,7 +464,7 @@
       oracle_.committed.push_back(
           {entry.term, entry.kind, payload, now_, n.state});
       if (entry.kind == entry_kind::kMembership) {
-        const auto membership = DecodeMembership(payload);
+        const auto membership = DecodeGroupMembership(payload);
         oracle_.Check(
             membership && membership->voter_count() >= options_.voters,
             "fewer voters than configured");
