--- a/bilberrycourse/testing/membership_test.cc
+++ b/bilberrycourse/testing/membership_test.cc
@@ -47,58 +47,106 @@
   }
 }
 
-// Guards against the removal of a healthy instance by a single bad link, one
-// way or both.
-TEST_F(membership_test, Tick_OneLinkCut_RemovesNobody) {
+// Guards against the removal or suspicion of a healthy instance by a single bad
+// link, one way or both.
+TEST_F(membership_test, Tick_OneLinkCut_SuspectsNobody) {
   net_.Cut(0, 1);
   net_.Run(seconds(20));
   net_.CutBoth(0, 1);
   net_.Run(seconds(20));
   EXPECT_TRUE(net_.ViewsAgree());
   EXPECT_EQ(net_.TotalRemovals(), 0);
+  for (std::size_t i = 0; i < kSize; ++i) {
+    EXPECT_EQ(net_.node(i).members.counters().suspicions, 0u) << i;
+  }
 }
 
 // Guards against a silent partition that only one side notices, and against
-// sides that do not find each other again.
-TEST_F(membership_test, Tick_Partition_BothSidesNoticeAndRejoin) {
-  for (std::size_t a = 0; a < 3; ++a) {
-    for (std::size_t b = 3; b < kSize; ++b) net_.CutBoth(a, b);
+// sides that do not find each other again, here without any seed.
+TEST_F(membership_test, Tick_PartitionAndSeedsDead_BothSidesNoticeAndRejoin) {
+  net_.node(0).running = net_.node(1).running = false;
+  net_.Run(seconds(6));
+  for (std::size_t a = 2; a < 4; ++a) {
+    for (std::size_t b = 4; b < kSize; ++b) net_.CutBoth(a, b);
   }
   net_.Run(seconds(6));
-  EXPECT_EQ(net_.node(0).members.alive().size(), 3u);
-  EXPECT_EQ(net_.node(7).members.alive().size(), 5u);
+  EXPECT_EQ(net_.node(2).members.alive().size(), 2u);
+  EXPECT_EQ(net_.node(7).members.alive().size(), 4u);
   net_.Heal();
   const duration took =
       net_.RunUntil([&] { return net_.ViewsAgree(); }, seconds(30));
   EXPECT_LE(took, seconds(5));
 }
 
-// Guards against an isolated instance whose outdated claims remove healthy
-// instances when it returns.
-TEST_F(membership_test, Tick_IsolatedInstanceReturns_RemovesNobodyElse) {
-  net_.Isolate(7);
+// Guards against isolated instances whose outdated claims remove healthy
+// instances when they return.
+TEST_F(membership_test, Tick_IsolatedInstancesReturn_RemoveNobodyElse) {
+  for (std::size_t a = 0; a < 6; ++a) {
+    for (std::size_t b = 6; b < kSize; ++b) net_.CutBoth(a, b);
+  }
   net_.Run(seconds(10));
-  EXPECT_EQ(net_.node(7).members.alive().size(), 1u);
+  EXPECT_EQ(net_.node(7).members.alive().size(), 2u);
   net_.Heal();
   const duration took =
       net_.RunUntil([&] { return net_.ViewsAgree(); }, seconds(30));
   EXPECT_LE(took, seconds(5));
   net_.Run(seconds(5));
   EXPECT_TRUE(net_.ViewsAgree());
-  for (std::size_t i = 0; i < 7; ++i) {
-    EXPECT_EQ(net_.node(i).removals.size(), 1u) << i;
+  for (std::size_t i = 0; i < 6; ++i) {
+    EXPECT_EQ(net_.node(i).removals.size(), 2u) << i;
+    EXPECT_TRUE(net_.node(i).removals.contains("e6"));
     EXPECT_TRUE(net_.node(i).removals.contains("e7"));
   }
 }
 
+// Guards against a single wrong claim that removes a healthy instance before
+// it can refute, and against claims that are ignored.
+TEST_F(membership_test, Merge_ClaimOfDeath_SuspectsUntilRefutedOrTimedOut) {
+  for (const bool refutes : {true, false}) {
+    net_.node(3).running = refutes;
+    soft_state_node& n = net_.node(0);
+    soft_record claim = *n.gossip.Find(record_kind::kInstance, "e3");
+    claim.version.sequence = static_cast<std::uint64_t>(instance_status::kDead);
+    n.members.Merge(claim, false, net_.now(), &n.membership_out);
+    EXPECT_EQ(StatusAt(0, 3), instance_status::kSuspect);
+    EXPECT_EQ(n.members.alive().size(), kSize);
+    net_.Process(0);
+    net_.Run(milliseconds(1100));
+    EXPECT_EQ(StatusAt(0, 3),
+              refutes ? instance_status::kAlive : instance_status::kDead);
+  }
+}
+
+// Guards against a returning instance that spreads its claims about all
+// others, each of which costs a refutation to every instance.
+TEST_F(membership_test, Tick_IsolatedInstanceReturns_WithdrawsItsClaims) {
+  net_.Isolate(7);
+  net_.Run(seconds(10));
+  net_.Heal();
+  net_.Run(seconds(10));
+  EXPECT_TRUE(net_.ViewsAgree());
+  std::uint64_t refutations = 0;
+  for (std::size_t i = 0; i < 7; ++i) {
+    refutations += net_.node(i).members.counters().refutations;
+  }
+  EXPECT_LE(refutations, 2u);
+}
+
 // Guards against a paused instance that stays removed, or that blames the
 // others for its own pause.
 TEST_F(membership_test, Tick_PausedInstanceContinues_RefutesAndBlamesNobody) {
   const std::uint64_t before = net_.node(4).members.self().incarnation;
+  const auto& counters = net_.node(4).members.counters();
+  const std::uint64_t probes = counters.probes;
+  // Paused while the ack of a probe is on its way.
+  net_.RunUntil([&] { return counters.probes > probes; }, seconds(1));
   net_.node(4).running = false;
   net_.Run(seconds(5));
   EXPECT_EQ(StatusAt(0, 4), instance_status::kDead);
+  // The first tick comes before the messages that waited.
   net_.node(4).running = true;
+  net_.node(4).members.Tick(net_.now(), &net_.node(4).membership_out);
+  net_.Process(4);
   const duration took =
       net_.RunUntil([&] { return net_.ViewsAgree(); }, seconds(10));
   EXPECT_LE(took, seconds(2));
