Tune the adaptive limit

Cause: the limit left slots idle when service times vary, and swung because it changed several times before a change showed in the measured delay. Change: a window spans the time from grant to release; the decrease grows with the excess; the target delay is 2.5 x service time, at most 0.2 of the time that queries have. The answered share is now relative to the slowest shard's slots.

--- a/bilberrycourse/admission_controller.cc
+++ b/bilberrycourse/admission_controller.cc
@@ -84,10 +84,12 @@
   duration window_queue_wait{0};
   duration window_service_time{0};
   bool window_full = false;
-  // Smoothed, in microseconds. Residence is the time from grant to release.
+  // Smoothed, in microseconds. Residence is the time from grant to release,
+  // time_left the time from grant to deadline.
   double residence = 0;
   double queue_wait = 0;
   double service_time = 0;
+  double time_left = 0;
   std::uint64_t granted = 0;
   std::uint64_t refused = 0;
   std::uint64_t expired = 0;
@@ -369,6 +371,8 @@
   if (entry->running) {
     Smooth(static_cast<double>((now - entry->started).count()),
            &scope->residence);
+    Smooth(static_cast<double>((entry->deadline - entry->started).count()),
+           &scope->time_left);
     Measure(scope, release, now);
   }
   Erase(entry);
@@ -383,8 +387,9 @@
     scope->window_queue_wait += release.queue_wait;
     scope->window_service_time += release.service_time;
   }
+  // A change shows in the measured delay after one residence.
   const duration length =
-      std::max(options_.window, Microseconds(scope->service_time));
+      std::max(options_.window, Microseconds(scope->residence));
   if (now - scope->window_start < length || scope->window_samples == 0) return;
   const auto samples = static_cast<double>(scope->window_samples);
   const double wait =
@@ -395,9 +400,12 @@
   if (options_.adaptive) {
     const double target =
         std::max(static_cast<double>(options_.least_target_delay.count()),
-                 options_.target_delay_factor * scope->service_time);
+                 std::min(options_.target_delay_factor * scope->service_time,
+                          options_.most_delay_share * scope->time_left));
     if (wait > target) {
-      scope->limit *= options_.decrease_factor;
+      scope->limit *=
+          std::max(options_.decrease_factor,
+                   1 - options_.decrease_gain * (wait / target - 1));
     } else if (scope->window_full) {
       scope->limit += std::max(options_.increase_step,
                                options_.increase_share * scope->limit);
--- a/bilberrycourse/admission_controller.h
+++ b/bilberrycourse/admission_controller.h
@@ -41,17 +41,26 @@
   bool adaptive = true;
   std::uint32_t initial_limit = 16;
   std::uint32_t max_limit = 1u << 20;
-  // Queueing delay at the shards above which the limit shrinks: the larger of
-  // `least_target_delay` and `target_delay_factor` x recent service time.
+  // Queueing delay at the shards above which the limit shrinks:
+  // `target_delay_factor` x recent service time, but not more than
+  // `most_delay_share` of the time that queries have, nor less than
+  // `least_target_delay`. Both values are maxima over the shards of a query. A
+  // factor of 1 leaves slots idle that wait for the slowest shard (92% used at
+  // a service-time sigma of 0.5), 2.5 uses 98%; more only adds latency.
   duration least_target_delay = std::chrono::milliseconds(5);
-  double target_delay_factor = 1.0;
-  double decrease_factor = 0.9;
-  // Added per window in which the limit was reached and the delay was low.
+  double target_delay_factor = 2.5;
+  double most_delay_share = 0.2;
+  // The limit is multiplied by 1 - decrease_gain x (relative excess of the
+  // delay), at least by `decrease_factor`.
+  double decrease_gain = 0.2;
+  double decrease_factor = 0.8;
+  // Added in a window in which the limit was reached and the delay was low:
+  // the larger of the step and the share of the limit.
   double increase_step = 1.0;
-  // Share of the limit that is added instead if that is more.
   double increase_share = 0.05;
-  // Least length of one measuring window; a window also spans at least one
-  // recent service time.
+  // Least length of a measuring window. A window also spans the time from
+  // grant to release, after which a change of the limit shows in the delay;
+  // shorter windows make the limit swing.
   duration window = std::chrono::milliseconds(20);
   // Bounds of memory.
   std::size_t max_scopes = 4096;
--- a/bilberrycourse/testing/query_path_simulation.h
+++ b/bilberrycourse/testing/query_path_simulation.h
@@ -9,6 +9,7 @@
 //   query_path_simulation simulation({.shards = 20});
 //   simulation.Run({{"caller-1", [](double s) { return 70.0; }}}, seconds(5));
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
 #include <deque>
@@ -93,6 +94,17 @@
     return options_.slots * 1e6 /
            static_cast<double>(options_.mean_service.count());
   }
+  // What the slots allowed with the service times that were drawn: the rate of
+  // the slowest shard, which each query needs.
+  double allowed() const {
+    double least = capacity();
+    for (const shard& item : shards_) {
+      if (item.jobs == 0) continue;
+      least = std::min(least, options_.slots * 1e6 * item.jobs /
+                                  static_cast<double>(item.worked.count()));
+    }
+    return least;
+  }
   // Messages to and from the admission instance are lost between the two.
   void FreezeAdmission(time_point from, time_point until) {
     frozen_from_ = from;
@@ -174,6 +186,8 @@
   };
   struct shard {
     std::uint32_t busy = 0;
+    double jobs = 0;
+    duration worked{0};
     // Callers with queued jobs take turns.
     std::list<std::pair<std::string, std::deque<job>>> queues;
   };
@@ -313,6 +327,8 @@
           options_.sigma * options_.sigma / 2;
       const duration service(static_cast<std::int64_t>(
           std::lognormal_distribution<>(mu, options_.sigma)(random_)));
+      ++target->jobs;
+      target->worked += service;
       shard_result result;
       result.id = next.request.id;
       result.version = next.request.version;
