Grant a caller below its share of the limit at once

Cause: with one caller at 10x, the other callers were refused: at 200 grants/s only three releases fall into 15 ms, so that a fair queue alone cannot protect a caller that asks rarely. Change: a caller with less than its weighted share of the limit running is granted at once, even if the limit is reached; the excess ends as the others' queries end, since those wait for room below the limit.

--- a/bilberrycourse/admission_controller.cc
+++ b/bilberrycourse/admission_controller.cc
@@ -42,7 +42,7 @@
   std::uint32_t origin = 0;
   query_id query{};
   scope_entry* scope = nullptr;
-  // Null once the request is granted.
+  // Null before the request waits or runs.
   caller_entry* caller = nullptr;
   bool running = false;
   time_point due{};
@@ -58,6 +58,7 @@
   using queue = bi::list<ticket, bi::base_hook<caller_hook>>;
   const caller_name* name = nullptr;
   queue waiting;
+  std::size_t running = 0;
   std::uint32_t weight = 1;
   // Grants left in this turn.
   std::uint32_t deficit = 0;
@@ -73,7 +74,10 @@
   std::uint32_t floor = 1;
   std::size_t running = 0;
   std::size_t waiting = 0;
+  // Callers with a request that waits or runs.
   std::unordered_map<caller_name, caller_entry> callers;
+  // Sum of their weights.
+  std::uint64_t weights = 0;
   // Callers in their first turn are served before those in later turns, so
   // that a caller which asks rarely does not wait for the round of the others.
   caller_list fresh;
@@ -191,13 +195,13 @@
 }
 
 duration admission_controller::ExpectedWait(const scope_entry& scope,
-                                            const caller_entry* caller) const {
+                                            const caller_entry& caller) {
   if (scope.running < scope.whole_limit() && scope.waiting == 0) return {};
   std::size_t ahead = scope.fresh.size() + 1;
-  if (caller != nullptr && caller->is_linked()) {
+  if (caller.is_linked()) {
     // Each other caller is granted about as much as this one meanwhile.
     const std::size_t callers = scope.fresh.size() + scope.active.size();
-    const std::size_t turns = caller->waiting.size() / caller->weight + 1;
+    const std::size_t turns = caller.waiting.size() / caller.weight + 1;
     ahead = std::min(turns * callers, scope.waiting + 1);
   }
   // A full scope ends limit / residence grants per unit of time.
@@ -237,44 +241,88 @@
   entry->scope = scope;
   entry->deadline = request.deadline;
   tables_->origins[number]->tickets.push_back(*entry);
+  caller_entry* caller = FindOrCreateCaller(scope, request);
   if (request.running) {
+    entry->caller = caller;
     Start(entry, now);
     return;
   }
-  auto caller_position = scope->callers.find(request.caller);
-  const bool known_caller = caller_position != scope->callers.end();
-  if (scope->waiting >= options_.max_waiting_per_scope ||
+  if (caller == nullptr || scope->waiting >= options_.max_waiting_per_scope ||
       scope->running >= options_.max_running_per_scope ||
-      (!known_caller &&
-       scope->callers.size() >= options_.max_callers_per_scope) ||
-      ExpectedWait(*scope, known_caller ? &caller_position->second : nullptr) >
-          Microseconds(options_.expected_wait_share *
-                       static_cast<double>(request.max_wait.count()))) {
+      (!BelowShare(*scope, *caller) &&
+       ExpectedWait(*scope, *caller) >
+           Microseconds(options_.expected_wait_share *
+                        static_cast<double>(request.max_wait.count())))) {
     Refuse(entry, result_code::kOverloaded, out);
+    if (caller != nullptr) ForgetIfIdle(scope, caller);
     return;
   }
-  if (!known_caller) {
-    caller_position = scope->callers.try_emplace(request.caller).first;
-    caller_position->second.name = &caller_position->first;
-  }
-  caller_entry& caller = caller_position->second;
-  caller.weight = std::max(request.weight, 1u);
-  if (!caller.is_linked()) {
-    caller.fresh = true;
-    caller.deficit = caller.weight;
-    scope->fresh.push_back(caller);
+  if (!caller->is_linked()) {
+    caller->fresh = true;
+    caller->deficit = caller->weight;
+    scope->fresh.push_back(*caller);
   }
-  entry->caller = &caller;
+  entry->caller = caller;
   entry->due = std::min(now + request.max_wait, request.deadline);
-  caller.waiting.push_back(*entry);
+  caller->waiting.push_back(*entry);
   ++scope->waiting;
   tables_->by_due.insert(*entry);
+  GrantBelowShare(scope, caller, now, out);
   Grant(scope, now, out);
   if (!entry->running) {
     Reply(*entry, admission_verdict::kQueued, result_code::kOk, {}, out);
   }
 }
 
+admission_controller::caller_entry* admission_controller::FindOrCreateCaller(
+    scope_entry* scope, const admission_request& request) {
+  const std::uint32_t weight = std::max(request.weight, 1u);
+  const auto known = scope->callers.find(request.caller);
+  if (known != scope->callers.end()) {
+    scope->weights += weight;
+    scope->weights -= known->second.weight;
+    known->second.weight = weight;
+    return &known->second;
+  }
+  if (scope->callers.size() >= options_.max_callers_per_scope) return nullptr;
+  const auto position = scope->callers.try_emplace(request.caller).first;
+  position->second.name = &position->first;
+  position->second.weight = weight;
+  scope->weights += weight;
+  return &position->second;
+}
+
+void admission_controller::ForgetIfIdle(scope_entry* scope,
+                                        caller_entry* caller) {
+  if (caller->running > 0 || !caller->waiting.empty() || caller->is_linked()) {
+    return;
+  }
+  scope->weights -= caller->weight;
+  scope->callers.erase(scope->callers.find(*caller->name));
+}
+
+bool admission_controller::BelowShare(const scope_entry& scope,
+                                      const caller_entry& caller) {
+  const std::size_t share = scope.whole_limit() * caller.weight / scope.weights;
+  return caller.running < share;
+}
+
+void admission_controller::GrantBelowShare(scope_entry* scope,
+                                           caller_entry* caller, time_point now,
+                                           effects* out) {
+  while (!caller->waiting.empty() && BelowShare(*scope, *caller)) {
+    GrantFirst(scope, caller, now, out);
+  }
+}
+
+void admission_controller::GrantFirst(scope_entry* scope, caller_entry* caller,
+                                      time_point now, effects* out) {
+  ticket& entry = caller->waiting.front();
+  Start(&entry, now);
+  ++scope->granted;
+  Reply(entry, admission_verdict::kGranted, result_code::kOk, {}, out);
+}
+
 void admission_controller::Grant(scope_entry* scope, time_point now,
                                  effects* out) {
   while (scope->waiting > 0 && scope->running < scope->whole_limit()) {
@@ -282,7 +330,7 @@
     caller_entry& caller = from.front();
     if (caller.waiting.empty() && !caller.fresh) {
       from.pop_front();
-      scope->callers.erase(scope->callers.find(*caller.name));
+      ForgetIfIdle(scope, &caller);
       continue;
     }
     if (caller.waiting.empty() || caller.deficit == 0) {
@@ -295,11 +343,8 @@
       scope->active.push_back(caller);
       continue;
     }
-    ticket& entry = caller.waiting.front();
     --caller.deficit;
-    Start(&entry, now);
-    ++scope->granted;
-    Reply(entry, admission_verdict::kGranted, result_code::kOk, {}, out);
+    GrantFirst(scope, &caller, now, out);
   }
   if (scope->running >= scope->whole_limit()) scope->window_full = true;
   Trim(scope);
@@ -307,24 +352,28 @@
 
 void admission_controller::Trim(scope_entry* scope) {
   if (scope->waiting > 0) return;
-  scope->fresh.clear();
-  scope->active.clear();
-  scope->callers.clear();
+  for (auto* list : {&scope->fresh, &scope->active}) {
+    while (!list->empty()) {
+      caller_entry& caller = list->front();
+      list->pop_front();
+      ForgetIfIdle(scope, &caller);
+    }
+  }
 }
 
 void admission_controller::Withdraw(ticket* entry) {
-  if (entry->caller == nullptr) return;
+  if (entry->caller == nullptr || entry->running) return;
   auto& waiting = entry->caller->waiting;
   waiting.erase(waiting.iterator_to(*entry));
   --entry->scope->waiting;
-  entry->caller = nullptr;
 }
 
 void admission_controller::Start(ticket* entry, time_point now) {
-  Withdraw(entry);
+  if (entry->caller_hook::is_linked()) Withdraw(entry);
   entry->running = true;
   entry->started = now;
   ++entry->scope->running;
+  if (entry->caller != nullptr) ++entry->caller->running;
   auto& by_due = tables_->by_due;
   if (entry->due_hook::is_linked()) by_due.erase(by_due.iterator_to(*entry));
   entry->due = entry->deadline + options_.grant_grace;
@@ -352,13 +401,31 @@
 }
 
 void admission_controller::Erase(ticket* entry) {
-  Withdraw(entry);
-  if (entry->running) --entry->scope->running;
+  scope_entry* scope = entry->scope;
+  caller_entry* caller = entry->caller;
+  if (entry->running) {
+    --scope->running;
+    if (caller != nullptr) --caller->running;
+  } else {
+    Withdraw(entry);
+  }
   auto& by_due = tables_->by_due;
   if (entry->due_hook::is_linked()) by_due.erase(by_due.iterator_to(*entry));
   auto& tickets = tables_->origins[entry->origin]->tickets;
   tickets.erase(tickets.iterator_to(*entry));
   tables_->tickets.erase(ticket_key{entry->origin, entry->query});
+  if (caller != nullptr) ForgetIfIdle(scope, caller);
+}
+
+void admission_controller::End(ticket* entry, time_point now, effects* out) {
+  scope_entry* scope = entry->scope;
+  caller_entry* caller = entry->caller;
+  // A caller with waiting requests outlives the ticket.
+  const bool waits = caller != nullptr && !caller->waiting.empty();
+  const bool running = entry->running;
+  Erase(entry);
+  if (running && waits) GrantBelowShare(scope, caller, now, out);
+  Grant(scope, now, out);
 }
 
 void admission_controller::OnRelease(const instance_name& origin,
@@ -376,8 +443,7 @@
            &scope->time_left);
     Measure(scope, release, now);
   }
-  Erase(entry);
-  Grant(scope, now, out);
+  End(entry, now, out);
 }
 
 void admission_controller::Measure(scope_entry* scope,
@@ -441,10 +507,8 @@
              out);
       continue;
     }
-    scope_entry* scope = entry->scope;
-    ++scope->expired;
-    Erase(entry);
-    Grant(scope, now, out);
+    ++entry->scope->expired;
+    End(entry, now, out);
   }
 }
 
--- a/bilberrycourse/admission_controller.h
+++ b/bilberrycourse/admission_controller.h
@@ -14,7 +14,9 @@
 // Fairness: each caller has one queue per scope; a deficit round robin over the
 // callers grants `weight` queries per turn, so a caller that sends more than
 // its share only waits behind its own requests. A request whose expected wait
-// is long is refused at once, any other at the end of its max_wait.
+// is long is refused at once, any other at the end of its max_wait. A caller
+// that has less than its share of the limit running is granted at once, even if
+// others use the whole limit; the total stays below twice the limit.
 //
 // Limit: additive increase while the queueing delay that the releases report
 // is below the target and the limit is in use, multiplicative decrease above
@@ -140,6 +142,16 @@
   std::uint32_t OriginNumber(const instance_name& origin);
   // Grants while the limit allows.
   void Grant(scope_entry* scope, time_point now, effects* out);
+  // Grants to a caller that has less than its share of the limit running.
+  void GrantBelowShare(scope_entry* scope, caller_entry* caller, time_point now,
+                       effects* out);
+  void GrantFirst(scope_entry* scope, caller_entry* caller, time_point now,
+                  effects* out);
+  static bool BelowShare(const scope_entry& scope, const caller_entry& caller);
+  // Null if there are too many callers.
+  caller_entry* FindOrCreateCaller(scope_entry* scope,
+                                   const admission_request& request);
+  static void ForgetIfIdle(scope_entry* scope, caller_entry* caller);
   // Forgets the callers of a scope in which nothing waits.
   static void Trim(scope_entry* scope);
   // Takes a ticket out of its caller's queue.
@@ -149,11 +161,12 @@
   void Reply(const ticket& entry, admission_verdict verdict, result_code code,
              duration retry_after, effects* out) const;
   void Erase(ticket* entry);
+  // Erases and grants what that makes room for.
+  void End(ticket* entry, time_point now, effects* out);
   void Measure(scope_entry* scope, const admission_release& release,
                time_point now);
-  // `caller` is null if it is not known to the scope.
-  duration ExpectedWait(const scope_entry& scope,
-                        const caller_entry* caller) const;
+  static duration ExpectedWait(const scope_entry& scope,
+                               const caller_entry& caller);
 
   admission_controller_options options_;
   struct tables;
