--- a/bilberrycourse/admission_controller.h
+++ b/bilberrycourse/admission_controller.h
@@ -13,9 +13,10 @@
 //
 // Fairness: each caller has one queue per scope; a deficit round robin over the
 // callers grants `weight` queries per turn, so a caller that sends more than
-// its share only waits behind its own requests. A request is refused at once
-// if its expected wait exceeds its max_wait, and at the end of max_wait
-// otherwise.
+// its share only waits behind its own requests. A request whose expected wait
+// is long is refused at once, any other at the end of its max_wait. A caller
+// that has less than its share of the limit running is granted at once, even if
+// others use the whole limit; the total stays below twice the limit.
 //
 // Limit: additive increase while the queueing delay that the releases report
 // is below the target and the limit is in use, multiplicative decrease above
@@ -41,18 +42,31 @@
   bool adaptive = true;
   std::uint32_t initial_limit = 16;
   std::uint32_t max_limit = 1u << 20;
-  // Queueing delay at the shards above which the limit shrinks: the larger of
-  // `least_target_delay` and `target_delay_factor` x recent service time.
+  // Queueing delay at the shards above which the limit shrinks:
+  // `target_delay_factor` x recent service time, but not more than
+  // `most_delay_share` of the time that queries have, nor less than
+  // `least_target_delay`. Both values are maxima over the shards of a
+  // query. A factor of 1 leaves slots idle that wait for the slowest shard; 3
+  // uses at least 96% of them up to a service-time sigma of 1.0, 2.5 only 94%.
   duration least_target_delay = std::chrono::milliseconds(5);
-  double target_delay_factor = 1.0;
-  double decrease_factor = 0.9;
-  // Added per window in which the limit was reached and the delay was low.
+  double target_delay_factor = 3.0;
+  double most_delay_share = 0.25;
+  // The limit is multiplied by 1 - decrease_gain x (relative excess of the
+  // delay), at least by `decrease_factor`.
+  double decrease_gain = 0.2;
+  double decrease_factor = 0.8;
+  // Added in a window in which the limit was reached and the delay was low:
+  // the larger of the step and the share of the limit.
   double increase_step = 1.0;
-  // Share of the limit that is added instead if that is more.
   double increase_share = 0.05;
-  // Least length of one measuring window; a window also spans at least one
-  // recent service time.
+  // Least length of a measuring window. A window also spans the time from
+  // grant to release, after which a change of the limit shows in the delay;
+  // shorter windows make the limit swing.
   duration window = std::chrono::milliseconds(20);
+  // A request is refused at once if its expected wait exceeds this share of its
+  // max_wait. With 1.0 more than 5% of the refusals come after the full
+  // max_wait, because waits vary around the expected value.
+  double expected_wait_share = 0.25;
   // Bounds of memory.
   std::size_t max_scopes = 4096;
   std::size_t max_waiting_per_scope = 65536;
@@ -128,6 +142,16 @@
   std::uint32_t OriginNumber(const instance_name& origin);
   // Grants while the limit allows.
   void Grant(scope_entry* scope, time_point now, effects* out);
+  // Grants to a caller that has less than its share of the limit running.
+  void GrantBelowShare(scope_entry* scope, caller_entry* caller, time_point now,
+                       effects* out);
+  void GrantFirst(scope_entry* scope, caller_entry* caller, time_point now,
+                  effects* out);
+  static bool BelowShare(const scope_entry& scope, const caller_entry& caller);
+  // Null if there are too many callers.
+  caller_entry* FindOrCreateCaller(scope_entry* scope,
+                                   const admission_request& request);
+  static void ForgetIfIdle(scope_entry* scope, caller_entry* caller);
   // Forgets the callers of a scope in which nothing waits.
   static void Trim(scope_entry* scope);
   // Takes a ticket out of its caller's queue.
@@ -137,11 +161,12 @@
   void Reply(const ticket& entry, admission_verdict verdict, result_code code,
              duration retry_after, effects* out) const;
   void Erase(ticket* entry);
+  // Erases and grants what that makes room for.
+  void End(ticket* entry, time_point now, effects* out);
   void Measure(scope_entry* scope, const admission_release& release,
                time_point now);
-  // `caller` is null if it is not known to the scope.
-  duration ExpectedWait(const scope_entry& scope,
-                        const caller_entry* caller) const;
+  static duration ExpectedWait(const scope_entry& scope,
+                               const caller_entry& caller);
 
   admission_controller_options options_;
   struct tables;
