Count the retention of a request from its abandoned runs too

Cause: a request_begin that arrives after its run was abandoned must be refused. The record that remembers the run could expire first when another run had an older issued_at_ms. Change: each record has retain_from_ms, moved by every repeat and abandon; issued_at_ms is what the run that holds the request stated. Conclusion: a run that was answered as not_run cannot begin later.

--- a/bilberrycourse/control_state.cc
+++ b/bilberrycourse/control_state.cc
@@ -334,7 +334,7 @@
     }
     found = requests_.emplace(key, request_record{}).first;
     found->second.phase = request_phase::kAbandoned;
-    found->second.issued_at_ms = command.issued_at_ms;
+    found->second.retain_from_ms = command.issued_at_ms;
     request_order_.emplace(command.issued_at_ms, key);
   }
   request_record& record = found->second;
@@ -345,9 +345,7 @@
        record.target != command.target)) {
     return Refuse(result_code::kIdempotencyKeyReused);
   }
-  MoveRetention(key, record.issued_at_ms,
-                std::max(record.issued_at_ms, command.issued_at_ms));
-  record.issued_at_ms = std::max(record.issued_at_ms, command.issued_at_ms);
+  Retain(key, command.issued_at_ms, &record);
   if (!Has(control_fault::kForgetAbandonedRuns) &&
       std::ranges::find(record.abandoned_runs, command.run) !=
           record.abandoned_runs.end()) {
@@ -377,6 +375,7 @@
   record.run = command.run;
   record.target = command.target;
   record.body_hash = command.body_hash;
+  record.issued_at_ms = command.issued_at_ms;
   record.begun_at_ms = now_ms_;
   record.ended_at_ms = 0;
   record.deadline_ms = command.deadline_ms;
@@ -425,16 +424,13 @@
   const request_key key{command.caller, command.key};
   auto found = requests_.find(key);
   if (found == requests_.end()) {
-    // The request_begin of this run may still be on its way and must not
-    // count when it arrives; it is accepted until the latest possible
-    // issued_at_ms has aged out.
     if (requests_.size() >= options_.max_requests) {
       return Refuse(result_code::kOverloaded, "the ledger is full");
     }
     found = requests_.emplace(key, request_record{}).first;
     found->second.phase = request_phase::kAbandoned;
-    found->second.issued_at_ms = now_ms_ + options_.max_clock_skew_ms;
-    request_order_.emplace(found->second.issued_at_ms, key);
+    found->second.retain_from_ms = now_ms_;
+    request_order_.emplace(now_ms_, key);
   }
   request_record& record = found->second;
   const bool holds =
@@ -446,6 +442,9 @@
     record.phase = request_phase::kAbandoned;
     record.ended_at_ms = now_ms_;
   }
+  // The request_begin of this run may still be on its way and must not count
+  // when it arrives. Its issued_at_ms is at most the largest accepted now.
+  Retain(key, now_ms_ + options_.max_clock_skew_ms, &record);
   auto& runs = record.abandoned_runs;
   if (std::ranges::find(runs, command.run) == runs.end()) {
     runs.push_back(command.run);
@@ -454,11 +453,12 @@
   return {};
 }
 
-void control_state::MoveRetention(const request_key& key, wall_time_ms from,
-                                  wall_time_ms to) {
-  if (from == to) return;
-  request_order_.erase({from, key});
-  request_order_.emplace(to, key);
+void control_state::Retain(const request_key& key, wall_time_ms at,
+                           request_record* record) {
+  if (at <= record->retain_from_ms) return;
+  request_order_.erase({record->retain_from_ms, key});
+  request_order_.emplace(at, key);
+  record->retain_from_ms = at;
 }
 
 void control_state::Expire() {
--- a/bilberrycourse/control_state.h
+++ b/bilberrycourse/control_state.h
@@ -91,8 +91,11 @@
   request_run run;
   std::string target;
   std::uint64_t body_hash = 0;
-  // Largest issued_at_ms of all repeats; retention counts from here.
+  // As stated by the request_begin of `run`.
   wall_time_ms issued_at_ms = 0;
+  // Retention counts from here: no request_begin that names this key and could
+  // still be accepted was issued later.
+  wall_time_ms retain_from_ms = 0;
   wall_time_ms begun_at_ms = 0;
   wall_time_ms ended_at_ms = 0;
   std::uint32_t deadline_ms = 0;
@@ -176,8 +179,8 @@
                          config_document document);
   control_outcome Conflict(const document_proposal& proposal) const;
   void Expire();
-  void MoveRetention(const request_key& key, wall_time_ms from,
-                     wall_time_ms to);
+  // Makes the retention of the record count from `at` if that is later.
+  void Retain(const request_key& key, wall_time_ms at, request_record* record);
   bool Has(control_fault fault) const { return options_.fault == fault; }
 
   control_state_options options_;
--- a/bilberrycourse/control_state_generated.h
+++ b/bilberrycourse/control_state_generated.h
@@ -1971,6 +1971,7 @@
   std::string target{};
   uint64_t body_hash = 0;
   int64_t issued_at_ms = 0;
+  int64_t retain_from_ms = 0;
   int64_t begun_at_ms = 0;
   int64_t ended_at_ms = 0;
   uint32_t deadline_ms = 0;
@@ -1997,15 +1998,16 @@
     VT_TARGET = 12,
     VT_BODY_HASH = 14,
     VT_ISSUED_AT_MS = 16,
-    VT_BEGUN_AT_MS = 18,
-    VT_ENDED_AT_MS = 20,
-    VT_DEADLINE_MS = 22,
-    VT_IDEMPOTENT = 24,
-    VT_KEEP = 26,
-    VT_CODE = 28,
-    VT_ANSWER = 30,
-    VT_ANSWER_OMITTED = 32,
-    VT_ABANDONED_RUNS = 34
+    VT_RETAIN_FROM_MS = 18,
+    VT_BEGUN_AT_MS = 20,
+    VT_ENDED_AT_MS = 22,
+    VT_DEADLINE_MS = 24,
+    VT_IDEMPOTENT = 26,
+    VT_KEEP = 28,
+    VT_CODE = 30,
+    VT_ANSWER = 32,
+    VT_ANSWER_OMITTED = 34,
+    VT_ABANDONED_RUNS = 36
   };
   const flatbuffers::String *caller() const {
     return GetPointer<const flatbuffers::String *>(VT_CALLER);
@@ -2028,6 +2030,9 @@
   int64_t issued_at_ms() const {
     return GetField<int64_t>(VT_ISSUED_AT_MS, 0);
   }
+  int64_t retain_from_ms() const {
+    return GetField<int64_t>(VT_RETAIN_FROM_MS, 0);
+  }
   int64_t begun_at_ms() const {
     return GetField<int64_t>(VT_BEGUN_AT_MS, 0);
   }
@@ -2068,6 +2073,7 @@
            verifier.VerifyString(target()) &&
            VerifyField<uint64_t>(verifier, VT_BODY_HASH, 8) &&
            VerifyField<int64_t>(verifier, VT_ISSUED_AT_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_RETAIN_FROM_MS, 8) &&
            VerifyField<int64_t>(verifier, VT_BEGUN_AT_MS, 8) &&
            VerifyField<int64_t>(verifier, VT_ENDED_AT_MS, 8) &&
            VerifyField<uint32_t>(verifier, VT_DEADLINE_MS, 4) &&
@@ -2112,6 +2118,9 @@
   void add_issued_at_ms(int64_t issued_at_ms) {
     fbb_.AddElement<int64_t>(request_record::VT_ISSUED_AT_MS, issued_at_ms, 0);
   }
+  void add_retain_from_ms(int64_t retain_from_ms) {
+    fbb_.AddElement<int64_t>(request_record::VT_RETAIN_FROM_MS, retain_from_ms, 0);
+  }
   void add_begun_at_ms(int64_t begun_at_ms) {
     fbb_.AddElement<int64_t>(request_record::VT_BEGUN_AT_MS, begun_at_ms, 0);
   }
@@ -2159,6 +2168,7 @@
     flatbuffers::Offset<flatbuffers::String> target = 0,
     uint64_t body_hash = 0,
     int64_t issued_at_ms = 0,
+    int64_t retain_from_ms = 0,
     int64_t begun_at_ms = 0,
     int64_t ended_at_ms = 0,
     uint32_t deadline_ms = 0,
@@ -2171,6 +2181,7 @@
   request_recordBuilder builder_(_fbb);
   builder_.add_ended_at_ms(ended_at_ms);
   builder_.add_begun_at_ms(begun_at_ms);
+  builder_.add_retain_from_ms(retain_from_ms);
   builder_.add_issued_at_ms(issued_at_ms);
   builder_.add_body_hash(body_hash);
   builder_.add_abandoned_runs(abandoned_runs);
@@ -2197,6 +2208,7 @@
     const char *target = nullptr,
     uint64_t body_hash = 0,
     int64_t issued_at_ms = 0,
+    int64_t retain_from_ms = 0,
     int64_t begun_at_ms = 0,
     int64_t ended_at_ms = 0,
     uint32_t deadline_ms = 0,
@@ -2220,6 +2232,7 @@
       target__,
       body_hash,
       issued_at_ms,
+      retain_from_ms,
       begun_at_ms,
       ended_at_ms,
       deadline_ms,
@@ -3201,6 +3214,7 @@
         target(o.target),
         body_hash(o.body_hash),
         issued_at_ms(o.issued_at_ms),
+        retain_from_ms(o.retain_from_ms),
         begun_at_ms(o.begun_at_ms),
         ended_at_ms(o.ended_at_ms),
         deadline_ms(o.deadline_ms),
@@ -3221,6 +3235,7 @@
   std::swap(target, o.target);
   std::swap(body_hash, o.body_hash);
   std::swap(issued_at_ms, o.issued_at_ms);
+  std::swap(retain_from_ms, o.retain_from_ms);
   std::swap(begun_at_ms, o.begun_at_ms);
   std::swap(ended_at_ms, o.ended_at_ms);
   std::swap(deadline_ms, o.deadline_ms);
@@ -3249,6 +3264,7 @@
   { auto _e = target(); if (_e) _o->target = _e->str(); }
   { auto _e = body_hash(); _o->body_hash = _e; }
   { auto _e = issued_at_ms(); _o->issued_at_ms = _e; }
+  { auto _e = retain_from_ms(); _o->retain_from_ms = _e; }
   { auto _e = begun_at_ms(); _o->begun_at_ms = _e; }
   { auto _e = ended_at_ms(); _o->ended_at_ms = _e; }
   { auto _e = deadline_ms(); _o->deadline_ms = _e; }
@@ -3275,6 +3291,7 @@
   auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
   auto _body_hash = _o->body_hash;
   auto _issued_at_ms = _o->issued_at_ms;
+  auto _retain_from_ms = _o->retain_from_ms;
   auto _begun_at_ms = _o->begun_at_ms;
   auto _ended_at_ms = _o->ended_at_ms;
   auto _deadline_ms = _o->deadline_ms;
@@ -3293,6 +3310,7 @@
       _target,
       _body_hash,
       _issued_at_ms,
+      _retain_from_ms,
       _begun_at_ms,
       _ended_at_ms,
       _deadline_ms,
--- a/bilberrycourse/control_state_snapshot.cc
+++ b/bilberrycourse/control_state_snapshot.cc
@@ -52,6 +52,7 @@
   out->target = record.target;
   out->body_hash = record.body_hash;
   out->issued_at_ms = record.issued_at_ms;
+  out->retain_from_ms = record.retain_from_ms;
   out->begun_at_ms = record.begun_at_ms;
   out->ended_at_ms = record.ended_at_ms;
   out->deadline_ms = record.deadline_ms;
@@ -76,6 +77,7 @@
   record->target = in.target;
   record->body_hash = in.body_hash;
   record->issued_at_ms = in.issued_at_ms;
+  record->retain_from_ms = in.retain_from_ms;
   record->begun_at_ms = in.begun_at_ms;
   record->ended_at_ms = in.ended_at_ms;
   record->deadline_ms = in.deadline_ms;
@@ -185,7 +187,7 @@
     if (!RequestFromWire(*row, &record)) return false;
     loaded.answer_bytes_ += record.answer.size();
     const request_key key{row->caller, row->key};
-    loaded.request_order_.emplace(record.issued_at_ms, key);
+    loaded.request_order_.emplace(record.retain_from_ms, key);
     if (!loaded.requests_.emplace(key, std::move(record)).second) return false;
   }
   *this = std::move(loaded);
--- a/bilberrycourse/control_state_views.cc
+++ b/bilberrycourse/control_state_views.cc
@@ -103,8 +103,8 @@
        order != request_order_.end(); ++order) {
     const auto& key = order->second;
     const request_record& record = requests_.at(key);
-    // Only remembers abandoned runs whose request never began.
-    if (record.target.empty()) continue;
+    // A record without target only remembers abandoned runs.
+    if (record.target.empty() || record.issued_at_ms < since) continue;
     if (rows.size() >= limit) {
       truncated = true;
       break;
