Test the control state machine against an oracle

Cause: the promises about versions, change ids and at most one run hold for all orders of commands, so examples are not enough.

--- /dev/null
+++ b/bilberrycourse/testing/control_state_property_test.cc
@@ -0,0 +1,339 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <set>
+#include <sstream>
+#include <vector>
+
+#include "bilberrycourse/control_lease.h"
+#include "bilberrycourse/control_state.h"
+#include "bilberrycourse/testing/control_oracle.h"
+#include "rapidcheck.h"
+
+namespace bilberrycourse {
+namespace {
+
+// One step of a run; the fields are taken modulo what each kind allows, so
+// that every sequence is valid and shrinks well.
+using step = std::array<std::uint8_t, 6>;
+using steps = std::vector<step>;
+
+constexpr wall_time_ms kHour = 3600 * 1000;
+constexpr wall_time_ms kStart = 480000 * kHour;
+constexpr std::array<wall_time_ms, 10> kClockSteps = {
+    0, 0, 0, 1, 1000, kHour, 24 * kHour, 72 * kHour, -kHour, -30 * kHour};
+
+struct sample_document {
+  const char* text;
+  int content;
+};
+constexpr std::array<sample_document, 5> kDocuments = {{
+    {"{}", 0},
+    {R"({"services":{"a":{}}})", 1},
+    {R"({ "services": {"a": { }} })", 1},
+    {R"({"services":{"b":{}}})", 2},
+    {R"({"unknown":1})", -1},
+}};
+
+// Runs a sequence against control_state, a second control_state that is
+// reloaded from snapshots, and the oracle. It also plays the origins: a run
+// acts at most once, only on kRun, and never after it proposed to abandon.
+class simulation {
+ public:
+  // Without the oracle only the promises to callers are checked.
+  explicit simulation(control_fault fault, bool use_oracle = true)
+      : use_oracle_(use_oracle) {
+    options_.fault = fault;
+    options_.max_abandoned_runs = 1000;
+    state_ = control_state(options_);
+    reloaded_ = control_state(options_);
+  }
+
+  // Returns what went wrong first, or nothing.
+  std::string Run(const steps& sequence) {
+    for (const step& s : sequence) {
+      wall_ += kClockSteps[s[0] % kClockSteps.size()];
+      Step(s);
+      if (!problem_.empty()) return problem_;
+    }
+    if (state_.SaveSnapshot() != reloaded_.SaveSnapshot()) {
+      return "members differ";
+    }
+    return {};
+  }
+
+ private:
+  void Step(const step& s) {
+    switch (s[1] % 10) {
+      case 0:
+        reloaded_ = control_state(options_);
+        Check(reloaded_.LoadSnapshot(state_.SaveSnapshot()), "reload");
+        break;
+      case 1:
+        if (!sent_.empty()) Send(sent_[s[2] % sent_.size()]);
+        break;
+      case 2:
+      case 3: {
+        // Base versions around the current one make changes race.
+        const std::uint64_t base = oracle_.version() + (s[3] % 4 == 3 ? 1 : 0) -
+                                   (s[3] % 4 == 2 ? 1 : 0);
+        Send(config_change{"id" + std::to_string(s[2] % 12), base, "kim", "r",
+                           kDocuments[s[4] % kDocuments.size()].text});
+        break;
+      }
+      case 4:
+        Send(shard_set_record{"s", index_version{s[2] % 12u}, 1 + s[3] % 2u});
+        break;
+      case 5:
+      case 6:
+      case 7:
+        Send(Begin(s));
+        break;
+      case 8:
+        Send(request_finish{"app", Key(s), Run(s), result_code::kOk,
+                            "answer" + std::to_string(s[4] % 3)});
+        break;
+      default:
+        // An origin that acted never states that nothing ran.
+        if (!acted_.contains({Key(s), Run(s).run_id})) {
+          Begin(s);
+          abandoned_.insert({Key(s), Run(s).run_id});
+          Send(request_abandon{"app", Key(s), Run(s)});
+        }
+    }
+  }
+
+  static std::string Key(const step& s) {
+    return "k" + std::to_string(s[2] % 3);
+  }
+  // Origins use each run id once, so later steps use other ones.
+  request_run Run(const step& s) const {
+    return {"e1", 1 + s[3] % 6 + 6 * (sent_.size() / 40)};
+  }
+
+  // The request_begin of a run is created once, when the run first does
+  // anything, and may be sent any time later.
+  const request_begin& Begin(const step& s) {
+    const std::pair run(Key(s), Run(s).run_id);
+    const auto known = begins_.find(run);
+    return known != begins_.end() ? known->second : begins_[run] = NewBegin(s);
+  }
+
+  request_begin NewBegin(const step& s) {
+    const wall_time_ms now = std::max(oracle_.now(), wall_);
+    const wall_time_ms first = issued_.try_emplace(Key(s), now).first->second;
+    const std::array<wall_time_ms, 6> issued = {
+        first, first, first, now, now - 72 * kHour, now + kHour / 12 + 1};
+    return {"app",
+            Key(s),
+            Run(s),
+            "orders",
+            s[4] % 8 == 0 ? 2u : 1u,
+            issued[s[5] % issued.size()],
+            500,
+            false,
+            false};
+  }
+
+  void Send(control_command command) {
+    sent_.push_back(command);
+    oracle_.Advance(wall_);
+    const std::uint64_t index = state_.applied_index() + 1;
+    const std::uint64_t version_before = state_.config_version();
+    const auto outcome = state_.Apply(index, wall_, EncodeCommand(command));
+    Check(reloaded_.Apply(index, wall_, command) == outcome, "determinism");
+    const auto expected =
+        std::visit([this](const auto& c) { return Expect(c); }, command);
+    const control_oracle::verdict seen{outcome.code, outcome.version,
+                                       outcome.decision,
+                                       outcome.recorded_answer};
+    Check(seen == expected || !use_oracle_, "outcome");
+    const std::uint64_t version = state_.config_version();
+    Check(version == version_before || version == version_before + 1,
+          "version step");
+    Check(version == oracle_.version() || !use_oracle_, "version");
+    Check(reloaded_.config_version() == version, "version after reload");
+    Check(!use_oracle_ || state_.document().text() ==
+                              (oracle_.content() == 1   ? kDocuments[1].text
+                               : oracle_.content() == 2 ? kDocuments[3].text
+                                                        : "{}"),
+          "document");
+    if (const auto* begin = std::get_if<request_begin>(&command);
+        begin != nullptr && outcome.decision == request_decision::kRun) {
+      Act(*begin);
+    }
+  }
+
+  void Act(const request_begin& begin) {
+    const std::pair run(begin.key, begin.run.run_id);
+    // An origin that answered `not_run` has proposed to abandon.
+    Check(!abandoned_.contains(run), "run after not_run");
+    if (!acted_.insert(run).second) return;
+    // Another run may act only for a request that was issued later, and after
+    // the earlier one has aged out.
+    const auto [last, fresh] = last_acted_.try_emplace(begin.key);
+    Check(fresh || (begin.issued_at_ms > last->second &&
+                    oracle_.now() - last->second >= 72 * kHour),
+          "ran twice");
+    last->second = std::max(last->second, begin.issued_at_ms);
+  }
+
+  control_oracle::verdict Expect(const config_change& c) {
+    for (const auto& document : kDocuments) {
+      if (c.document == document.text) {
+        return oracle_.Change(c.change_id, c.base_version, document.content);
+      }
+    }
+    return {};
+  }
+  control_oracle::verdict Expect(const shard_set_record& c) {
+    return oracle_.ShardSet(static_cast<std::uint64_t>(c.version),
+                            c.shard_count);
+  }
+  control_oracle::verdict Expect(const request_begin& c) {
+    return oracle_.Begin(c);
+  }
+  control_oracle::verdict Expect(const request_finish& c) {
+    return oracle_.Finish(c);
+  }
+  control_oracle::verdict Expect(const request_abandon& c) {
+    return oracle_.Abandon(c);
+  }
+  control_oracle::verdict Expect(const exception_add&) { return {}; }
+  control_oracle::verdict Expect(const exception_remove&) { return {}; }
+
+  void Check(bool holds, const char* what) {
+    if (!holds && problem_.empty()) problem_ = what;
+  }
+
+  bool use_oracle_;
+  control_state_options options_;
+  control_state state_;
+  control_state reloaded_;
+  control_oracle oracle_;
+  wall_time_ms wall_ = kStart;
+  std::string problem_;
+  std::vector<control_command> sent_;
+  std::map<std::pair<std::string, std::uint64_t>, request_begin> begins_;
+  std::map<std::string, wall_time_ms> issued_;
+  std::map<std::string, wall_time_ms> last_acted_;
+  std::set<std::pair<std::string, std::uint64_t>> acted_;
+  std::set<std::pair<std::string, std::uint64_t>> abandoned_;
+};
+
+rc::detail::TestParams Params(int max_success, int max_size) {
+  rc::detail::TestParams params = rc::detail::configuration().testParams;
+  if (std::getenv("RC_PARAMS") == nullptr) params.seed = 20261204;
+  params.maxSuccess = max_success;
+  params.maxSize = max_size;
+  return params;
+}
+
+void ExpectHolds(const rc::detail::TestResult& result) {
+  std::ostringstream message;
+  rc::detail::printResultMessage(result, message);
+  EXPECT_TRUE(result.is<rc::detail::SuccessResult>()) << message.str();
+}
+
+// Guards against lost changes, changes accepted twice, versions that go down,
+// second runs of a request and members that disagree, for racing, repeated
+// and delayed commands, clocks that jump, and reloads at any point.
+TEST(control_state_property_test, Apply_AnySequence_AgreesWithOracle) {
+  ExpectHolds(rc::detail::checkTestable(
+      [](const steps& sequence) {
+        const std::string problem =
+            simulation(control_fault::kNone).Run(sequence);
+        if (!problem.empty()) RC_FAIL(problem);
+      },
+      rc::detail::TestMetadata{}, Params(20000, 300)));
+}
+
+struct fault_case {
+  control_fault fault;
+  const char* name;
+  // Promise to callers that the fault breaks, if any.
+  const char* promise = "";
+};
+
+// Guards against checks that pass whatever the state machine does.
+TEST(control_state_property_test, Apply_DeliberateFault_IsDetected) {
+  constexpr fault_case kFaults[] = {
+      {control_fault::kAcceptStaleBase, "accept stale base"},
+      {control_fault::kForgetChangeIds, "forget change ids"},
+      {control_fault::kForgetChangeIdsInSnapshot, "forget ids in snapshot"},
+      {control_fault::kAcceptReusedChangeId, "accept reused change id"},
+      {control_fault::kRevertVersionOnReload, "revert version on reload"},
+      {control_fault::kRunWhileRunning, "run while running", "ran twice"},
+      {control_fault::kRunAfterFinish, "run after finish", "ran twice"},
+      {control_fault::kFinishByAnyRun, "finish by any run"},
+      {control_fault::kAbandonByAnyRun, "abandon by any run", "ran twice"},
+      {control_fault::kIgnoreBodyHash, "ignore body hash"},
+      {control_fault::kExpireLedgerEarly, "expire ledger early", "ran twice"},
+      {control_fault::kAcceptExpiredKey, "accept expired key", "ran twice"},
+      {control_fault::kForgetAbandonedRuns, "forget abandoned runs",
+       "run after not_run"},
+      {control_fault::kClockGoesBack, "clock goes back"},
+      {control_fault::kShardSetLastWins, "last shard set wins"},
+  };
+  for (const auto& [fault, name, promise] : kFaults) {
+    std::string problem;
+    bool promise_broken = std::string_view(promise).empty();
+    int runs = 0;
+    while ((problem.empty() || !promise_broken) && runs < 2000) {
+      const auto sequence = rc::gen::arbitrary<steps>()(
+          rc::Random(static_cast<std::uint64_t>(++runs)), 300);
+      if (problem.empty()) problem = simulation(fault).Run(sequence.value());
+      promise_broken =
+          promise_broken ||
+          simulation(fault, false).Run(sequence.value()) == promise;
+      // Only the fault may make the difference.
+      ASSERT_EQ(simulation(control_fault::kNone).Run(sequence.value()), "");
+    }
+    EXPECT_NE(problem, "") << name;
+    EXPECT_TRUE(promise_broken) << name;
+    std::cout << "fault: " << name << "; found within " << runs
+              << " sequences as: " << problem << " " << promise << "\n";
+  }
+}
+
+// Guards against a lease that is valid without a confirmation of an applied
+// version in the last 2 s, and against an applied version that goes down.
+TEST(control_state_property_test, Lease_AnyEvents_IsValidOnlyWhenConfirmed) {
+  ExpectHolds(rc::detail::checkTestable(
+      [](const steps& sequence) {
+        control_lease lease;
+        time_point now{};
+        std::uint64_t applied = 0;
+        // Times and versions of all confirmations.
+        std::vector<std::pair<time_point, std::uint64_t>> seen;
+        for (const step& s : sequence) {
+          now += std::chrono::milliseconds(s[0] * 4);
+          const duration age = std::chrono::milliseconds(s[1] * 8);
+          const std::uint64_t version = applied + s[3] % 3;
+          if (s[2] % 3 == 0) {
+            RC_ASSERT(lease.OnApplied(version) == (version > applied));
+            applied = std::max(applied, version);
+          } else {
+            s[2] % 3 == 1 ? lease.OnConfirmed(now, age, version)
+                          : lease.OnRelayed(now, age, version);
+            seen.emplace_back(now - age, version);
+          }
+          RC_ASSERT(lease.applied_version() == applied);
+          const bool confirmed = std::ranges::any_of(seen, [&](const auto& c) {
+            return c.second <= applied &&
+                   c.first + std::chrono::milliseconds(1980) > now;
+          });
+          // A confirmation kept aside may be dropped for a newer one, so the
+          // lease may end early, but never late.
+          RC_ASSERT(confirmed || !lease.Valid(now));
+        }
+      },
+      rc::detail::TestMetadata{}, Params(5000, 100)));
+}
+
+}  // namespace
+}  // namespace bilberrycourse
