--- a/bench/http_pool.cc
+++ b/bench/http_pool.cc
@@ -39,6 +39,19 @@
 
 asio::awaitable<http_reply> http_pool::Send(http_request request,
                                             clock::time_point deadline) {
+  if (in_use_ >= max_connections_) {
+    http_reply reply;
+    reply.failure = http_failure::kNotConnected;
+    co_return reply;
+  }
+  ++in_use_;
+  http_reply reply = co_await SendOnce(std::move(request), deadline);
+  --in_use_;
+  co_return reply;
+}
+
+asio::awaitable<http_reply> http_pool::SendOnce(http_request request,
+                                                clock::time_point deadline) {
   http_reply reply;
   stream_ptr stream = TakeIdle();
   if (!stream) {
--- a/bench/http_pool.h
+++ b/bench/http_pool.h
@@ -40,12 +40,15 @@
   using http_request =
       boost::beast::http::request<boost::beast::http::string_body>;
 
-  http_pool(const tcp_endpoint& endpoint, boost::asio::io_context* context)
-      : endpoint_(endpoint), context_(context) {}
+  // Requests beyond `max_connections` fail at once as kNotConnected.
+  http_pool(const tcp_endpoint& endpoint, std::size_t max_connections,
+            boost::asio::io_context* context)
+      : endpoint_(endpoint),
+        max_connections_(max_connections),
+        context_(context) {}
 
   boost::asio::awaitable<http_reply> Send(http_request request,
                                           clock::time_point deadline);
-  const tcp_endpoint& endpoint() const { return endpoint_; }
 
  private:
   using stream_ptr = std::unique_ptr<boost::beast::tcp_stream>;
@@ -53,8 +56,13 @@
   // Returns an idle connection that the peer has not closed; null if none.
   stream_ptr TakeIdle();
 
+  boost::asio::awaitable<http_reply> SendOnce(http_request request,
+                                              clock::time_point deadline);
+
   tcp_endpoint endpoint_;
+  const std::size_t max_connections_;
   boost::asio::io_context* context_;
+  std::size_t in_use_ = 0;
   std::vector<stream_ptr> idle_;
 };
 
--- a/bench/load_generator.cc
+++ b/bench/load_generator.cc
@@ -19,12 +19,24 @@
 namespace json = boost::json;
 
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
-// Pause of the baseline before it tries another replica after a shed answer
-// or a closed connection; without it a busy shard makes the generator spin.
+// Pause of the baseline before it tries another replica after a shed answer;
+// without it a busy shard makes the generator spin.
 constexpr auto kDirectRetryPause = std::chrono::milliseconds(1);
 constexpr auto kResendPause = std::chrono::milliseconds(200);
 constexpr std::uint16_t kNoEntry = std::numeric_limits<std::uint16_t>::max();
 
+struct finding_row {
+  std::string_view name;
+  std::int64_t load_findings::*value;
+};
+constexpr finding_row kFindings[] = {
+    {"mixed_answers", &load_findings::mixed_answers},
+    {"foreign_results", &load_findings::foreign_results},
+    {"coverage_mismatches", &load_findings::coverage_mismatches},
+    {"unnamed_missing", &load_findings::unnamed_missing},
+    {"reconnects", &load_findings::reconnects},
+};
+
 double DoubleOr(const json::object& object, std::string_view name,
                 double fallback) {
   const auto* value = object.if_contains(name);
@@ -129,6 +141,9 @@
   options.seed = static_cast<std::uint64_t>(IntegerOr(object, "seed", 1));
   options.caller_delay_us = IntegerOr(object, "caller_delay_us", 0);
   options.grace_ms = IntegerOr(object, "grace_ms", options.grace_ms);
+  options.threads =
+      std::clamp<std::int64_t>(IntegerOr(object, "threads", 1), 1, 16);
+  options.direct_connections = IntegerOr(object, "direct_connections", 25);
   options.list_tokens = BoolOr(object, "list_tokens", false);
   for (const auto& stream : object.at("streams").as_array()) {
     options.streams.push_back(ParseStream(stream.as_object()));
@@ -157,6 +172,20 @@
   return options;
 }
 
+load_options PartOf(load_options options, std::int64_t thread) {
+  options.seed += static_cast<std::uint64_t>(thread) << 32;
+  options.direct_connections =
+      std::max<std::int64_t>(1, options.direct_connections / options.threads);
+  for (auto& stream : options.streams) {
+    if (!stream.fixed_interval) {
+      stream.rate /= static_cast<double>(options.threads);
+    } else if (thread > 0) {
+      stream.rate = 0;
+    }
+  }
+  return options;
+}
+
 load_generator::load_generator(load_options options, asio::io_context* context)
     : options_(std::move(options)),
       context_(context),
@@ -164,8 +193,21 @@
       caller_names_(CallerNames(options_)),
       report_(StreamNames(options_), caller_names_, options_.entry_names) {}
 
-void load_generator::Start() {
-  start_ = clock::now();
+void load_generator::Merge(const load_generator& other) {
+  report_.Merge(other.report_);
+  for (const auto& row : kFindings) {
+    findings_.*row.value += other.findings_.*row.value;
+  }
+  for (const auto& [code, count] : other.codes_) codes_[code] += count;
+  for (const auto& [snapshot, count] : other.snapshots_) {
+    snapshots_[snapshot] += count;
+  }
+  token_outcomes_.insert(other.token_outcomes_.begin(),
+                         other.token_outcomes_.end());
+}
+
+void load_generator::Start(clock::time_point start) {
+  start_ = start;
   for (std::size_t i = 0; i < options_.streams.size(); ++i) {
     asio::co_spawn(*context_, Generate(i), asio::detached);
   }
@@ -200,7 +242,13 @@
 
 http_pool* load_generator::PoolOf(const tcp_endpoint& endpoint) {
   auto& pool = pools_[endpoint];
-  if (!pool) pool = std::make_unique<http_pool>(endpoint, context_);
+  if (!pool) {
+    const auto limit =
+        options_.direct.empty()
+            ? std::numeric_limits<std::size_t>::max()
+            : static_cast<std::size_t>(options_.direct_connections);
+    pool = std::make_unique<http_pool>(endpoint, limit, context_);
+  }
   return pool.get();
 }
 
@@ -255,12 +303,8 @@
       Microseconds(clock::now() - intended) + 2 * options_.caller_delay_us);
   state.sample.within_deadline =
       state.sample.latency_us <= 1000 * stream.deadline_ms &&
-      (state.sample.outcome == load_outcome::kComplete ||
-       state.sample.outcome == load_outcome::kPartial);
+      state.sample.outcome == load_outcome::kComplete;
   report_.Add(state.sample);
-  if (!state.token.empty() && options_.list_tokens) {
-    token_outcomes_[state.token] = std::string(Name(state.sample.outcome));
-  }
 }
 
 asio::awaitable<void> load_generator::RunTier(const load_stream& stream,
@@ -292,6 +336,11 @@
     const http_reply reply = co_await SendToTier(request, state);
     Evaluate(stream, reply, state);
     const load_outcome outcome = state->sample.outcome;
+    if (!state->token.empty() && options_.list_tokens) {
+      auto& outcomes = token_outcomes_[state->token];
+      if (!outcomes.empty()) outcomes += ' ';
+      outcomes += Name(outcome);
+    }
     if (state->token.empty() || round >= stream.resends ||
         outcome == load_outcome::kComplete) {
       co_return;
@@ -318,7 +367,7 @@
     state->sample.entry = static_cast<std::uint16_t>(entry);
     reply = co_await PoolOf(options_.entries[entry])->Send(request, last);
     if (reply.failure != http_failure::kNotConnected) break;
-    ++reconnects_;
+    ++findings_.reconnects;
   }
   co_return reply;
 }
@@ -365,7 +414,7 @@
         if (AttemptSent(shard.as_object())) ++sample.first_attempts;
       }
     }
-    if (sample.searched + named != sample.total) ++unnamed_missing_;
+    if (sample.searched + named != sample.total) ++findings_.unnamed_missing;
   }
   const std::string snapshot = ScalarText(answer.if_contains("snapshot"));
   if (sample.outcome == load_outcome::kComplete ||
@@ -380,7 +429,7 @@
                                   const request_state& state) {
   const auto* results = answer.if_contains("results");
   if (results == nullptr || !results->is_array()) {
-    ++coverage_mismatches_;
+    ++findings_.coverage_mismatches;
     return;
   }
   bool mixed = false;
@@ -403,10 +452,10 @@
     shards.emplace(StringOr(fields, "service", ""),
                    IntegerOr(fields, "shard", -1));
   }
-  if (mixed) ++mixed_answers_;
-  if (foreign) ++foreign_results_;
+  if (mixed) ++findings_.mixed_answers;
+  if (foreign) ++findings_.foreign_results;
   // Coverage counts distinct shards; it must match the results that came.
-  if (shards.size() != state.sample.searched) ++coverage_mismatches_;
+  if (shards.size() != state.sample.searched) ++findings_.coverage_mismatches;
 }
 
 asio::awaitable<void> load_generator::RunDirect(const load_stream& stream,
@@ -430,7 +479,7 @@
   state->sample.outcome = query->searched == shards.size()
                               ? load_outcome::kComplete
                               : load_outcome::kPartial;
-  if (query->mixed) ++mixed_answers_;
+  if (query->mixed) ++findings_.mixed_answers;
 }
 
 asio::awaitable<void> load_generator::RunDirectShard(
@@ -441,7 +490,8 @@
     http::request<http::string_body> request(http::verb::post, "/attempt", 11,
                                              body);
     request.set(http::field::host, "searcher");
-    request.set("X-Attempt-Id", "direct-" + std::to_string(next_request_++));
+    request.set("X-Attempt-Id", "direct-" + std::to_string(options_.seed) +
+                                    "-" + std::to_string(next_request_++));
     request.set("X-Deadline-Ms",
                 std::to_string(Microseconds(deadline - clock::now()) / 1000));
     request.prepare_payload();
@@ -474,11 +524,7 @@
                                         static_cast<std::int64_t>(to * 1e6)));
   }
   report["windows"] = std::move(windows);
-  report["mixed_answers"] = mixed_answers_;
-  report["foreign_results"] = foreign_results_;
-  report["coverage_mismatches"] = coverage_mismatches_;
-  report["unnamed_missing"] = unnamed_missing_;
-  report["reconnects"] = reconnects_;
+  for (const auto& row : kFindings) report[row.name] = findings_.*row.value;
   report["codes"] = json::value_from(codes_);
   report["snapshots"] = json::value_from(snapshots_);
   if (options_.list_tokens) {
--- a/bench/load_generator.h
+++ b/bench/load_generator.h
@@ -4,7 +4,7 @@
 // Open-loop load over HTTP.
 //
 //   load_generator generator(ParseLoadOptions(json), &context);
-//   generator.Start();
+//   generator.Start(std::chrono::steady_clock::now());
 //   context.run();
 //   std::cout << generator.Report();
 //
@@ -62,6 +62,8 @@
   std::vector<tcp_endpoint> entries;
   std::vector<std::string> entry_names;
   double seconds = 10;
+  // Threads that share the load; each sends a part of the rate.
+  std::int64_t threads = 1;
   std::uint64_t seed = 1;
   // One-way delay between callers and entry instances; added to the measured
   // times twice.
@@ -74,23 +76,43 @@
   // Baseline: replicas by target and shard; requests go directly to one
   // replica of each shard, chosen uniformly.
   std::map<std::string, std::vector<std::vector<tcp_endpoint>>> direct;
-  // Lists the outcome of each non-idempotent request.
+  // Connections to one searcher in the baseline; without this limit a short
+  // stall makes the searchers close hundreds of connections.
+  std::int64_t direct_connections = 25;
+  // Lists the outcomes of the rounds of each non-idempotent request.
   bool list_tokens = false;
 };
 
 // Throws std::exception if `object` is not valid.
 load_options ParseLoadOptions(const boost::json::object& object);
 
+// Returns the part of one thread. The sum of independent Poisson processes is
+// a Poisson process of the summed rate; streams with a fixed interval belong
+// to the first thread.
+load_options PartOf(load_options options, std::int64_t thread);
+
+// Counts of answers that break a promise, and of repeated connections.
+struct load_findings {
+  std::int64_t mixed_answers = 0;
+  std::int64_t foreign_results = 0;
+  std::int64_t coverage_mismatches = 0;
+  std::int64_t unnamed_missing = 0;
+  std::int64_t reconnects = 0;
+};
+
 class load_generator {
  public:
+  using clock = std::chrono::steady_clock;
+
   load_generator(load_options options, boost::asio::io_context* context);
 
-  void Start();
+  // Intended times count from `start`.
+  void Start(clock::time_point start);
+  // Adds the results of another generator of the same load that has ended.
+  void Merge(const load_generator& other);
   boost::json::object Report() const;
 
  private:
-  using clock = std::chrono::steady_clock;
-
   struct request_state {
     load_sample sample;
     std::string content_id;
@@ -139,11 +161,7 @@
   std::map<tcp_endpoint, std::unique_ptr<http_pool>> pools_;
   load_report report_;
   std::uint64_t next_request_ = 0;
-  std::int64_t mixed_answers_ = 0;
-  std::int64_t foreign_results_ = 0;
-  std::int64_t coverage_mismatches_ = 0;
-  std::int64_t unnamed_missing_ = 0;
-  std::int64_t reconnects_ = 0;
+  load_findings findings_;
   std::map<std::string, std::int64_t> codes_;
   std::map<std::string, std::int64_t> snapshots_;
   std::map<std::string, std::string> token_outcomes_;
--- a/bench/load_generator_main.cc
+++ b/bench/load_generator_main.cc
@@ -6,14 +6,16 @@
 // object from instance name to address.
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/json.hpp>
 #include <boost/program_options.hpp>
 #include <exception>
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "bench/load_generator.h"
 
@@ -24,12 +26,27 @@
   std::ifstream stream(path);
   if (!stream) throw std::runtime_error("cannot read " + path);
   const std::string text(std::istreambuf_iterator<char>(stream), {});
-  boost::asio::io_context context(1);
-  load_generator generator(
-      ParseLoadOptions(boost::json::parse(text).as_object()), &context);
-  generator.Start();
-  context.run();
-  std::cout << boost::json::serialize(generator.Report()) << std::endl;
+  const load_options options =
+      ParseLoadOptions(boost::json::parse(text).as_object());
+  std::vector<std::unique_ptr<boost::asio::io_context>> contexts;
+  std::vector<std::unique_ptr<load_generator>> generators;
+  const auto start = load_generator::clock::now();
+  for (std::int64_t i = 0; i < options.threads; ++i) {
+    contexts.push_back(std::make_unique<boost::asio::io_context>(1));
+    generators.push_back(std::make_unique<load_generator>(
+        PartOf(options, i), contexts.back().get()));
+    generators.back()->Start(start);
+  }
+  {
+    std::vector<std::jthread> threads;
+    for (auto& context : contexts) {
+      threads.emplace_back([&context] { context->run(); });
+    }
+  }
+  for (std::size_t i = 1; i < generators.size(); ++i) {
+    generators[0]->Merge(*generators[i]);
+  }
+  std::cout << boost::json::serialize(generators[0]->Report()) << std::endl;
 }
 
 }  // namespace
--- a/bench/load_report.cc
+++ b/bench/load_report.cc
@@ -91,6 +91,10 @@
       callers_(std::move(callers)),
       entries_(std::move(entries)) {}
 
+void load_report::Merge(const load_report& other) {
+  samples_.insert(samples_.end(), other.samples_.begin(), other.samples_.end());
+}
+
 json::object load_report::Summarize(std::int64_t from_us,
                                     std::int64_t to_us) const {
   group_sum all;
--- a/bench/load_report.h
+++ b/bench/load_report.h
@@ -47,6 +47,7 @@
   std::uint16_t caller = 0;
   std::uint16_t entry = 0;
   load_outcome outcome = load_outcome::kMalformed;
+  // Complete and within the deadline.
   bool within_deadline = false;
   // Shards of the answer that were searched, and all shards.
   std::uint16_t searched = 0;
@@ -63,6 +64,8 @@
               std::vector<std::string> entries);
 
   void Add(const load_sample& sample) { samples_.push_back(sample); }
+  // Takes the samples of a report with the same names.
+  void Merge(const load_report& other);
   // Summarizes the samples with from_us <= start_us < to_us.
   boost::json::object Summarize(std::int64_t from_us, std::int64_t to_us) const;
 
