Tell slow callers that they are too slow; test the adapters

Cause: a caller whose request did not arrive within the read timeout lost its connection without an answer, because the stream's own timeout closes the socket. Found by http_server_test with a body that is half sent. Change: a timer cancels the read and the problem 111 is written; connections that end after a problem are drained for at most 1 s, so that unread input does not reset them. Tests of settings, peer links and the HTTP server.

--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -1,5 +1,6 @@
 #include "app/http_server.h"
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
@@ -18,6 +19,8 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
+constexpr std::chrono::seconds kDrainTime{1};
+
 result_code CodeOfReadError(const beast::error_code& error) {
   if (error == http::error::body_limit || error == http::error::header_limit) {
     return result_code::kRequestTooLarge;
@@ -72,7 +75,9 @@
 class http_server::session : public std::enable_shared_from_this<session> {
  public:
   session(std::shared_ptr<impl> server, tcp::socket socket)
-      : server_(std::move(server)), stream_(std::move(socket)) {
+      : server_(std::move(server)),
+        stream_(std::move(socket)),
+        timer_(server_->executor_) {
     boost::system::error_code ignored;
     stream_.socket().set_option(tcp::no_delay(true), ignored);
   }
@@ -107,17 +112,31 @@
   }
 
  private:
+  // The timeout of tcp_stream would close the socket, so that a caller that is
+  // too slow could not be told; a timer that only cancels the read leaves the
+  // socket open for the answer.
   void ReadRequest() {
-    stream_.expires_after(server_->options_.read_timeout);
+    timed_out_ = false;
+    timer_.expires_after(server_->options_.read_timeout);
+    timer_.async_wait([self = shared_from_this()](const beast::error_code& e) {
+      if (e || !self->reading_head_ || self->closed_) return;
+      self->timed_out_ = true;
+      beast::error_code ignored;
+      self->stream_.socket().cancel(ignored);
+    });
     http::async_read(
         stream_, buffer_, *parser_,
         [self = shared_from_this()](const beast::error_code& error,
                                     std::size_t) { self->ReadDone(error); });
   }
 
-  void ReadDone(const beast::error_code& error) {
+  void ReadDone(beast::error_code error) {
     reading_head_ = false;
+    timer_.cancel();
     if (closed_) return;
+    if (error == asio::error::operation_aborted && timed_out_) {
+      error = beast::error::timeout;
+    }
     if (error == http::error::end_of_stream ||
         (error && !IsInputError(error))) {
       return Close();
@@ -127,7 +146,6 @@
       ++server_->pending_;
       return Write(ProblemResponse(CodeOfReadError(error)));
     }
-    stream_.expires_never();
     Handle();
   }
 
@@ -199,18 +217,43 @@
 
   void WriteDone(const beast::error_code& error) {
     --server_->pending_;
-    if (error || !response_.keep_alive()) return Close();
+    if (error) return Close();
+    if (!response_.keep_alive()) return CloseGracefully();
     Read();
   }
 
+  // Closing a socket with unread input resets the connection, and the caller
+  // could lose the answer. What it still sends is read and dropped, up to a
+  // bound in time and size.
+  void CloseGracefully() {
+    beast::error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    stream_.expires_after(kDrainTime);
+    Drain(server_->options_.max_request_bytes);
+  }
+
+  void Drain(std::size_t left) {
+    if (closed_) return;
+    stream_.async_read_some(
+        asio::buffer(drained_),
+        [self = shared_from_this(), left](const beast::error_code& error,
+                                          std::size_t size) {
+          if (error || size >= left) return self->Close();
+          self->Drain(left - size);
+        });
+  }
+
   std::shared_ptr<impl> server_;
   beast::tcp_stream stream_;
+  asio::steady_timer timer_;
   beast::flat_buffer buffer_;
+  std::array<char, 4096> drained_{};
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> response_;
   std::shared_ptr<std::function<void()>> on_disconnect_;
   bool keep_alive_ = true;
   bool reading_head_ = false;
+  bool timed_out_ = false;
   bool closed_ = false;
 };
 
--- /dev/null
+++ b/app/testing/http_server_test.cc
@@ -0,0 +1,135 @@
+#include "app/http_server.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace bilberrycourse {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+class http_server_test : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    {
+      asio::io_context probe;
+      tcp::acceptor acceptor(probe, {asio::ip::make_address("127.0.0.1"), 0});
+      port_ = acceptor.local_endpoint().port();
+    }
+    http_server_options options;
+    options.listen = {"127.0.0.1", port_};
+    options.max_request_bytes = 2048;
+    options.read_timeout = std::chrono::milliseconds(200);
+    server_ = std::make_unique<http_server>(
+        context_.get_executor(), options,
+        [this](http_request request, http_responder respond) {
+          if (request.path == "/slow") {
+            waiting_.push_back(std::move(respond));
+            return;
+          }
+          respond({200, "text/plain", request.method + request.body, 0});
+        });
+    ASSERT_TRUE(server_->Listen());
+    thread_ = std::thread([this] { context_.run(); });
+  }
+
+  void TearDown() override {
+    asio::post(context_, [this] {
+      server_->Close();
+      context_.stop();
+    });
+    thread_.join();
+  }
+
+  // Sends raw bytes and returns what comes back until the server closes the
+  // connection or `until` has arrived.
+  std::string Exchange(const std::string& bytes, const std::string& until) {
+    asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), port_});
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(bytes), error);
+    std::string answer;
+    char buffer[4096];
+    while (!error && answer.find(until) == std::string::npos) {
+      const std::size_t size = socket.read_some(asio::buffer(buffer), error);
+      answer.append(buffer, size);
+    }
+    return answer;
+  }
+
+  asio::io_context context_;
+  std::uint16_t port_ = 0;
+  std::unique_ptr<http_server> server_;
+  std::vector<http_responder> waiting_;
+  std::thread thread_;
+};
+
+TEST_F(http_server_test, Request_Valid_ReachesHandler) {
+  const std::string answer = Exchange(
+      "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi", "POSThi");
+  EXPECT_EQ(answer.substr(0, 15), "HTTP/1.1 200 OK");
+}
+
+// Guards against a dropped connection without a numbered error: each row is
+// input that cannot reach the handler.
+TEST_F(http_server_test, Request_BadInput_GetsNumberedProblem) {
+  const struct {
+    std::string bytes;
+    std::string status;
+    std::string code;
+  } rows[] = {
+      {"nonsense\r\n\r\n", "400", "\"code\":101"},
+      {"GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n", "400", "\"code\":101"},
+      {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4096\r\n\r\n" +
+           std::string(4096, 'x'),
+       "413", "\"code\":102"},
+      {"GET / HTTP/1.1\r\nX-Long: " + std::string(20000, 'x') + "\r\n\r\n",
+       "413", "\"code\":102"},
+      {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nhalf", "408",
+       "\"code\":111"},
+  };
+  for (const auto& row : rows) {
+    const std::string answer = Exchange(row.bytes, row.code);
+    EXPECT_NE(answer.find("HTTP/1.1 " + row.status), std::string::npos)
+        << row.bytes.substr(0, 60) << "\n"
+        << answer;
+    EXPECT_NE(answer.find(row.code), std::string::npos) << answer;
+    EXPECT_NE(answer.find("application/problem+json"), std::string::npos);
+  }
+}
+
+// Guards against a shutdown that cuts off a request in flight.
+TEST_F(http_server_test, StopAccepting_RequestInFlight_IsAnswered) {
+  std::string answer;
+  std::thread caller([&] {
+    answer = Exchange("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n", "done");
+  });
+  // The handler runs on the server's thread; wait for it there.
+  for (bool arrived = false; !arrived;) {
+    std::promise<bool> seen;
+    asio::post(context_, [&] { seen.set_value(!waiting_.empty()); });
+    arrived = seen.get_future().get();
+  }
+  asio::post(context_, [this] {
+    server_->StopAccepting();
+    EXPECT_EQ(server_->pending(), 1u);
+    waiting_.front()({200, "text/plain", "done", 0});
+  });
+  caller.join();
+  EXPECT_NE(answer.find("done"), std::string::npos);
+  EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace bilberrycourse
--- /dev/null
+++ b/app/testing/peer_transport_test.cc
@@ -0,0 +1,173 @@
+#include "app/peer_transport.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "app/frames.h"
+
+namespace bilberrycourse {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+class recording_handler : public peer_transport_handler {
+ public:
+  void OnPeerConnected(const instance_name& peer) override {
+    connected.push_back(peer);
+  }
+  void OnPeerDisconnected(const instance_name& peer) override {
+    disconnected.push_back(peer);
+  }
+  void OnPeerFrame(const instance_name& peer,
+                   const wire::peer_frame& frame) override {
+    if (const auto* gossip = frame.payload_as_gossip()) {
+      frames.push_back(peer + ":" + ToText(gossip->payload()));
+    }
+  }
+
+  std::vector<std::string> connected;
+  std::vector<std::string> disconnected;
+  std::vector<std::string> frames;
+};
+
+std::uint16_t FreePort() {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+  return acceptor.local_endpoint().port();
+}
+
+class peer_transport_test : public ::testing::Test {
+ protected:
+  struct node {
+    recording_handler handler;
+    std::unique_ptr<peer_transport> transport;
+    std::string address;
+  };
+
+  std::unique_ptr<node> Start(const std::string& name, const std::string& key) {
+    auto started = std::make_unique<node>();
+    peer_transport_options options;
+    options.self = name;
+    options.listen = {"127.0.0.1", FreePort()};
+    options.shared_key = key;
+    options.handshake_timeout = std::chrono::milliseconds(300);
+    started->address = options.listen.ToText();
+    started->transport = std::make_unique<peer_transport>(
+        context_.get_executor(), options, &started->handler);
+    EXPECT_TRUE(started->transport->Listen());
+    return started;
+  }
+
+  // Runs until the condition holds; gives up after a generous time.
+  template <typename Condition>
+  bool RunUntil(Condition condition) {
+    const auto end =
+        std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!condition()) {
+      if (std::chrono::steady_clock::now() > end) return false;
+      context_.restart();
+      context_.run_for(std::chrono::milliseconds(10));
+    }
+    return true;
+  }
+
+  static wire::peer_frameT Text(const std::string& text) {
+    wire::gossipT gossip;
+    gossip.payload = ToBytes(text);
+    return MakeFrame(std::move(gossip));
+  }
+
+  asio::io_context context_;
+};
+
+TEST_F(peer_transport_test, Dial_SameKey_CarriesFramesBothWays) {
+  auto a = Start("a", "a-long-shared-key");
+  auto b = Start("b", "a-long-shared-key");
+  a->transport->Dial(b->address);
+  ASSERT_TRUE(RunUntil([&] {
+    return a->transport->Connected("b") && b->transport->Connected("a");
+  }));
+  EXPECT_TRUE(a->transport->Send("b", Text("one")));
+  EXPECT_TRUE(b->transport->Send("a", Text("two")));
+  ASSERT_TRUE(RunUntil([&] {
+    return a->handler.frames.size() == 1 && b->handler.frames.size() == 1;
+  }));
+  EXPECT_EQ(b->handler.frames[0], "a:one");
+  EXPECT_EQ(a->handler.frames[0], "b:two");
+}
+
+// Guards against a stranger who is taken for a peer.
+TEST_F(peer_transport_test, Dial_OtherKey_IsRejected) {
+  auto a = Start("a", "a-long-shared-key");
+  auto b = Start("b", "another-shared-key");
+  a->transport->Dial(b->address);
+  ASSERT_TRUE(
+      RunUntil([&] { return b->transport->counters().rejected_links == 1; }));
+  EXPECT_FALSE(a->transport->Connected("b"));
+  EXPECT_FALSE(b->transport->Connected("a"));
+  EXPECT_TRUE(b->handler.connected.empty());
+}
+
+// Guards against strangers who hold connections or memory by saying nothing
+// or by announcing a large frame.
+TEST_F(peer_transport_test, Accept_SilentOrOversized_IsClosed) {
+  auto a = Start("a", "a-long-shared-key");
+  socket_address address;
+  ASSERT_TRUE(ParseSocketAddress(a->address, &address));
+  const tcp::endpoint endpoint(asio::ip::make_address(address.ip),
+                               address.port);
+  tcp::socket silent(context_);
+  silent.connect(endpoint);
+  tcp::socket oversized(context_);
+  oversized.connect(endpoint);
+  const std::string length("\xff\xff\xff\x7f", 4);
+  asio::write(oversized, asio::buffer(length));
+  EXPECT_TRUE(
+      RunUntil([&] { return a->transport->counters().rejected_links == 2; }));
+}
+
+// Guards against two links between two instances, of which one side uses one
+// and the other side the other.
+TEST_F(peer_transport_test, Dial_BothAtOnce_OneLinkStays) {
+  auto a = Start("a", "a-long-shared-key");
+  auto b = Start("b", "a-long-shared-key");
+  a->transport->Dial(b->address);
+  b->transport->Dial(a->address);
+  ASSERT_TRUE(RunUntil([&] {
+    return a->transport->Connected("b") && b->transport->Connected("a");
+  }));
+  context_.restart();
+  context_.run_for(std::chrono::milliseconds(100));
+  for (int i = 0; i < 10; ++i) {
+    a->transport->Send("b", Text("ping"));
+    b->transport->Send("a", Text("pong"));
+  }
+  ASSERT_TRUE(RunUntil([&] {
+    return a->handler.frames.size() == 10 && b->handler.frames.size() == 10;
+  }));
+  EXPECT_EQ(a->handler.connected.size(), 1u);
+  EXPECT_TRUE(a->handler.disconnected.empty());
+  EXPECT_TRUE(b->handler.disconnected.empty());
+}
+
+TEST_F(peer_transport_test, Close_OneSide_OtherSideIsTold) {
+  auto a = Start("a", "a-long-shared-key");
+  auto b = Start("b", "a-long-shared-key");
+  a->transport->Dial(b->address);
+  ASSERT_TRUE(RunUntil([&] { return b->transport->Connected("a"); }));
+  a->transport->Close();
+  EXPECT_TRUE(RunUntil([&] { return b->handler.disconnected.size() == 1; }));
+  EXPECT_FALSE(b->transport->Send("a", Text("lost")));
+}
+
+}  // namespace
+}  // namespace bilberrycourse
--- /dev/null
+++ b/app/testing/settings_test.cc
@@ -0,0 +1,155 @@
+#include "app/settings.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <cstdio>
+#include <fstream>
+#include <string>
+#include <vector>
+
+#include "bilberrycourse/result_code.h"
+
+namespace bilberrycourse {
+namespace {
+
+namespace leaf = boost::leaf;
+
+class settings_test : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    secret_file_ = ::testing::TempDir() + "settings_test_secret";
+    std::ofstream(secret_file_) << "0123456789abcdef0123456789abcdef\n";
+  }
+
+  void TearDown() override { std::remove(secret_file_.c_str()); }
+
+  std::string ValidText() const {
+    return "[instance]\nname=e1\navailability_zone=z1\nrole=entry,control\n"
+           "[listen]\ncaller=127.0.0.1:8001\npeer=127.0.0.1:9001\n"
+           "[peers]\nseeds=127.0.0.1:9001,127.0.0.1:9002\nshared_key_file=" +
+           secret_file_ +
+           "\n[control]\ngroup=g\ninitial_members=e1,e2,e3\n"
+           "data_dir=data\n[operator]\ntoken_file=" +
+           secret_file_ + "\n";
+  }
+
+  static std::string Replace(std::string text, const std::string& from,
+                             const std::string& to) {
+    const std::size_t at = text.find(from);
+    EXPECT_NE(at, std::string::npos) << from;
+    return text.replace(at, from.size(), to);
+  }
+
+  // The errors of `text`, empty if it is accepted.
+  static std::vector<settings_error> ErrorsOf(const std::string& text) {
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::vector<settings_error>> {
+          BOOST_LEAF_CHECK(ParseSettings("test.ini", text));
+          return std::vector<settings_error>{};
+        },
+        [](const settings_errors& errors) { return errors.errors; },
+        [] {
+          return std::vector<settings_error>{{"", "", "no detail", ""}};
+        });
+  }
+
+  std::string secret_file_;
+};
+
+TEST_F(settings_test, Parse_ValidText_GivesEveryValue) {
+  const auto parsed = ParseSettings("test.ini", ValidText());
+  ASSERT_TRUE(parsed);
+  EXPECT_EQ(parsed->name, "e1");
+  EXPECT_TRUE(parsed->entry && parsed->control);
+  EXPECT_EQ(parsed->seeds.size(), 2u);
+  EXPECT_EQ(parsed->initial_members.size(), 3u);
+  EXPECT_EQ(parsed->peer_listen.port, 9001);
+  EXPECT_EQ(parsed->operator_token, "0123456789abcdef0123456789abcdef");
+}
+
+// Guards against an instance that starts with settings it does not
+// understand. Each row is one fault and the place that must be named.
+TEST_F(settings_test, Parse_OneFault_NamesSectionAndKey) {
+  const struct {
+    const char* from;
+    const char* to;
+    const char* section;
+    const char* key;
+  } rows[] = {
+      {"name=e1", "name=", "instance", "name"},
+      {"name=e1", "name=e 1", "instance", "name"},
+      {"role=entry,control", "role=leader", "instance", "role"},
+      {"caller=127.0.0.1:8001", "caller=localhost:8001", "listen", "caller"},
+      {"caller=127.0.0.1:8001", "caller=127.0.0.1", "listen", "caller"},
+      {"caller=127.0.0.1:8001", "caller=127.0.0.1:70000", "listen", "caller"},
+      {"caller=127.0.0.1:8001", "caller=127.0.0.1:9001", "listen", "peer"},
+      {"peer=127.0.0.1:9001\n", "", "listen", "peer"},
+      {"seeds=", "seeds=nonsense,", "peers", "seeds"},
+      {"initial_members=e1,e2,e3", "initial_members=e1,e2", "control",
+       "initial_members"},
+      {"initial_members=e1,e2,e3", "initial_members=e4,e2,e3", "instance",
+       "role"},
+      {"data_dir=data\n", "", "control", "data_dir"},
+      {"data_dir=data\n", "data_dir=data\nspares=e2\n", "control", "spares"},
+      {"data_dir=data\n", "data_dir=data\ncolour=blue\n", "control", "colour"},
+      {"data_dir=data\n", "data_dir=data\ndata_dir=other\n", "control",
+       "data_dir"},
+      {"[operator]", "[log]\nlevel=loud\n[operator]", "log", "level"},
+      {"[operator]", "[log]\ndecision_rate=1.5\n[operator]", "log",
+       "decision_rate"},
+      {"[operator]", "[limits]\nread_timeout_ms=10s\n[operator]", "limits",
+       "read_timeout_ms"},
+      {"[operator]", "[limits]\nmax_request_bytes=1\n[operator]", "limits",
+       "max_request_bytes"},
+  };
+  ASSERT_TRUE(ErrorsOf(ValidText()).empty());
+  for (const auto& row : rows) {
+    const auto errors = ErrorsOf(Replace(ValidText(), row.from, row.to));
+    ASSERT_EQ(errors.size(), 1u) << row.from << " -> " << row.to;
+    EXPECT_EQ(errors[0].section, row.section) << row.to;
+    EXPECT_EQ(errors[0].key, row.key) << row.to;
+    EXPECT_FALSE(errors[0].allowed.empty()) << row.to;
+  }
+}
+
+// Guards against a control member that an operator takes for running.
+TEST_F(settings_test, Parse_RoleContradictsControlSection_NamesBothPlaces) {
+  const auto errors =
+      ErrorsOf(Replace(ValidText(), "role=entry,control", "role=entry"));
+  ASSERT_EQ(errors.size(), 2u);
+  EXPECT_EQ(errors[0].key, "data_dir");
+  EXPECT_EQ(errors[1].key, "role");
+}
+
+// Guards against an operator who has to find several faults one by one.
+TEST_F(settings_test, Parse_SeveralFaults_ReportsAllOfThem) {
+  std::string text = Replace(ValidText(), "name=e1", "name=");
+  text = Replace(text, "peer=127.0.0.1:9001", "peer=x");
+  text = Replace(text, "group=g", "group=");
+  EXPECT_EQ(ErrorsOf(text).size(), 3u);
+}
+
+// Guards against a secret that is printed with an error.
+TEST_F(settings_test, Parse_ShortSecret_DoesNotPrintIt) {
+  std::ofstream(secret_file_) << "hunter2";
+  const auto errors = ErrorsOf(ValidText());
+  ASSERT_EQ(errors.size(), 2u);
+  for (const settings_error& error : errors) {
+    EXPECT_EQ(error.problem.find("hunter2"), std::string::npos);
+  }
+}
+
+TEST_F(settings_test, Load_MissingFile_IsInvalidSettings) {
+  const result_code code = leaf::try_handle_all(
+      []() -> leaf::result<result_code> {
+        BOOST_LEAF_CHECK(LoadSettings("does-not-exist.ini"));
+        return result_code::kOk;
+      },
+      [](result_code failed) { return failed; },
+      [] { return result_code::kInternal; });
+  EXPECT_EQ(code, result_code::kInvalidSettings);
+}
+
+}  // namespace
+}  // namespace bilberrycourse
