Let probes of a passed-over replica run on

Cause: a probe was cancelled as soon as the chosen replica answered, so a slowed replica gave only lower bounds of its service time (about 30 ms instead of 100 ms) and was still chosen when a few requests were queued.

Change: a probe runs on for at most the probe interval after its request has finished; the reply only updates the estimate. The rig can drain searchers by announcement, which shows what routing can reach at best.

--- a/bilberrycourse/shard_dispatcher.cc
+++ b/bilberrycourse/shard_dispatcher.cc
@@ -697,6 +697,7 @@
   // the quantile of its own service time, so that a slowed replica does not
   // delay the hedges of its own requests.
   void ScheduleHedge(dispatch_request* request, const dispatch_server& server) {
+    const double probability = request->scope->policy.hedge_quantile;
     std::optional<duration> delay;
     bool other = false;
     for (const dispatch_server* candidate : request->shard->servers) {
@@ -704,14 +705,12 @@
         continue;
       }
       other = true;
-      const auto quantile = candidate->estimator.Quantile(
-          request->scope->policy.hedge_quantile, now_);
+      const auto quantile = candidate->estimator.Quantile(probability, now_);
       if (quantile && (!delay || *quantile < *delay)) delay = quantile;
     }
     if (!other) return;
     if (!delay) {
-      delay = server.estimator.Quantile(request->scope->policy.hedge_quantile,
-                                        now_);
+      delay = server.estimator.Quantile(probability, now_);
     }
     HedgeAfter(request, delay.value_or(options_.initial_hedge_delay));
   }
@@ -957,17 +956,29 @@
     while (!request->in_flight.empty()) {
       dispatch_attempt& attempt = request->in_flight.front();
       Detach(&attempt);
-      attempt.cancelled = true;
-      attempt.expired = expired;
-      // What was given up took at least that long, and a slowed replica that
-      // loses against every hedge gives no other sample.
-      if (attempt.incarnation == attempt.server->record.incarnation) {
-        attempt.server->estimator.RecordAtLeast(now_ - attempt.sent_at, now_);
+      if (attempt.probe && !expired) {
+        timers_.SubscribeOnce(
+            now_ + options_.probe_interval,
+            [this, a = &attempt](time_point) { CancelAttempt(a); },
+            &attempt.grace_timer);
+        continue;
       }
-      out_->push_back(cancel_attempt{attempt.id, attempt.connection,
-                                     attempt.server->record.key});
-      LimitWait(&attempt, now_);
+      attempt.expired = expired;
+      CancelAttempt(&attempt);
+    }
+  }
+
+  // Gives up an attempt whose request has ended.
+  void CancelAttempt(dispatch_attempt* attempt) {
+    attempt->cancelled = true;
+    // What was given up took at least that long, and a slowed replica that
+    // loses against every hedge gives no other sample.
+    if (attempt->incarnation == attempt->server->record.incarnation) {
+      attempt->server->estimator.RecordAtLeast(now_ - attempt->sent_at, now_);
     }
+    out_->push_back(cancel_attempt{attempt->id, attempt->connection,
+                                   attempt->server->record.key});
+    LimitWait(attempt, now_);
   }
 
   static void StopRunning(dispatch_request* request) {
--- a/bilberrycourse/testing/dispatch_rig.h
+++ b/bilberrycourse/testing/dispatch_rig.h
@@ -64,11 +64,8 @@
     for (std::uint32_t s = 0; s < options_.shards; ++s) {
       dispatcher_->SetShardOwned({"service", s}, true, now_, &effects_);
       for (std::uint32_t r = 0; r < options_.replicas; ++r) {
-        backend_server_record record;
-        record.key = {{"service", s}, std::to_string(r)};
-        record.slots = options_.slots;
-        record.connection_limit = 25;
-        record.versions = {index_version{1}};
+        const backend_server_record record =
+            RecordOf({{"service", s}, std::to_string(r)});
         searchers_.push_back({});
         index_[record.key] = searchers_.size() - 1;
         dispatcher_->UpdateBackendServer(record, now_, &effects_);
@@ -96,6 +93,17 @@
     }
   }
 
+  // Every `stride`-th searcher announces that it drains.
+  void Drain(std::size_t stride) {
+    for (auto& [key, at] : index_) {
+      if (at % stride != 0) continue;
+      backend_server_record record = RecordOf(key);
+      record.sequence = 1;
+      record.state = backend_server_state::kDraining;
+      dispatcher_->UpdateBackendServer(record, now_, &effects_);
+    }
+  }
+
   void RunUntil(time_point end) {
     while (true) {
       const auto due = dispatcher_->next_due();
@@ -165,6 +173,15 @@
     }
   };
 
+  backend_server_record RecordOf(const backend_server_key& key) const {
+    backend_server_record record;
+    record.key = key;
+    record.slots = options_.slots;
+    record.connection_limit = 25;
+    record.versions = {index_version{1}};
+    return record;
+  }
+
   duration ServiceTime(double factor) {
     // The mean of exp(N(mu, sigma)) is exp(mu + sigma^2 / 2).
     std::lognormal_distribution<double> shape(
