Count the age of an attempt as slowness from five service times on

Cause: with every age counted, one ordinary straggler in a slot made the healthy replica of a shard look slower than the slowed one, and requests went to the slowed one.

Change: dispatch_options::age_evidence_factor, 5.

--- a/bilberrycourse/shard_dispatcher.cc
+++ b/bilberrycourse/shard_dispatcher.cc
@@ -583,6 +583,9 @@
     }
     if (!server.attempts.empty()) {
       load.oldest_age = now_ - server.attempts.front().sent_at;
+      if (load.oldest_age < load.service_time * options_.age_evidence_factor) {
+        load.oldest_age = duration{0};
+      }
     }
     load.available = Available(server);
     load.reachable = Reachable(server) && server.pool.open_count() > 0 &&
--- a/bilberrycourse/shard_dispatcher.h
+++ b/bilberrycourse/shard_dispatcher.h
@@ -77,6 +77,10 @@
   // A cancelled or expired attempt without a reply for this long loses its
   // connection, because its searcher may hang.
   duration cancel_grace = std::chrono::milliseconds(500);
+  // The age of the oldest attempt in flight counts as service time from this
+  // many service times on. With 1, the ordinary tail of one slot makes a
+  // healthy replica look slow.
+  int age_evidence_factor = 5;
   // How replicas are compared (docs/decisions/replica-choice.md).
   completion_model completion = completion_model::kParallelSlots;
   bool hold_for_faster = true;
