Hedge later when the extra-attempt budget runs low

Cause: hedging at p95 spends the budget of 5% exactly, so the bucket was often empty when a very slow attempt needed a hedge.

Change: the hedge quantile moves from the policy's value at a full bucket to 0.99 at an empty one.

--- a/bilberrycourse/shard_dispatcher.cc
+++ b/bilberrycourse/shard_dispatcher.cc
@@ -15,6 +15,9 @@
 // Wait before a hedge that found no free slot or no budget is tried again.
 constexpr duration kHedgeRetry = std::chrono::milliseconds(1);
 
+// Hedge quantile when the budget is empty.
+constexpr double kLatestHedgeQuantile = 0.99;
+
 // A replica is probed if its service time is this many times that of the
 // chosen one; below that it still gets requests of its own.
 constexpr int kProbeRatio = 2;
@@ -700,7 +703,12 @@
   // the quantile of its own service time, so that a slowed replica does not
   // delay the hedges of its own requests.
   void ScheduleHedge(dispatch_request* request, const dispatch_server& server) {
-    const double probability = request->scope->policy.hedge_quantile;
+    // The emptier the budget, the later the hedge, so that tokens remain for
+    // the slowest attempts.
+    const double least = request->scope->policy.hedge_quantile;
+    const double probability =
+        least + std::max(kLatestHedgeQuantile - least, 0.0) *
+                    (1 - request->scope->budget.fill());
     std::optional<duration> delay;
     bool other = false;
     for (const dispatch_server* candidate : request->shard->servers) {
