--- a/bilberrycourse/shard_dispatcher.cc
+++ b/bilberrycourse/shard_dispatcher.cc
@@ -15,6 +15,9 @@
 // Wait before a hedge that found no free slot or no budget is tried again.
 constexpr duration kHedgeRetry = std::chrono::milliseconds(1);
 
+// Hedge quantile when the budget is empty.
+constexpr double kLatestHedgeQuantile = 0.99;
+
 // A replica is probed if its service time is this many times that of the
 // chosen one; below that it still gets requests of its own.
 constexpr int kProbeRatio = 2;
@@ -583,6 +586,9 @@
     }
     if (!server.attempts.empty()) {
       load.oldest_age = now_ - server.attempts.front().sent_at;
+      if (load.oldest_age < load.service_time * options_.age_evidence_factor) {
+        load.oldest_age = duration{0};
+      }
     }
     load.available = Available(server);
     load.reachable = Reachable(server) && server.pool.open_count() > 0 &&
@@ -697,6 +703,12 @@
   // the quantile of its own service time, so that a slowed replica does not
   // delay the hedges of its own requests.
   void ScheduleHedge(dispatch_request* request, const dispatch_server& server) {
+    // The emptier the budget, the later the hedge, so that tokens remain for
+    // the slowest attempts.
+    const double least = request->scope->policy.hedge_quantile;
+    const double probability =
+        least + std::max(kLatestHedgeQuantile - least, 0.0) *
+                    (1 - request->scope->budget.fill());
     std::optional<duration> delay;
     bool other = false;
     for (const dispatch_server* candidate : request->shard->servers) {
@@ -704,14 +716,12 @@
         continue;
       }
       other = true;
-      const auto quantile = candidate->estimator.Quantile(
-          request->scope->policy.hedge_quantile, now_);
+      const auto quantile = candidate->estimator.Quantile(probability, now_);
       if (quantile && (!delay || *quantile < *delay)) delay = quantile;
     }
     if (!other) return;
     if (!delay) {
-      delay = server.estimator.Quantile(request->scope->policy.hedge_quantile,
-                                        now_);
+      delay = server.estimator.Quantile(probability, now_);
     }
     HedgeAfter(request, delay.value_or(options_.initial_hedge_delay));
   }
@@ -957,17 +967,29 @@
     while (!request->in_flight.empty()) {
       dispatch_attempt& attempt = request->in_flight.front();
       Detach(&attempt);
-      attempt.cancelled = true;
-      attempt.expired = expired;
-      // What was given up took at least that long, and a slowed replica that
-      // loses against every hedge gives no other sample.
-      if (attempt.incarnation == attempt.server->record.incarnation) {
-        attempt.server->estimator.RecordAtLeast(now_ - attempt.sent_at, now_);
+      if (attempt.probe && !expired) {
+        timers_.SubscribeOnce(
+            now_ + options_.probe_interval,
+            [this, a = &attempt](time_point) { CancelAttempt(a); },
+            &attempt.grace_timer);
+        continue;
       }
-      out_->push_back(cancel_attempt{attempt.id, attempt.connection,
-                                     attempt.server->record.key});
-      LimitWait(&attempt, now_);
+      attempt.expired = expired;
+      CancelAttempt(&attempt);
+    }
+  }
+
+  // Gives up an attempt whose request has ended.
+  void CancelAttempt(dispatch_attempt* attempt) {
+    attempt->cancelled = true;
+    // What was given up took at least that long, and a slowed replica that
+    // loses against every hedge gives no other sample.
+    if (attempt->incarnation == attempt->server->record.incarnation) {
+      attempt->server->estimator.RecordAtLeast(now_ - attempt->sent_at, now_);
     }
+    out_->push_back(cancel_attempt{attempt->id, attempt->connection,
+                                   attempt->server->record.key});
+    LimitWait(attempt, now_);
   }
 
   static void StopRunning(dispatch_request* request) {
