Measure traffic, processor time and movement of the soft state

Cause: the limit of 6 KB/s per daemon for control needs figures. Change: bench/membership_benchmark.cc; the fake network handles a changed view once per batch of effects, as a daemon should.

--- /dev/null
+++ b/bench/membership_benchmark.cc
@@ -0,0 +1,233 @@
+// Traffic and processor time of membership and gossip per instance, in virtual
+// time, against the limit of 6 KB/s for control per daemon.
+//
+// Every case starts all instances at once from two seeds, fills the tables
+// with searchers, and measures a quiet interval and an interval with
+// restarts. Counters, per instance and second:
+//   quiet_B, quiet_msgs   payload bytes and messages without any change
+//   day_B, day_msgs       the same plus 3,800 restarts a day
+//   wire_B                day_B plus 110 bytes per message: TCP, IP and
+//   Ethernet
+//                         headers, length and peer_frame
+//   peak_B                the busiest instance's wire bytes in the quiet
+//   interval cpu_pct               processor time of one instance in percent of
+//   a core,
+//                         the fake network included
+//   start_s               time until all views agree
+//   death_s               time until a death is in all views
+
+#include <benchmark/benchmark.h>
+
+#include <algorithm>
+#include <chrono>
+#include <ctime>
+#include <string>
+
+#include "bilberrycourse/gossip_codec.h"
+#include "bilberrycourse/shard_ownership.h"
+#include "bilberrycourse/testing/soft_state_network.h"
+
+namespace bilberrycourse {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double kRestartsPerSecond = 3800.0 / 86400.0;
+constexpr double kMessageOverhead = 110;
+
+double ProcessorSeconds() {
+  return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+double Seconds(duration d) { return std::chrono::duration<double>(d).count(); }
+
+struct traffic {
+  double bytes = 0;
+  double messages = 0;
+  double peak_wire_bytes = 0;
+};
+
+// Per instance, since the last call.
+traffic TakeTraffic(soft_state_network* net) {
+  traffic t;
+  for (std::size_t i = 0; i < net->size(); ++i) {
+    soft_state_node& n = net->node(i);
+    const auto bytes = static_cast<double>(n.bytes);
+    const auto messages = static_cast<double>(n.messages);
+    t.bytes += bytes;
+    t.messages += messages;
+    t.peak_wire_bytes =
+        std::max(t.peak_wire_bytes, bytes + kMessageOverhead * messages);
+    n.bytes = n.messages = 0;
+    n.freshness.clear();
+  }
+  t.bytes /= static_cast<double>(net->size());
+  t.messages /= static_cast<double>(net->size());
+  return t;
+}
+
+backend_server_record Searcher(std::size_t i) {
+  backend_server_record r;
+  r.key = {{"service" + std::to_string(i / 20),
+            static_cast<std::uint32_t>(i / 2 % 10)},
+           "replica" + std::to_string(i % 2)};
+  r.shard_count = 10;
+  r.incarnation = 1796342400000000;
+  r.address = "10.20.30.40:9000";
+  r.zone = "region1-zone1";
+  r.slots = 2;
+  r.connection_limit = 25;
+  r.versions = {index_version{1001}, index_version{1002}};
+  return r;
+}
+
+// A drain, the loss after the process has gone, and the new process.
+void RestartSearcher(soft_state_network* net, std::size_t i) {
+  soft_state_node& n = net->node(i % net->size());
+  backend_server_record r = Searcher(i);
+  const auto announce = [&] {
+    n.searchers.Announce(r, net->now(), &n.searchers_out);
+    net->Process(i % net->size());
+  };
+  r.state = backend_server_state::kDraining;
+  announce();
+  net->Run(milliseconds(3200));
+  ++r.incarnation;
+  r.state = backend_server_state::kServing;
+  announce();
+}
+
+void BM_SoftState(benchmark::State& state) {
+  const auto size = static_cast<std::size_t>(state.range(0));
+  const auto searchers = static_cast<std::size_t>(state.range(1));
+  for (auto _ : state) {
+    soft_state_network net(size);
+    const duration start =
+        net.RunUntil([&] { return net.ViewsAgree(); }, seconds(60));
+    const traffic join = TakeTraffic(&net);
+
+    // The tables of searchers are filled at once everywhere; announcing them
+    // one by one is not what is measured.
+    for (std::size_t i = 0; i < searchers; ++i) {
+      backend_server_record r = Searcher(i);
+      r.sequence = 1;
+      r.registrar = net.NameOf(i % size);
+      const soft_record record = ToSoftRecord(r);
+      for (std::size_t j = 0; j < size; ++j) {
+        // Discards the effects: no push.
+        std::vector<gossip_effect> pushes;
+        net.node(j).gossip.SetPeers({});
+        net.node(j).gossip.Publish(record, net.now(), &pushes);
+      }
+    }
+    for (std::size_t j = 0; j < size; ++j) {
+      net.node(j).gossip.SetPeers(net.AliveNames(net.node(j)));
+    }
+    net.Run(seconds(2));
+    TakeTraffic(&net);
+
+    const duration interval = seconds(size > 1000 ? 10 : 60);
+    const double processor_before = ProcessorSeconds();
+    net.Run(interval);
+    const double processor = ProcessorSeconds() - processor_before;
+    const traffic quiet = TakeTraffic(&net);
+
+    // The surplus of a few restarts over the quiet rate, scaled to a day.
+    const int restarts = size > 1000 ? 3 : 10;
+    const time_point begin = net.now();
+    for (int i = 0; i < restarts; ++i) {
+      RestartSearcher(&net, static_cast<std::size_t>(i));
+      net.Run(milliseconds(300));
+    }
+    net.Run(seconds(2));
+    const double busy_seconds = Seconds(net.now() - begin);
+    const traffic busy = TakeTraffic(&net);
+    const double quiet_bytes = quiet.bytes / Seconds(interval);
+    const double quiet_messages = quiet.messages / Seconds(interval);
+    const double event_bytes =
+        (busy.bytes - quiet_bytes * busy_seconds) / restarts;
+    const double event_messages =
+        (busy.messages - quiet_messages * busy_seconds) / restarts;
+
+    const std::size_t victim = size / 2;
+    net.node(victim).running = false;
+    const duration death =
+        net.RunUntil([&] { return net.ViewsAgree(); }, seconds(30));
+
+    const double day_bytes = quiet_bytes + event_bytes * kRestartsPerSecond;
+    const double day_messages =
+        quiet_messages + event_messages * kRestartsPerSecond;
+    state.counters["quiet_B"] = quiet_bytes;
+    state.counters["quiet_msgs"] = quiet_messages;
+    state.counters["restart_B"] = event_bytes;
+    state.counters["day_B"] = day_bytes;
+    state.counters["day_msgs"] = day_messages;
+    state.counters["wire_B"] = day_bytes + kMessageOverhead * day_messages;
+    state.counters["peak_B"] = quiet.peak_wire_bytes / Seconds(interval);
+    state.counters["cpu_pct"] =
+        100 * processor / Seconds(interval) / static_cast<double>(size);
+    state.counters["start_s"] = Seconds(start);
+    state.counters["start_KB"] = join.bytes / 1000;
+    state.counters["death_s"] = Seconds(death);
+  }
+}
+BENCHMARK(BM_SoftState)
+    ->Args({8, 115})
+    ->Args({64, 1000})
+    ->Args({256, 2000})
+    ->Args({1700, 8500})
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
+std::vector<instance_name> Instances(std::size_t n) {
+  std::vector<instance_name> names;
+  for (std::size_t i = 0; i < n; ++i) names.push_back("e" + std::to_string(i));
+  return names;
+}
+
+// One join and one leave, each with a full assignment. `moved` is the mean
+// share of shards that change their owner, times the number of instances: 1 is
+// the least possible.
+void BM_ShardOwnership(benchmark::State& state) {
+  const auto size = static_cast<std::size_t>(state.range(0));
+  const auto shards = static_cast<std::uint32_t>(state.range(1));
+  std::vector<shard_key> keys;
+  for (std::uint32_t i = 0; i < shards; ++i) {
+    keys.push_back({"service" + std::to_string(i / 10), i % 10});
+  }
+  shard_ownership with;
+  shard_ownership without;
+  with.SetInstances(Instances(size));
+  with.SetShards(keys);
+  without.SetShards(keys);
+  double moved = 0;
+  double changes = 0;
+  double most = 0;
+  std::size_t left = 0;
+  for (auto _ : state) {
+    auto names = Instances(size);
+    names.erase(names.begin() + static_cast<std::ptrdiff_t>(left++ % size));
+    without.SetInstances(names);
+    state.PauseTiming();
+    double now_moved = 0;
+    for (const shard_key& key : keys) {
+      now_moved += *with.Owner(key) != *without.Owner(key);
+    }
+    moved += now_moved;
+    most = std::max(most, now_moved);
+    ++changes;
+    state.ResumeTiming();
+  }
+  state.counters["moved"] =
+      moved / changes / shards * static_cast<double>(size);
+  state.counters["most_shards"] = most;
+  state.counters["capacity"] = static_cast<double>(with.capacity());
+}
+BENCHMARK(BM_ShardOwnership)
+    ->Args({8, 115})
+    ->Args({1700, 4250})
+    ->Unit(benchmark::kMicrosecond);
+
+}  // namespace
+}  // namespace bilberrycourse
--- a/bilberrycourse/testing/soft_state_network.h
+++ b/bilberrycourse/testing/soft_state_network.h
@@ -47,6 +47,7 @@
   std::uint64_t messages = 0;
   std::map<instance_name, int> removals;
   std::vector<freshness_received> freshness;
+  bool view_is_new = false;
 };
 
 class soft_state_network {
@@ -114,7 +115,7 @@
   void Process(std::size_t i) {
     soft_state_node& n = *nodes_[i];
     while (!n.membership_out.empty() || !n.gossip_out.empty() ||
-           !n.searchers_out.empty()) {
+           !n.searchers_out.empty() || n.view_is_new) {
       for (auto& e : std::exchange(n.membership_out, {})) {
         std::visit([&](auto& effect) { Route(i, effect); }, e);
       }
@@ -124,6 +125,13 @@
       for (auto& e : std::exchange(n.gossip_out, {})) {
         std::visit([&](auto& effect) { Route(i, effect); }, e);
       }
+      // Once per batch: the first messages to a new instance carry many
+      // records, and each names a new peer.
+      if (std::exchange(n.view_is_new, false)) {
+        const std::vector<instance_name> names = AliveNames(n);
+        n.gossip.SetPeers(names);
+        n.searchers.SetAliveInstances(names, now_, &n.searchers_out);
+      }
     }
   }
 
@@ -227,12 +235,7 @@
     if (e.status == instance_status::kDead)
       ++nodes_[i]->removals[e.record.name];
   }
-  void Route(std::size_t i, view_changed&) {
-    soft_state_node& n = *nodes_[i];
-    const std::vector<instance_name> names = AliveNames(n);
-    n.gossip.SetPeers(names);
-    n.searchers.SetAliveInstances(names, now_, &n.searchers_out);
-  }
+  void Route(std::size_t i, view_changed&) { nodes_[i]->view_is_new = true; }
   void Route(std::size_t i, freshness_received& e) {
     if (e.probe_sent_at) nodes_[i]->freshness.push_back(e);
   }
