Send one hash of the table before the digest of 64 buckets

Cause: the digest was a third of the bytes of a quiet second, although tables are equal nearly always. Change: anti-entropy sends one hash; a peer with another table answers with its digest, which starts the exchange in the other direction. Conclusion: worth one more round trip for the rare repair.

--- a/bilberrycourse/gossip_codec.cc
+++ b/bilberrycourse/gossip_codec.cc
@@ -60,6 +60,10 @@
         wire::Createrecords(*b, b->CreateVector(records), m.exchange, m.more)
             .Union()};
   }
+  written operator()(const gossip_root_digest& m) const {
+    return {wire::gossip_payload::root_digest,
+            wire::Createroot_digest(*b, m.hash).Union()};
+  }
   written operator()(const gossip_digest& m) const {
     return {wire::gossip_payload::digest,
             wire::Createdigest(
@@ -151,6 +155,8 @@
       return Read(*root->payload_as_summary());
     case wire::gossip_payload::record_request:
       return Read(*root->payload_as_record_request());
+    case wire::gossip_payload::root_digest:
+      return gossip_root_digest{root->payload_as_root_digest()->hash()};
     case wire::gossip_payload::NONE:
       break;
   }
--- a/bilberrycourse/gossip_codec.h
+++ b/bilberrycourse/gossip_codec.h
@@ -29,6 +29,9 @@
   // The sender stopped at its bound and has further records.
   bool more = false;
 };
+struct gossip_root_digest {
+  std::uint64_t hash = 0;
+};
 struct gossip_digest {
   std::array<std::uint64_t, gossip_table::kBuckets> buckets{};
 };
@@ -46,7 +49,8 @@
   std::vector<std::uint64_t> key_hashes;
 };
 using gossip_message =
-    std::variant<gossip_records, gossip_digest, gossip_summary, gossip_request>;
+    std::variant<gossip_records, gossip_digest, gossip_summary, gossip_request,
+                 gossip_root_digest>;
 
 std::string EncodeGossip(const gossip_message& message);
 std::optional<gossip_message> DecodeGossip(std::string_view bytes);
--- a/bilberrycourse/gossip_table.cc
+++ b/bilberrycourse/gossip_table.cc
@@ -272,6 +272,16 @@
   if (message.more && merged) Synchronize(from, now, out);
 }
 
+std::uint64_t gossip_table::RootHash() const {
+  return XXH3_64bits(bucket_hashes_.data(), sizeof(bucket_hashes_));
+}
+
+void gossip_table::Handle(const instance_name& from,
+                          const gossip_root_digest& digest, time_point now,
+                          std::vector<gossip_effect>* out) {
+  if (digest.hash != RootHash()) Synchronize(from, now, out);
+}
+
 void gossip_table::Handle(const instance_name& from,
                           const gossip_digest& digest, time_point now,
                           std::vector<gossip_effect>* out) {
@@ -400,7 +410,11 @@
   }
   if (now < next_digest_ || peers_.empty()) return;
   next_digest_ = std::max(next_digest_ + options_.anti_entropy_period, now);
-  Synchronize(peers_[random_() % peers_.size()], now, out);
+  ++counters_.digests_sent;
+  // The tables are equal nearly always, and the digest would be most of the
+  // bytes of a quiet second.
+  out->push_back(gossip_send{peers_[random_() % peers_.size()],
+                             EncodeGossip(gossip_root_digest{RootHash()})});
 }
 
 }  // namespace bilberrycourse
--- a/bilberrycourse/gossip_table.h
+++ b/bilberrycourse/gossip_table.h
@@ -14,8 +14,9 @@
 //
 // A new version is pushed once, in batches, to ceil(log2 N) + 1 random peers;
 // whoever learns of it by a push does the same. What pushes miss is repaired by
-// anti-entropy: once a second a digest of 64 bucket hashes goes to one random
-// peer, which answers with the versions in the buckets that differ.
+// anti-entropy: once a second a hash of the whole table goes to one random
+// peer. If its table differs it answers with a digest of 64 bucket hashes, and
+// gets the versions in the buckets that differ.
 //
 // Bounds: messages have at most `max_message_bytes`, the table at most
 // `max_records`. Tombstones and records with a lifetime carry their remaining
@@ -115,6 +116,7 @@
 };
 
 struct gossip_records;
+struct gossip_root_digest;
 struct gossip_digest;
 struct gossip_summary;
 struct gossip_request;
@@ -208,6 +210,8 @@
   bool Store(soft_record record, time_point now, bool push);
   void Handle(const instance_name& from, gossip_records& message,
               time_point now, std::vector<gossip_effect>* out);
+  void Handle(const instance_name& from, const gossip_root_digest& digest,
+              time_point now, std::vector<gossip_effect>* out);
   void Handle(const instance_name& from, const gossip_digest& digest,
               time_point now, std::vector<gossip_effect>* out);
   void Handle(const instance_name& from, const gossip_summary& summary,
@@ -218,6 +222,7 @@
   void SendRecords(const instance_name& to,
                    const std::vector<const entry*>& entries, bool more,
                    time_point now, std::vector<gossip_effect>* out);
+  std::uint64_t RootHash() const;
   // Bytes for records or summary entries in one message.
   std::size_t message_budget() const;
   // The record with the lifetime that remains.
--- a/bilberrycourse/membership_generated.h
+++ b/bilberrycourse/membership_generated.h
@@ -32,6 +32,10 @@
 struct recordsBuilder;
 struct recordsT;
 
+struct root_digest;
+struct root_digestBuilder;
+struct root_digestT;
+
 struct digest;
 struct digestBuilder;
 struct digestT;
@@ -84,35 +88,38 @@
   digest = 2,
   summary = 3,
   record_request = 4,
+  root_digest = 5,
   MIN = NONE,
-  MAX = record_request
+  MAX = root_digest
 };
 
-inline const gossip_payload (&EnumValuesgossip_payload())[5] {
+inline const gossip_payload (&EnumValuesgossip_payload())[6] {
   static const gossip_payload values[] = {
     gossip_payload::NONE,
     gossip_payload::records,
     gossip_payload::digest,
     gossip_payload::summary,
-    gossip_payload::record_request
+    gossip_payload::record_request,
+    gossip_payload::root_digest
   };
   return values;
 }
 
 inline const char * const *EnumNamesgossip_payload() {
-  static const char * const names[6] = {
+  static const char * const names[7] = {
     "NONE",
     "records",
     "digest",
     "summary",
     "record_request",
+    "root_digest",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamegossip_payload(gossip_payload e) {
-  if (flatbuffers::IsOutRange(e, gossip_payload::NONE, gossip_payload::record_request)) return "";
+  if (flatbuffers::IsOutRange(e, gossip_payload::NONE, gossip_payload::root_digest)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesgossip_payload()[index];
 }
@@ -137,6 +144,10 @@
   static const gossip_payload enum_value = gossip_payload::record_request;
 };
 
+template<> struct gossip_payloadTraits<bilberrycourse::membership_wire::root_digest> {
+  static const gossip_payload enum_value = gossip_payload::root_digest;
+};
+
 template<typename T> struct gossip_payloadUnionTraits {
   static const gossip_payload enum_value = gossip_payload::NONE;
 };
@@ -157,6 +168,10 @@
   static const gossip_payload enum_value = gossip_payload::record_request;
 };
 
+template<> struct gossip_payloadUnionTraits<bilberrycourse::membership_wire::root_digestT> {
+  static const gossip_payload enum_value = gossip_payload::root_digest;
+};
+
 struct gossip_payloadUnion {
   gossip_payload type;
   void *value;
@@ -219,6 +234,14 @@
     return type == gossip_payload::record_request ?
       reinterpret_cast<const bilberrycourse::membership_wire::record_requestT *>(value) : nullptr;
   }
+  bilberrycourse::membership_wire::root_digestT *Asroot_digest() {
+    return type == gossip_payload::root_digest ?
+      reinterpret_cast<bilberrycourse::membership_wire::root_digestT *>(value) : nullptr;
+  }
+  const bilberrycourse::membership_wire::root_digestT *Asroot_digest() const {
+    return type == gossip_payload::root_digest ?
+      reinterpret_cast<const bilberrycourse::membership_wire::root_digestT *>(value) : nullptr;
+  }
 };
 
 bool Verifygossip_payload(flatbuffers::Verifier &verifier, const void *obj, gossip_payload type);
@@ -1059,6 +1082,58 @@
 
 flatbuffers::Offset<records> Createrecords(flatbuffers::FlatBufferBuilder &_fbb, const recordsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct root_digestT : public flatbuffers::NativeTable {
+  typedef root_digest TableType;
+  uint64_t hash = 0;
+};
+
+struct root_digest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef root_digestT NativeTableType;
+  typedef root_digestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HASH = 4
+  };
+  uint64_t hash() const {
+    return GetField<uint64_t>(VT_HASH, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_HASH, 8) &&
+           verifier.EndTable();
+  }
+  root_digestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(root_digestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<root_digest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const root_digestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct root_digestBuilder {
+  typedef root_digest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_hash(uint64_t hash) {
+    fbb_.AddElement<uint64_t>(root_digest::VT_HASH, hash, 0);
+  }
+  explicit root_digestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<root_digest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<root_digest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<root_digest> Createroot_digest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t hash = 0) {
+  root_digestBuilder builder_(_fbb);
+  builder_.add_hash(hash);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<root_digest> Createroot_digest(flatbuffers::FlatBufferBuilder &_fbb, const root_digestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct digestT : public flatbuffers::NativeTable {
   typedef digest TableType;
   std::vector<uint64_t> buckets{};
@@ -1289,6 +1364,9 @@
   const bilberrycourse::membership_wire::record_request *payload_as_record_request() const {
     return payload_type() == bilberrycourse::membership_wire::gossip_payload::record_request ? static_cast<const bilberrycourse::membership_wire::record_request *>(payload()) : nullptr;
   }
+  const bilberrycourse::membership_wire::root_digest *payload_as_root_digest() const {
+    return payload_type() == bilberrycourse::membership_wire::gossip_payload::root_digest ? static_cast<const bilberrycourse::membership_wire::root_digest *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -1317,6 +1395,10 @@
   return payload_as_record_request();
 }
 
+template<> inline const bilberrycourse::membership_wire::root_digest *gossip_message::payload_as<bilberrycourse::membership_wire::root_digest>() const {
+  return payload_as_root_digest();
+}
+
 struct gossip_messageBuilder {
   typedef gossip_message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2104,6 +2186,32 @@
       _more);
 }
 
+inline root_digestT *root_digest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<root_digestT>(new root_digestT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void root_digest::UnPackTo(root_digestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = hash(); _o->hash = _e; }
+}
+
+inline flatbuffers::Offset<root_digest> root_digest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const root_digestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createroot_digest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<root_digest> Createroot_digest(flatbuffers::FlatBufferBuilder &_fbb, const root_digestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const root_digestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _hash = _o->hash;
+  return bilberrycourse::membership_wire::Createroot_digest(
+      _fbb,
+      _hash);
+}
+
 inline digestT *digest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<digestT>(new digestT());
   UnPackTo(_o.get(), _resolver);
@@ -2509,6 +2617,10 @@
       auto ptr = reinterpret_cast<const bilberrycourse::membership_wire::record_request *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case gossip_payload::root_digest: {
+      auto ptr = reinterpret_cast<const bilberrycourse::membership_wire::root_digest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -2544,6 +2656,10 @@
       auto ptr = reinterpret_cast<const bilberrycourse::membership_wire::record_request *>(obj);
       return ptr->UnPack(resolver);
     }
+    case gossip_payload::root_digest: {
+      auto ptr = reinterpret_cast<const bilberrycourse::membership_wire::root_digest *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2567,6 +2683,10 @@
       auto ptr = reinterpret_cast<const bilberrycourse::membership_wire::record_requestT *>(value);
       return Createrecord_request(_fbb, ptr, _rehasher).Union();
     }
+    case gossip_payload::root_digest: {
+      auto ptr = reinterpret_cast<const bilberrycourse::membership_wire::root_digestT *>(value);
+      return Createroot_digest(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -2589,6 +2709,10 @@
       value = new bilberrycourse::membership_wire::record_requestT(*reinterpret_cast<bilberrycourse::membership_wire::record_requestT *>(u.value));
       break;
     }
+    case gossip_payload::root_digest: {
+      value = new bilberrycourse::membership_wire::root_digestT(*reinterpret_cast<bilberrycourse::membership_wire::root_digestT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -2616,6 +2740,11 @@
       delete ptr;
       break;
     }
+    case gossip_payload::root_digest: {
+      auto ptr = reinterpret_cast<bilberrycourse::membership_wire::root_digestT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
