Wait for the configuration in force before a test starts its load

Cause: drained_searcher_receives_nothing_new failed with 6 of 496 requests refused as 103 (unknown target): the load began before every instance had applied the first configuration, which the promise allows for 3 s. Conclusion: the refusal was the start of the test, not a fault of the daemon.

--- a/bench/rig.py
+++ b/bench/rig.py
@@ -236,7 +236,9 @@
     def __enter__(self):
         return self
 
-    def __exit__(self, *_):
+    def __exit__(self, error_type, *_):
+        # Files are of use only after a failure.
+        self.keep = self.keep and error_type is not None
         self.close()
 
     # --- files
@@ -342,13 +344,25 @@
             self.start_instance(name)
         self.start_standins()
         self.wait_ready()
-        self.set_config(self.make_document(**(policies or {})))
+        self.wait_version(self.set_config(
+            self.make_document(**(policies or {})))["version"])
         self.wait_servers()
 
     def wait_ready(self, names=None, timeout=30):
+        def ready(name):
+            code = self.instances[name].process.poll()
+            if code is not None:
+                raise RuntimeError(f"{name} ended with {code}")
+            return self.get(name, "/readyz", 2.0)[0] == 200
         for name in names or self.instances:
-            wait_until(lambda n=name: self.get(n, "/readyz")[0] == 200,
-                       timeout, f"{name} ready")
+            wait_until(lambda n=name: ready(n), timeout, f"{name} ready")
+
+    def wait_version(self, version, timeout=20):
+        """Waits until all running instances have applied the version."""
+        for name, instance in self.instances.items():
+            if instance.running:
+                wait_until(lambda n=name: self.status(n)["config_version"] >=
+                           version, timeout, f"version {version} at {name}")
 
     def wait_servers(self, timeout=30):
         """Waits until all instances know the searchers that are up."""
