--- /dev/null
+++ b/bilberrycourse/testing/crash_evidence_test.cc
@@ -0,0 +1,156 @@
+#include "bilberrycourse/crash_evidence.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace bilberrycourse {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+class crash_evidence_test : public ::testing::Test {
+ protected:
+  static backend_server_key Server(std::uint32_t id) {
+    return {{"service", id}, "a"};
+  }
+
+  void Crash(crash_evidence* evidence, std::uint32_t server,
+             std::uint64_t incarnation, std::vector<fingerprint> contents) {
+    evidence->RecordCrash({Server(server), incarnation, contents}, now_);
+  }
+
+  crash_verdict Verdict(fingerprint content) {
+    return evidence_.Verdict(content, now_);
+  }
+
+  static constexpr fingerprint kContent{1};
+  crash_evidence evidence_;
+  time_point now_{};
+};
+
+// Guards against a request that crashes more than two searchers.
+TEST_F(crash_evidence_test, Verdict_ByCrashes_SuspectThenCondemned) {
+  EXPECT_EQ(Verdict(kContent), crash_verdict::kUnknown);
+  Crash(&evidence_, 1, 1, {kContent, fingerprint{2}});
+  EXPECT_EQ(Verdict(kContent), crash_verdict::kSuspect);
+  // The same crash, reported again.
+  Crash(&evidence_, 1, 1, {kContent});
+  EXPECT_EQ(Verdict(kContent), crash_verdict::kSuspect);
+  Crash(&evidence_, 2, 1, {kContent});
+  EXPECT_EQ(Verdict(kContent), crash_verdict::kCondemned);
+  EXPECT_EQ(Verdict(fingerprint{2}), crash_verdict::kSuspect);
+  evidence_.RecordSuccess(kContent, now_);
+  EXPECT_EQ(Verdict(kContent), crash_verdict::kCondemned);
+}
+
+// Guards against a content that takes down the last replica without end.
+TEST_F(crash_evidence_test, Verdict_SameSearcherThreeTimes_Condemned) {
+  for (std::uint64_t incarnation = 1; incarnation <= 3; ++incarnation) {
+    EXPECT_NE(Verdict(kContent), crash_verdict::kCondemned);
+    Crash(&evidence_, 1, incarnation, {kContent});
+  }
+  EXPECT_EQ(Verdict(kContent), crash_verdict::kCondemned);
+}
+
+// Guards against a popular content that was in flight twice by chance.
+TEST_F(crash_evidence_test, Success_AfterOneCrash_ClearsIt) {
+  Crash(&evidence_, 1, 1, {kContent});
+  now_ += seconds(1);
+  evidence_.RecordSuccess(kContent, now_);
+  EXPECT_EQ(Verdict(kContent), crash_verdict::kRecentlyGood);
+  Crash(&evidence_, 1, 1, {kContent});
+  EXPECT_EQ(Verdict(kContent), crash_verdict::kRecentlyGood);
+  now_ += seconds(1);
+  Crash(&evidence_, 2, 1, {kContent});
+  EXPECT_EQ(Verdict(kContent), crash_verdict::kSuspect);
+}
+
+// Guards against innocent contents that are refused because one searcher is
+// broken.
+TEST_F(crash_evidence_test, SearcherDyingWithDifferentContents_IsBlamed) {
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    Crash(&evidence_, 1, i, {fingerprint{10 + i}});
+  }
+  EXPECT_TRUE(evidence_.IsUnreliable(Server(1), now_));
+  EXPECT_EQ(Verdict(fingerprint{11}), crash_verdict::kUnknown);
+  Crash(&evidence_, 2, 1, {fingerprint{11}});
+  EXPECT_EQ(Verdict(fingerprint{11}), crash_verdict::kSuspect);
+  // Two searchers that die with one content in common do not share the blame.
+  for (std::uint32_t server = 5; server < 7; ++server) {
+    Crash(&evidence_, server, 1, {kContent, fingerprint{server}});
+  }
+  EXPECT_FALSE(evidence_.IsUnreliable(Server(5), now_));
+  EXPECT_EQ(Verdict(kContent), crash_verdict::kCondemned);
+}
+
+// Guards against a verdict for ever, and against memory that only grows.
+TEST_F(crash_evidence_test, Expiry_AfterTenMinutes_ForgetsAll) {
+  Crash(&evidence_, 1, 1, {kContent});
+  Crash(&evidence_, 2, 1, {kContent});
+  evidence_.RecordSuccess(fingerprint{2}, now_);
+  now_ += minutes(10) - seconds(1);
+  evidence_.Tick(now_);
+  EXPECT_EQ(Verdict(kContent), crash_verdict::kCondemned);
+  now_ += seconds(1);
+  EXPECT_EQ(Verdict(kContent), crash_verdict::kUnknown);
+  EXPECT_EQ(Verdict(fingerprint{2}), crash_verdict::kUnknown);
+  evidence_.Tick(now_);
+  EXPECT_EQ(evidence_.suspect_count(), 0u);
+  EXPECT_EQ(evidence_.good_count(), 0u);
+}
+
+// Guards against memory that grows with the contents seen.
+TEST_F(crash_evidence_test, Capacity_Exceeded_OldestMakesRoom) {
+  crash_evidence_options options;
+  options.max_suspects = 2;
+  options.max_good = 2;
+  options.max_servers = 1;
+  crash_evidence small(options);
+  for (std::uint32_t i = 1; i <= 5; ++i) {
+    now_ += seconds(1);
+    Crash(&small, i, 1, {fingerprint{i}});
+    small.RecordSuccess(fingerprint{100 + i}, now_);
+  }
+  EXPECT_EQ(small.suspect_count(), 2u);
+  EXPECT_EQ(small.good_count(), 2u);
+  EXPECT_EQ(small.Verdict(fingerprint{5}, now_), crash_verdict::kSuspect);
+  EXPECT_EQ(small.Verdict(fingerprint{1}, now_), crash_verdict::kUnknown);
+}
+
+// Guards against instances that disagree, count a crash twice, or revive what
+// a success cleared.
+TEST_F(crash_evidence_test, Merge_OtherInstance_AgreesAndIsIdempotent) {
+  crash_evidence other;
+  Crash(&evidence_, 1, 1, {kContent});
+  const auto before_success = evidence_.Export(now_);
+  Crash(&other, 2, 1, {kContent});
+  EXPECT_TRUE(evidence_.Merge(other.Export(now_), now_));
+  EXPECT_FALSE(evidence_.Merge(other.Export(now_), now_));
+  EXPECT_TRUE(other.Merge(evidence_.Export(now_), now_));
+  EXPECT_EQ(Verdict(kContent), crash_verdict::kCondemned);
+  EXPECT_EQ(other.Verdict(kContent, now_), crash_verdict::kCondemned);
+
+  crash_evidence third;
+  EXPECT_TRUE(third.Merge(before_success, now_));
+  now_ += seconds(1);
+  third.RecordSuccess(kContent, now_);
+  crash_evidence fourth;
+  EXPECT_TRUE(fourth.Merge(before_success, now_ - seconds(1)));
+  EXPECT_TRUE(fourth.Merge(third.Export(now_), now_));
+  EXPECT_EQ(fourth.Verdict(kContent, now_), crash_verdict::kRecentlyGood);
+  EXPECT_FALSE(fourth.Merge(before_success, now_));
+  EXPECT_EQ(fourth.Verdict(kContent, now_), crash_verdict::kRecentlyGood);
+}
+
+// Guards against one fingerprint for different contents.
+TEST_F(crash_evidence_test, MakeFingerprint_BoundaryMoved_Differs) {
+  EXPECT_NE(MakeFingerprint("ab", "c"), MakeFingerprint("a", "bc"));
+  EXPECT_EQ(MakeFingerprint("ab", "c"), MakeFingerprint("ab", "c"));
+}
+
+}  // namespace
+}  // namespace bilberrycourse
