Bound the contents that are kept for one crash

Cause: gossip could add contents to one crash of a searcher without a limit, the only part of crash_evidence that no option bounded.

Change: crash_evidence_options::max_contents_per_crash, 64.

Conclusion: memory and the cost of IsUnreliable are bounded.

--- a/bilberrycourse/crash_evidence.cc
+++ b/bilberrycourse/crash_evidence.cc
@@ -91,7 +91,9 @@
   std::vector<server_crash>& crashes = servers_[server];
   for (server_crash& crash : crashes) {
     if (crash.incarnation == incarnation) {
-      crash.contents.push_back(content);
+      if (crash.contents.size() < options_.max_contents_per_crash) {
+        crash.contents.push_back(content);
+      }
       return;
     }
   }
--- a/bilberrycourse/crash_evidence.h
+++ b/bilberrycourse/crash_evidence.h
@@ -80,6 +80,8 @@
   std::size_t max_servers = 1024;
   // Crashes kept for one content and for one searcher.
   std::size_t max_crashes = 16;
+  // Contents kept for one crash; a searcher has about as many slots.
+  std::size_t max_contents_per_crash = 64;
 };
 
 // The identity of a request's content: xxHash64 of target and canonical body.
