Name benchmarks and compare versions as clang-tidy asks

Cause: clang-tidy reports defaulted three-way comparisons (a false report of use-nullptr in version 14) and functions named BM_*. Change: explicit order of record_version; benchmarks are SoftStateTraffic and ShardAssignment.

--- a/bench/membership_benchmark.cc
+++ b/bench/membership_benchmark.cc
@@ -98,7 +98,7 @@
   announce();
 }
 
-void BM_SoftState(benchmark::State& state) {
+void SoftStateTraffic(benchmark::State& state) {
   const auto size = static_cast<std::size_t>(state.range(0));
   const auto searchers = static_cast<std::size_t>(state.range(1));
   for (auto _ : state) {
@@ -175,7 +175,7 @@
     state.counters["death_s"] = Seconds(death);
   }
 }
-BENCHMARK(BM_SoftState)
+BENCHMARK(SoftStateTraffic)
     ->Args({8, 115})
     ->Args({64, 1000})
     ->Args({256, 2000})
@@ -192,7 +192,7 @@
 // One instance leaves and another one joins. `moved` is the mean share of
 // shards that change their owner, times the number of instances: 1 is the least
 // possible.
-void BM_ShardOwnership(benchmark::State& state) {
+void ShardAssignment(benchmark::State& state) {
   const auto size = static_cast<std::size_t>(state.range(0));
   const auto shards = static_cast<std::uint32_t>(state.range(1));
   std::vector<shard_key> keys;
@@ -227,7 +227,7 @@
   state.counters["most_shards"] = most;
   state.counters["capacity"] = static_cast<double>(with.capacity());
 }
-BENCHMARK(BM_ShardOwnership)
+BENCHMARK(ShardAssignment)
     ->Args({8, 115})
     ->Args({1700, 4250})
     ->Unit(benchmark::kMicrosecond);
--- a/bilberrycourse/gossip_table.cc
+++ b/bilberrycourse/gossip_table.cc
@@ -127,7 +127,7 @@
       return std::tuple(r.version, r.deleted, hash);
     };
     if (e->record.key != record.key ||
-        rank(record, content_hash) <= rank(e->record, e->content_hash)) {
+        !(rank(e->record, e->content_hash) < rank(record, content_hash))) {
       ++counters_.stale;
       return false;
     }
@@ -356,10 +356,10 @@
     mentioned.insert(theirs.key_hash);
     const entry* ours = FindEntry(theirs.key_hash);
     if (ours != nullptr && ours->content_hash == theirs.content_hash) continue;
-    if (ours == nullptr || ours->record.version <= theirs.version) {
+    if (ours == nullptr || !(theirs.version < ours->record.version)) {
       request.key_hashes.push_back(theirs.key_hash);
     }
-    if (ours != nullptr && ours->record.version >= theirs.version) add(*ours);
+    if (ours != nullptr && !(ours->record.version < theirs.version)) add(*ours);
   }
   for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
     if ((summary.complete >> bucket & 1) == 0) continue;
--- a/bilberrycourse/gossip_table.h
+++ b/bilberrycourse/gossip_table.h
@@ -33,6 +33,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -54,7 +55,11 @@
 struct record_version {
   std::uint64_t incarnation = 0;
   std::uint64_t sequence = 0;
-  auto operator<=>(const record_version&) const = default;
+  bool operator==(const record_version&) const = default;
+  friend bool operator<(const record_version& a, const record_version& b) {
+    return std::tie(a.incarnation, a.sequence) <
+           std::tie(b.incarnation, b.sequence);
+  }
 };
 
 struct soft_record {
--- a/bilberrycourse/instance_record.h
+++ b/bilberrycourse/instance_record.h
@@ -28,7 +28,7 @@
     bits |= static_cast<std::uint8_t>(role);
     return *this;
   }
-  auto operator<=>(const instance_roles&) const = default;
+  bool operator==(const instance_roles&) const = default;
 };
 
 // Names joined by commas, for example "entry,control".
