Follow the linter in the adapters

Cause: public members of the implementation classes carried the suffix of private ones, and clang-tidy 14 misreads a defaulted comparison. Change: names without suffix; two suppressions with their reason. Conclusion: names follow one rule.

--- a/app/backend_client.cc
+++ b/app/backend_client.cc
@@ -47,15 +47,15 @@
 
 class backend_client::impl : public std::enable_shared_from_this<impl> {
  public:
-  impl(asio::any_io_executor executor, backend_client_options options,
-       backend_client_handler* handler)
-      : executor_(std::move(executor)), options_(options), handler_(handler) {}
-
-  asio::any_io_executor executor_;
-  backend_client_options options_;
-  backend_client_handler* handler_;
-  std::map<connection_id, std::shared_ptr<connection>> connections_;
-  std::map<std::string, std::shared_ptr<cancel_channel>> cancels_;
+  impl(asio::any_io_executor run_on, backend_client_options configured,
+       backend_client_handler* receiver)
+      : executor(std::move(run_on)), options(configured), handler(receiver) {}
+
+  asio::any_io_executor executor;
+  backend_client_options options;
+  backend_client_handler* handler;
+  std::map<connection_id, std::shared_ptr<connection>> connections;
+  std::map<std::string, std::shared_ptr<cancel_channel>> cancels;
 };
 
 // A connection always has one read outstanding, so that a close by the
@@ -68,16 +68,16 @@
       : client_(std::move(client)),
         id_(id),
         address_(std::move(address)),
-        stream_(client_->executor_) {}
+        stream_(client_->executor) {}
 
   void Open() {
     socket_address parsed;
     if (!ParseSocketAddress(address_, &parsed)) {
-      asio::post(client_->executor_,
+      asio::post(client_->executor,
                  [self = shared_from_this()] { self->Fail(); });
       return;
     }
-    stream_.expires_after(client_->options_.connect_timeout);
+    stream_.expires_after(client_->options.connect_timeout);
     stream_.async_connect(
         ToEndpoint(parsed),
         [self = shared_from_this()](const beast::error_code& error) {
@@ -119,12 +119,12 @@
     beast::error_code ignored;
     stream_.socket().set_option(tcp::no_delay(true), ignored);
     Read();
-    client_->handler_->OnBackendOpened(id_);
+    client_->handler->OnBackendOpened(id_);
   }
 
   void Read() {
     parser_.emplace();
-    parser_->body_limit(client_->options_.max_reply_bytes);
+    parser_->body_limit(client_->options.max_reply_bytes);
     http::async_read(
         stream_, buffer_, *parser_,
         [self = shared_from_this()](const beast::error_code& error,
@@ -145,7 +145,7 @@
     const bool keep = message.keep_alive();
     if (keep) Read();
     const auto self = shared_from_this();
-    client_->handler_->OnBackendReply(id_, attempt, reply);
+    client_->handler->OnBackendReply(id_, attempt, reply);
     if (!keep) self->Fail();
   }
 
@@ -154,8 +154,8 @@
     closed_ = true;
     const auto self = shared_from_this();
     stream_.close();
-    client_->connections_.erase(id_);
-    client_->handler_->OnBackendClosed(id_, opened_);
+    client_->connections.erase(id_);
+    client_->handler->OnBackendClosed(id_, opened_);
   }
 
   std::shared_ptr<impl> client_;
@@ -178,7 +178,7 @@
   cancel_channel(std::shared_ptr<impl> client, std::string address)
       : client_(std::move(client)),
         address_(std::move(address)),
-        stream_(client_->executor_) {}
+        stream_(client_->executor) {}
 
   void Queue(const std::string& wire_id) {
     if (queue_.size() >= kMaxQueuedCancels) return;
@@ -264,27 +264,27 @@
 
 void backend_client::Open(connection_id id, const std::string& address) {
   auto opened = std::make_shared<connection>(impl_, id, address);
-  impl_->connections_[id] = opened;
+  impl_->connections[id] = opened;
   opened->Open();
 }
 
 void backend_client::Close(connection_id id) {
-  const auto found = impl_->connections_.find(id);
-  if (found == impl_->connections_.end()) return;
+  const auto found = impl_->connections.find(id);
+  if (found == impl_->connections.end()) return;
   const auto closing = found->second;
-  impl_->connections_.erase(found);
+  impl_->connections.erase(found);
   closing->CloseSilently();
 }
 
 void backend_client::SendAttempt(connection_id id,
                                  const backend_attempt& attempt) {
-  const auto found = impl_->connections_.find(id);
-  if (found != impl_->connections_.end()) found->second->Send(attempt);
+  const auto found = impl_->connections.find(id);
+  if (found != impl_->connections.end()) found->second->Send(attempt);
 }
 
 void backend_client::Cancel(const std::string& address,
                             const std::string& wire_id) {
-  auto& channel = impl_->cancels_[address];
+  auto& channel = impl_->cancels[address];
   if (channel == nullptr) {
     channel = std::make_shared<cancel_channel>(impl_, address);
   }
@@ -292,14 +292,14 @@
 }
 
 void backend_client::CloseAll() {
-  for (const auto& [id, each] : impl_->connections_) each->CloseSilently();
-  impl_->connections_.clear();
-  for (const auto& [address, each] : impl_->cancels_) each->Close();
-  impl_->cancels_.clear();
+  for (const auto& [id, each] : impl_->connections) each->CloseSilently();
+  impl_->connections.clear();
+  for (const auto& [address, each] : impl_->cancels) each->Close();
+  impl_->cancels.clear();
 }
 
 std::size_t backend_client::connections() const {
-  return impl_->connections_.size();
+  return impl_->connections.size();
 }
 
 }  // namespace bilberrycourse
--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -53,23 +53,23 @@
 
 class http_server::impl : public std::enable_shared_from_this<impl> {
  public:
-  impl(asio::any_io_executor executor, http_server_options options,
-       http_handler handler)
-      : executor_(std::move(executor)),
-        acceptor_(executor_),
-        options_(std::move(options)),
-        handler_(std::move(handler)) {}
+  impl(asio::any_io_executor run_on, http_server_options configured,
+       http_handler receiver)
+      : executor(std::move(run_on)),
+        acceptor(executor),
+        options(std::move(configured)),
+        handler(std::move(receiver)) {}
 
   boost::leaf::result<void> Listen();
   void Accept();
 
-  asio::any_io_executor executor_;
-  tcp::acceptor acceptor_;
-  http_server_options options_;
-  http_handler handler_;
-  std::set<std::shared_ptr<session>> sessions_;
-  std::size_t pending_ = 0;
-  bool stopping_ = false;
+  asio::any_io_executor executor;
+  tcp::acceptor acceptor;
+  http_server_options options;
+  http_handler handler;
+  std::set<std::shared_ptr<session>> sessions;
+  std::size_t pending = 0;
+  bool stopping = false;
 };
 
 class http_server::session : public std::enable_shared_from_this<session> {
@@ -77,14 +77,14 @@
   session(std::shared_ptr<impl> server, tcp::socket socket)
       : server_(std::move(server)),
         stream_(std::move(socket)),
-        timer_(server_->executor_) {
+        timer_(server_->executor) {
     boost::system::error_code ignored;
     stream_.socket().set_option(tcp::no_delay(true), ignored);
   }
 
   void Read() {
     parser_.emplace();
-    parser_->body_limit(server_->options_.max_request_bytes);
+    parser_->body_limit(server_->options.max_request_bytes);
     reading_head_ = true;
     // An idle keep-alive connection may stay open; the timeout starts with
     // the first byte of a request.
@@ -108,7 +108,7 @@
     beast::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
     stream_.close();
-    server_->sessions_.erase(shared_from_this());
+    server_->sessions.erase(shared_from_this());
   }
 
  private:
@@ -117,7 +117,7 @@
   // socket open for the answer.
   void ReadRequest() {
     timed_out_ = false;
-    timer_.expires_after(server_->options_.read_timeout);
+    timer_.expires_after(server_->options.read_timeout);
     timer_.async_wait([self = shared_from_this()](const beast::error_code& e) {
       if (e || !self->reading_head_ || self->closed_) return;
       self->timed_out_ = true;
@@ -143,7 +143,7 @@
     }
     if (error) {
       keep_alive_ = false;
-      ++server_->pending_;
+      ++server_->pending;
       return Write(ProblemResponse(CodeOfReadError(error)));
     }
     Handle();
@@ -170,12 +170,12 @@
     request.body = std::move(message.body());
     request.on_disconnect = std::make_shared<std::function<void()>>();
     on_disconnect_ = request.on_disconnect;
-    ++server_->pending_;
+    ++server_->pending;
     WatchDisconnect();
-    server_->handler_(std::move(request),
-                      [self = shared_from_this()](http_response response) {
-                        self->Write(std::move(response));
-                      });
+    server_->handler(std::move(request),
+                     [self = shared_from_this()](http_response response) {
+                       self->Write(std::move(response));
+                     });
   }
 
   // Notices a caller that closes its connection while its request runs.
@@ -194,7 +194,7 @@
   void Write(http_response response) {
     on_disconnect_.reset();
     if (closed_) {
-      --server_->pending_;
+      --server_->pending;
       return;
     }
     response_ = {};
@@ -205,10 +205,10 @@
       response_.set(http::field::retry_after,
                     std::to_string(response.retry_after));
     }
-    response_.keep_alive(keep_alive_ && !server_->stopping_);
+    response_.keep_alive(keep_alive_ && !server_->stopping);
     response_.body() = std::move(response.body);
     response_.prepare_payload();
-    stream_.expires_after(server_->options_.read_timeout);
+    stream_.expires_after(server_->options.read_timeout);
     http::async_write(
         stream_, response_,
         [self = shared_from_this()](const beast::error_code& error,
@@ -216,7 +216,7 @@
   }
 
   void WriteDone(const beast::error_code& error) {
-    --server_->pending_;
+    --server_->pending;
     if (error) return Close();
     if (!response_.keep_alive()) return CloseGracefully();
     Read();
@@ -229,7 +229,7 @@
     beast::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
     stream_.expires_after(kDrainTime);
-    Drain(server_->options_.max_request_bytes);
+    Drain(server_->options.max_request_bytes);
   }
 
   void Drain(std::size_t left) {
@@ -259,30 +259,30 @@
 
 boost::leaf::result<void> http_server::impl::Listen() {
   beast::error_code error;
-  const tcp::endpoint endpoint(asio::ip::make_address(options_.listen.ip),
-                               options_.listen.port);
-  acceptor_.open(endpoint.protocol(), error);
-  if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor_.bind(endpoint, error);
+  const tcp::endpoint endpoint(asio::ip::make_address(options.listen.ip),
+                               options.listen.port);
+  acceptor.open(endpoint.protocol(), error);
+  if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor.bind(endpoint, error);
   if (!error) {
-    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
   }
   if (error) {
     return boost::leaf::new_error(result_code::kAddressInUse,
-                                  options_.listen.ToText());
+                                  options.listen.ToText());
   }
   Accept();
   return {};
 }
 
 void http_server::impl::Accept() {
-  acceptor_.async_accept(
+  acceptor.async_accept(
       [self = shared_from_this()](const boost::system::error_code& error,
                                   tcp::socket socket) {
-        if (self->stopping_) return;
-        if (!error && self->sessions_.size() < self->options_.max_connections) {
+        if (self->stopping) return;
+        if (!error && self->sessions.size() < self->options.max_connections) {
           auto accepted = std::make_shared<session>(self, std::move(socket));
-          self->sessions_.insert(accepted);
+          self->sessions.insert(accepted);
           accepted->Read();
         }
         self->Accept();
@@ -299,18 +299,18 @@
 boost::leaf::result<void> http_server::Listen() { return impl_->Listen(); }
 
 void http_server::StopAccepting() {
-  impl_->stopping_ = true;
+  impl_->stopping = true;
   boost::system::error_code ignored;
-  impl_->acceptor_.close(ignored);
-  const auto sessions = impl_->sessions_;
+  impl_->acceptor.close(ignored);
+  const auto sessions = impl_->sessions;
   for (const auto& each : sessions) each->CloseIfIdle();
 }
 
-std::size_t http_server::pending() const { return impl_->pending_; }
+std::size_t http_server::pending() const { return impl_->pending; }
 
 void http_server::Close() {
   StopAccepting();
-  const auto sessions = impl_->sessions_;
+  const auto sessions = impl_->sessions;
   for (const auto& each : sessions) each->Close();
 }
 
--- a/app/peer_transport.cc
+++ b/app/peer_transport.cc
@@ -105,12 +105,12 @@
   class link;
   using link_pointer = std::shared_ptr<link>;
 
-  impl(asio::any_io_executor executor, peer_transport_options options,
-       peer_transport_handler* handler)
-      : executor_(std::move(executor)),
-        acceptor_(executor_),
-        options_(std::move(options)),
-        handler_(handler) {}
+  impl(asio::any_io_executor run_on, peer_transport_options configured,
+       peer_transport_handler* receiver)
+      : executor(std::move(run_on)),
+        acceptor(executor),
+        options(std::move(configured)),
+        handler(receiver) {}
 
   boost::leaf::result<void> Listen();
   void Accept();
@@ -120,21 +120,21 @@
   void Close();
 
   link_pointer FindOpen(const instance_name& peer) const {
-    const auto found = open_.find(peer);
-    return found == open_.end() ? nullptr : found->second;
+    const auto found = open.find(peer);
+    return found == open.end() ? nullptr : found->second;
   }
 
-  asio::any_io_executor executor_;
-  tcp::acceptor acceptor_;
-  peer_transport_options options_;
-  peer_transport_handler* handler_;
-  peer_transport_counters counters_;
-  std::map<instance_name, link_pointer> open_;
+  asio::any_io_executor executor;
+  tcp::acceptor acceptor;
+  peer_transport_options options;
+  peer_transport_handler* handler;
+  peer_transport_counters counters;
+  std::map<instance_name, link_pointer> open;
   // Every link that is not closed, so that Close() reaches all of them.
-  std::set<link_pointer> links_;
-  std::map<std::string, link_pointer> dialed_;
-  std::size_t unauthenticated_ = 0;
-  bool closing_ = false;
+  std::set<link_pointer> links;
+  std::map<std::string, link_pointer> dialed;
+  std::size_t unauthenticated = 0;
+  bool closing = false;
 };
 
 class peer_transport::impl::link : public std::enable_shared_from_this<link> {
@@ -143,7 +143,7 @@
        std::string address)
       : owner_(std::move(owner)),
         socket_(std::move(socket)),
-        timer_(owner_->executor_),
+        timer_(owner_->executor),
         dialer_(dialer),
         address_(std::move(address)) {}
 
@@ -173,8 +173,8 @@
     socket_.close(ignored);
     if (!was_open) {
       if (!dialer_) {
-        --owner_->unauthenticated_;
-        ++owner_->counters_.rejected_links;
+        --owner_->unauthenticated;
+        ++owner_->counters.rejected_links;
       }
     }
     owner_->Remove(shared_from_this());
@@ -187,12 +187,12 @@
 
   // Name of the instance that dialed this link.
   const instance_name& dialed_by() const {
-    return dialer_ ? owner_->options_.self : peer_;
+    return dialer_ ? owner_->options.self : peer_;
   }
 
  private:
   void ArmHandshakeTimer() {
-    timer_.expires_after(owner_->options_.handshake_timeout);
+    timer_.expires_after(owner_->options.handshake_timeout);
     timer_.async_wait(
         [self = shared_from_this()](const boost::system::error_code& error) {
           if (!error && !self->open()) self->Close();
@@ -203,7 +203,7 @@
     boost::system::error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
     if (dialer_) {
-      facts_.dialer = owner_->options_.self;
+      facts_.dialer = owner_->options.self;
       facts_.dialer_nonce = RandomNonce();
       SendHello(facts_.dialer_nonce);
     }
@@ -212,7 +212,7 @@
 
   void SendHello(const bytes& nonce) {
     wire::helloT hello;
-    hello.name = owner_->options_.self;
+    hello.name = owner_->options.self;
     hello.nonce = nonce;
     wire::peer_frameT frame;
     frame.payload.Set(std::move(hello));
@@ -221,7 +221,7 @@
 
   void SendProof(std::string_view role) {
     wire::proofT proof;
-    proof.mac = Mac(owner_->options_.shared_key, role, facts_);
+    proof.mac = Mac(owner_->options.shared_key, role, facts_);
     wire::peer_frameT frame;
     frame.payload.Set(std::move(proof));
     SendFrame(frame);
@@ -230,9 +230,9 @@
   void Queue(encoded_frame frame) {
     if (state_ == link_state::kClosed) return;
     backlog_bytes_ += frame->size();
-    if (backlog_bytes_ > owner_->options_.max_backlog_bytes) return Close();
-    ++owner_->counters_.frames_sent;
-    owner_->counters_.bytes_sent += frame->size();
+    if (backlog_bytes_ > owner_->options.max_backlog_bytes) return Close();
+    ++owner_->counters.frames_sent;
+    owner_->counters.bytes_sent += frame->size();
     queue_.push_back(std::move(frame));
     if (!writing_) Write();
   }
@@ -277,7 +277,7 @@
   void ReadBody() {
     const std::uint32_t size = boost::endian::load_little_u32(length_.data());
     const std::size_t limit =
-        open() ? owner_->options_.max_frame_bytes : kMaxHandshakeFrameBytes;
+        open() ? owner_->options.max_frame_bytes : kMaxHandshakeFrameBytes;
     if (size == 0 || size > limit) return Close();
     body_.resize(size);
     asio::async_read(socket_, asio::buffer(body_),
@@ -289,13 +289,13 @@
   }
 
   void HandleBody() {
-    ++owner_->counters_.frames_received;
-    owner_->counters_.bytes_received += kLengthBytes + body_.size();
+    ++owner_->counters.frames_received;
+    owner_->counters.bytes_received += kLengthBytes + body_.size();
     flatbuffers::Verifier verifier(body_.data(), body_.size());
     if (!verifier.VerifyBuffer<wire::peer_frame>()) return Close();
     const auto* frame = flatbuffers::GetRoot<wire::peer_frame>(body_.data());
     if (open()) {
-      owner_->handler_->OnPeerFrame(peer_, *frame);
+      owner_->handler->OnPeerFrame(peer_, *frame);
     } else {
       HandleHandshake(*frame);
     }
@@ -313,7 +313,7 @@
   void HandleHello(const wire::hello* hello) {
     if (hello == nullptr || hello->name() == nullptr ||
         hello->nonce() == nullptr || hello->nonce()->size() != kNonceBytes ||
-        hello->name()->str() == owner_->options_.self) {
+        hello->name()->str() == owner_->options.self) {
       return Close();
     }
     peer_ = hello->name()->str();
@@ -325,7 +325,7 @@
     } else {
       facts_.dialer = peer_;
       facts_.dialer_nonce = nonce;
-      facts_.acceptor = owner_->options_.self;
+      facts_.acceptor = owner_->options.self;
       facts_.acceptor_nonce = RandomNonce();
       SendHello(facts_.acceptor_nonce);
     }
@@ -334,13 +334,13 @@
 
   void HandleProof(const wire::proof* proof) {
     if (proof == nullptr || proof->mac() == nullptr) return Close();
-    const bytes expected = Mac(owner_->options_.shared_key,
+    const bytes expected = Mac(owner_->options.shared_key,
                                dialer_ ? "acceptor" : "dialer", facts_);
     if (!EqualMac(expected, proof->mac()->data(), proof->mac()->size())) {
       return Close();
     }
     if (!dialer_) SendProof("acceptor");
-    if (!dialer_) --owner_->unauthenticated_;
+    if (!dialer_) --owner_->unauthenticated;
     state_ = link_state::kOpen;
     timer_.cancel();
     owner_->Opened(shared_from_this());
@@ -364,50 +364,49 @@
 
 boost::leaf::result<void> peer_transport::impl::Listen() {
   boost::system::error_code error;
-  const tcp::endpoint endpoint(asio::ip::make_address(options_.listen.ip),
-                               options_.listen.port);
-  acceptor_.open(endpoint.protocol(), error);
-  if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor_.bind(endpoint, error);
-  if (!error)
-    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  const tcp::endpoint endpoint(asio::ip::make_address(options.listen.ip),
+                               options.listen.port);
+  acceptor.open(endpoint.protocol(), error);
+  if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor.bind(endpoint, error);
+  if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
   if (error) {
     return boost::leaf::new_error(result_code::kAddressInUse,
-                                  options_.listen.ToText());
+                                  options.listen.ToText());
   }
   Accept();
   return {};
 }
 
 void peer_transport::impl::Accept() {
-  acceptor_.async_accept([self = shared_from_this()](
-                             const boost::system::error_code& error,
-                             tcp::socket socket) {
-    if (self->closing_) return;
-    if (!error) {
-      if (self->unauthenticated_ < self->options_.max_unauthenticated_links) {
-        ++self->unauthenticated_;
-        auto accepted =
-            std::make_shared<link>(self, std::move(socket), false, "");
-        self->links_.insert(accepted);
-        accepted->StartAccepted();
-      } else {
-        ++self->counters_.rejected_links;
-      }
-    }
-    self->Accept();
-  });
+  acceptor.async_accept(
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  tcp::socket socket) {
+        if (self->closing) return;
+        if (!error) {
+          if (self->unauthenticated < self->options.max_unauthenticated_links) {
+            ++self->unauthenticated;
+            auto accepted =
+                std::make_shared<link>(self, std::move(socket), false, "");
+            self->links.insert(accepted);
+            accepted->StartAccepted();
+          } else {
+            ++self->counters.rejected_links;
+          }
+        }
+        self->Accept();
+      });
 }
 
 void peer_transport::impl::Dial(const std::string& address) {
-  if (closing_ || dialed_.contains(address)) return;
+  if (closing || dialed.contains(address)) return;
   socket_address parsed;
   if (!ParseSocketAddress(address, &parsed)) return;
-  auto dialed = std::make_shared<link>(shared_from_this(),
-                                       tcp::socket(executor_), true, address);
-  links_.insert(dialed);
-  dialed_[address] = dialed;
-  dialed->StartDial({asio::ip::make_address(parsed.ip), parsed.port});
+  auto opening = std::make_shared<link>(shared_from_this(),
+                                        tcp::socket(executor), true, address);
+  links.insert(opening);
+  dialed[address] = opening;
+  opening->StartDial({asio::ip::make_address(parsed.ip), parsed.port});
 }
 
 void peer_transport::impl::Opened(const link_pointer& opened) {
@@ -418,36 +417,34 @@
     // without this side having noticed.
     const bool replace = opened->dialed_by() <= existing->dialed_by();
     if (!replace) {
-      asio::post(executor_, [opened] { opened->Close(); });
+      asio::post(executor, [opened] { opened->Close(); });
       return;
     }
-    open_[opened->peer()] = opened;
-    asio::post(executor_, [existing] { existing->Close(); });
+    open[opened->peer()] = opened;
+    asio::post(executor, [existing] { existing->Close(); });
     return;
   }
-  open_[opened->peer()] = opened;
-  handler_->OnPeerConnected(opened->peer());
+  open[opened->peer()] = opened;
+  handler->OnPeerConnected(opened->peer());
 }
 
 void peer_transport::impl::Remove(const link_pointer& closed) {
-  links_.erase(closed);
-  const auto dialed = dialed_.find(closed->address());
-  if (dialed != dialed_.end() && dialed->second == closed) {
-    dialed_.erase(dialed);
-  }
-  const auto found = open_.find(closed->peer());
-  if (found != open_.end() && found->second == closed) {
-    open_.erase(found);
-    if (!closing_) handler_->OnPeerDisconnected(closed->peer());
+  links.erase(closed);
+  const auto opened = dialed.find(closed->address());
+  if (opened != dialed.end() && opened->second == closed) dialed.erase(opened);
+  const auto found = open.find(closed->peer());
+  if (found != open.end() && found->second == closed) {
+    open.erase(found);
+    if (!closing) handler->OnPeerDisconnected(closed->peer());
   }
 }
 
 void peer_transport::impl::Close() {
-  closing_ = true;
+  closing = true;
   boost::system::error_code ignored;
-  acceptor_.close(ignored);
-  const auto links = links_;
-  for (const link_pointer& each : links) each->Close();
+  acceptor.close(ignored);
+  const auto closing_links = links;
+  for (const link_pointer& each : closing_links) each->Close();
 }
 
 peer_transport::peer_transport(boost::asio::any_io_executor executor,
@@ -468,8 +465,8 @@
 
 std::vector<instance_name> peer_transport::connected_peers() const {
   std::vector<instance_name> peers;
-  peers.reserve(impl_->open_.size());
-  for (const auto& [name, unused] : impl_->open_) peers.push_back(name);
+  peers.reserve(impl_->open.size());
+  for (const auto& [name, unused] : impl_->open) peers.push_back(name);
   return peers;
 }
 
@@ -483,8 +480,8 @@
 
 bool peer_transport::SendToAddress(const std::string& address,
                                    const wire::peer_frameT& frame) {
-  const auto found = impl_->dialed_.find(address);
-  if (found == impl_->dialed_.end() || !found->second->open()) return false;
+  const auto found = impl_->dialed.find(address);
+  if (found == impl_->dialed.end() || !found->second->open()) return false;
   found->second->SendFrame(frame);
   return true;
 }
@@ -492,7 +489,7 @@
 void peer_transport::Close() { impl_->Close(); }
 
 const peer_transport_counters& peer_transport::counters() const {
-  return impl_->counters_;
+  return impl_->counters;
 }
 
 }  // namespace bilberrycourse
--- a/bilberrycourse/types.h
+++ b/bilberrycourse/types.h
@@ -56,6 +56,8 @@
 struct shard_key {
   std::string service;
   std::uint32_t shard = 0;
+  // clang-tidy 14 takes the 0 of a defaulted comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const shard_key&) const = default;
 };
 
@@ -63,6 +65,8 @@
 struct backend_server_key {
   shard_key shard;
   std::string replica;
+  // clang-tidy 14 takes the 0 of a defaulted comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const backend_server_key&) const = default;
 };
 
