--- a/bilberrycourse/testing/shard_dispatcher_test.cc
+++ b/bilberrycourse/testing/shard_dispatcher_test.cc
@@ -27,12 +27,12 @@
     effects_.clear();
     dispatcher_->SetPolicy("target", policy_);
     dispatcher_->SetSendingAllowed(true, now_, &effects_);
-    dispatcher_->SetShardOwned(kShard, true, now_, &effects_);
+    dispatcher_->SetShardOwned(shard_, true, now_, &effects_);
   }
 
   backend_server_record Record(const std::string& replica) {
     backend_server_record record;
-    record.key = {kShard, replica};
+    record.key = {shard_, replica};
     record.slots = 2;
     record.connection_limit = 25;
     record.versions = {kVersion};
@@ -56,7 +56,7 @@
   shard_request Request(std::uint64_t id) {
     shard_request request;
     request.id = shard_request_id{id};
-    request.shard = kShard;
+    request.shard = shard_;
     request.version = kVersion;
     request.deadline = now_ + seconds(1);
     request.caller = "caller";
@@ -103,7 +103,7 @@
     return attempts.empty() ? send_attempt{} : attempts.front();
   }
 
-  const shard_key kShard{"catalogue", 3};
+  const shard_key shard_{"catalogue", 3};
   dispatch_options options_;
   service_policy policy_;
   crash_evidence evidence_;
@@ -133,7 +133,7 @@
 
 // Guards against a deputy that keeps connections of shards it does not own.
 TEST_F(shard_dispatcher_test, Deputy_Request_OpensThenClosesConnections) {
-  dispatcher_->SetShardOwned(kShard, false, now_, &effects_);
+  dispatcher_->SetShardOwned(shard_, false, now_, &effects_);
   Advance(seconds(10));
   AddServer(Record("a"));
   Submit(Request(1));
@@ -278,7 +278,7 @@
 TEST_F(shard_dispatcher_test, CondemnedContent_IsRefusedAsNotRun) {
   AddServer(Record("a"));
   for (const char* replica : {"x", "y"}) {
-    evidence_.RecordCrash({{kShard, replica}, 1, {fingerprint{1}}}, now_);
+    evidence_.RecordCrash({{shard_, replica}, 1, {fingerprint{1}}}, now_);
   }
   Submit(Request(1));
   const shard_result result = OnlyResult();
