Fuzz the replicated log against an oracle and detect deliberate faults

Cause: ten scripted tests say little about schedules of faults. Change: generated command lists drive three group shapes through the real state machines, codecs and crash-prone disks; 13 deliberate faults must each be found.

--- a/bilberrycourse/consensus_member.cc
+++ b/bilberrycourse/consensus_member.cc
@@ -495,9 +495,7 @@
   }
   // A message to the earlier identity of this instance, or of another
   // formation of the group, is not for this member.
-  if (message.to != identity_.id && !settings_.faults.accept_any_recipient) {
-    return;
-  }
+  if (message.to != identity_.id) return;
   if (message.formation == 0 || message.formation != state_.formation) return;
   if (message.members.size() == 1 &&
       message.members.front().id == message.from &&
@@ -739,11 +737,13 @@
                                         time_point now) {
   if (message.confirmation_age_us < 0 || message.follower_us < 0) return;
   const std::int64_t echo = message.follower_us - clock_offset_;
-  const std::int64_t transit = Microseconds(now) - echo - message.held_us;
+  std::int64_t transit = Microseconds(now) - echo - message.held_us;
   if (echo < started_us_ || transit < 0) return;
+  if (settings_.faults.confirm_without_transit) transit = 0;
   const time_point confirmed =
       now - duration(message.confirmation_age_us + transit);
-  if (applied_index_ >= message.commit) {
+  if (applied_index_ >= message.commit ||
+      settings_.faults.confirm_before_applied) {
     confirmed_ = std::max(confirmed_, std::optional(confirmed));
   } else if (!pending_confirmed_) {
     pending_confirmed_ = confirmed;
@@ -1058,7 +1058,10 @@
   if (role_ != consensus_role::kLeader) return;
   std::vector<log_index> matches;
   for (const log_member& member : membership().members) {
-    if (member.role != member_role::kVoter) continue;
+    if (member.role != member_role::kVoter &&
+        !settings_.faults.count_learners) {
+      continue;
+    }
     matches.push_back(member.id == identity_.id ? durable_index_
                                                 : peers_.at(member.id).match);
   }
--- a/bilberrycourse/consensus_member.h
+++ b/bilberrycourse/consensus_member.h
@@ -68,7 +68,9 @@
   bool skip_previous_entry_check = false;
   bool form_without_peers = false;
   bool overlap_membership_changes = false;
-  bool accept_any_recipient = false;
+  bool confirm_before_applied = false;
+  bool confirm_without_transit = false;
+  bool count_learners = false;
 };
 
 struct consensus_settings {
--- a/bilberrycourse/testing/consensus_cluster.h
+++ b/bilberrycourse/testing/consensus_cluster.h
@@ -14,6 +14,8 @@
 // offset; only the oracle sees the global time.
 
 #include <algorithm>
+#include <deque>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <optional>
@@ -62,6 +64,12 @@
 
 class consensus_cluster {
  public:
+  struct envelope {
+    std::size_t from = 0;
+    std::size_t to = 0;
+    std::string bytes;
+  };
+
   struct node {
     instance_name name;
     std::unique_ptr<consensus_member> member;
@@ -75,16 +83,11 @@
     // Of the running process.
     log_index applied = 0;
     std::string state;
-    std::uint64_t incarnation = 0;
     time_point leader_since{};
     std::map<member_id, time_point> replies;
     std::map<std::uint64_t, log_index> reads;
-  };
-
-  struct envelope {
-    std::size_t from = 0;
-    std::size_t to = 0;
-    std::string bytes;
+    // Messages that arrived during a pause.
+    std::vector<envelope> inbox;
   };
 
   explicit consensus_cluster(cluster_options options)
@@ -108,7 +111,7 @@
   time_point now() const { return now_; }
   consensus_oracle& oracle() { return oracle_; }
   const std::string& violation() const { return oracle_.violation; }
-  std::vector<envelope>& network() { return network_; }
+  std::deque<envelope>& network() { return network_; }
   std::uint64_t steps() const { return steps_; }
   const std::set<member_id>& lost() const { return lost_; }
 
@@ -240,7 +243,7 @@
     node& n = nodes_[e.to];
     if (n.member == nullptr || cut_[e.from][e.to]) return;
     if (n.paused) {
-      network_.push_back(e);
+      n.inbox.push_back(e);
       return;
     }
     const std::optional<consensus_message> message = DecodeMessage(e.bytes);
@@ -300,6 +303,7 @@
     if (n.member == nullptr) return;
     n.member.reset();
     n.paused = false;
+    n.inbox.clear();
     std::string written;
     for (const persist& effect : n.unsynced) {
       if (effect.snapshot) break;
@@ -348,6 +352,8 @@
   void Wipe(std::size_t i) {
     node& n = nodes_[i];
     n.member.reset();
+    n.paused = false;
+    n.inbox.clear();
     n.unsynced.clear();
     if (n.id != kNoMember) lost_.insert(n.id);
     if (n.id == kNoMember || !options_.wiped_member_keeps_identity) {
@@ -382,7 +388,12 @@
   }
 
   void Pause(std::size_t i) { nodes_[i].paused = nodes_[i].member != nullptr; }
-  void Resume(std::size_t i) { nodes_[i].paused = false; }
+  void Resume(std::size_t i) {
+    nodes_[i].paused = false;
+    std::move(nodes_[i].inbox.begin(), nodes_[i].inbox.end(),
+              std::back_inserter(network_));
+    nodes_[i].inbox.clear();
+  }
 
   // Stops all faults and returns the ticks until a new entry is applied by all
   // voters, and the voters are as many as configured and all intact; empty if
@@ -580,7 +591,7 @@
   std::mt19937_64 random_;
   std::vector<node> nodes_;
   std::vector<std::vector<bool>> cut_;
-  std::vector<envelope> network_;
+  std::deque<envelope> network_;
   std::set<member_id> lost_;
   consensus_oracle oracle_;
   time_point now_{};
