Accept a fresh log file whose first sync mark was torn

Cause: a power loss while the first sync mark is written left a folder that was refused as damaged, so that a first start needed an operator. Found by the test that interrupts the creation at each operation. Change: a missing or unreadable mark is accepted if the file holds nothing but the identity. Conclusion: an interrupted creation opens or starts anew; damage is refused.

--- a/app/log_store.cc
+++ b/app/log_store.cc
@@ -285,9 +285,6 @@
     code = files_->Read(LogName(generation_), &bytes);
     if (code != result_code::kOk) return failed(code, "cannot read the log");
     const std::optional<sync_mark> mark = DecodeSyncMarks(mark_bytes);
-    if (has_mark && !mark && !mark_bytes.empty()) {
-      return failed(result_code::kLogDamaged, "the sync mark is damaged");
-    }
     if (mark && mark->generation > generation_) {
       return failed(result_code::kLogDamaged,
                     LogName(mark->generation) + " is missing");
@@ -299,11 +296,12 @@
       return failed(recovered.code, recovered.reason);
     }
     // The mark is synced before the first change is written, so only a folder
-    // whose creation was interrupted may lack it.
+    // whose creation was interrupted may lack a readable one.
     if (!mark && (generation_ != 1 || recovered.valid_length != bytes.size() ||
                   recovered.log.state != hard_state{} ||
                   !recovered.log.entries.empty())) {
-      return failed(result_code::kLogDamaged, "the sync mark is missing");
+      return failed(result_code::kLogDamaged,
+                    "the sync mark is missing or damaged");
     }
     if (recovered.log.identity.group != settings_.group ||
         recovered.log.identity.instance != settings_.instance) {
