Form the group again if a voter was wiped before the first election

Cause: two initial voters that lose their disks between their assent and the first election left a formed group whose quorum no longer existed. Change: until the coordinator has led, nobody else holds its first entry; if a voter reports a new id by then, the formation is dropped and repeated. TwoVotersWipedDuringFormation_FormsAgain is added. Conclusion: fixed; a first start interrupted in this way needs no operator.

--- a/bilberrycourse/consensus_member.cc
+++ b/bilberrycourse/consensus_member.cc
@@ -75,6 +75,10 @@
   commit_index_ = applied_index_ = snapshot_.index;
   durable_index_ = last_index();
   if (formed()) role_ = consensus_role::kFollower;
+  // Term 1 is only the term of the first entry; no election has taken place.
+  formation_unsent_ =
+      last_index() == 1 && snapshot_.index == 0 && state_.term == 1 &&
+      state_.formation == static_cast<std::uint64_t>(identity_.id);
   started_us_ = Microseconds(now);
   clock_offset_ = static_cast<std::int64_t>(random_() >> 3);
   discover_due_ = now;
@@ -433,6 +437,7 @@
   heartbeat_due_ = now + settings_.heartbeat;
   transfer_target_ = kNoMember;
   term_start_index_ = last_index() + 1;
+  formation_unsent_ = false;
   SetRole(consensus_role::kLeader, identity_.id, out);
   UpdatePeers(now);
   AppendAsLeader(entry_kind::kNoOp, nullptr, now, out);
@@ -1332,6 +1337,17 @@
       PersistState(out);
     }
   }
+  // An initial voter that was wiped before the first election: the group is
+  // formed again with its new identity. With two such voters it could never
+  // elect a leader.
+  if (formation_unsent_ && !message.formed &&
+      membership().Find(sender.id) == nullptr &&
+      std::any_of(membership().members.begin(), membership().members.end(),
+                  [&](const log_member& member) {
+                    return member.instance == sender.instance;
+                  })) {
+    AbandonFormation(out);
+  }
   if (message.kind == message_kind::kDiscover) {
     consensus_message reply;
     reply.kind = message_kind::kDiscoverReply;
@@ -1369,6 +1385,7 @@
     }
     if (configured.initial_voter) initial.members.push_back(std::move(member));
   }
+  formation_unsent_ = true;
   state_.term = std::max<log_term>(state_.term, 1);
   std::vector<log_entry> entries;
   entries.push_back(
@@ -1380,4 +1397,11 @@
   election_due_ = now;
 }
 
+void consensus_member::AbandonFormation(consensus_effects* out) {
+  formation_unsent_ = false;
+  votes_.clear();
+  Append(1, {}, out);
+  SetRole(consensus_role::kUnformed, kNoMember, out);
+}
+
 }  // namespace bilberrycourse
--- a/bilberrycourse/consensus_member.h
+++ b/bilberrycourse/consensus_member.h
@@ -361,6 +361,7 @@
   void Discover(time_point now, consensus_effects* out);
   void TryFormGroup(time_point now, consensus_effects* out);
   bool IsCoordinator(const instance_name& instance) const;
+  void AbandonFormation(consensus_effects* out);
 
   void Replicate(member_id id, bool heartbeat, time_point now,
                  consensus_effects* out);
@@ -439,6 +440,9 @@
   time_point transfer_due_{};
 
   time_point discover_due_{};
+  // This member has formed the group and has not led it, so that nobody else
+  // can hold its first entry.
+  bool formation_unsent_ = false;
   std::map<instance_name, discovered> discovered_;
 
   // Added to the clock in follower_us, so that an echo of an earlier process
--- a/bilberrycourse/testing/consensus_member_test.cc
+++ b/bilberrycourse/testing/consensus_member_test.cc
@@ -45,6 +45,21 @@
   EXPECT_LT(Elect(), cluster_.size());
 }
 
+// Guards against a group that can never elect a leader, because the identities
+// with which it was formed are gone.
+TEST_F(consensus_member_test, TwoVotersWipedDuringFormation_FormsAgain) {
+  while (cluster_.at(0).member->last_index() == 0) cluster_.Run(1);
+  ASSERT_EQ(cluster_.leader(), cluster_.size());
+  for (const std::size_t i : {1, 2}) {
+    cluster_.Wipe(i);
+    cluster_.Start(i);
+  }
+  ASSERT_LT(Elect(), cluster_.size());
+  for (const std::size_t i : {0, 1, 2}) {
+    EXPECT_TRUE(cluster_.oracle().membership.IsVoter(cluster_.at(i).id));
+  }
+}
+
 // Guards against a leader that is lost for longer than a second.
 TEST_F(consensus_member_test, LeaderCrashes_AnotherIsElectedWithinOneSecond) {
   const std::size_t leader = Elect();
