--- a/bilberrycourse/consensus_member.cc
+++ b/bilberrycourse/consensus_member.cc
@@ -328,8 +328,9 @@
 void consensus_member::BecomeFollower(log_term term, member_id leader,
                                       time_point now, consensus_effects* out) {
   if (role_ == consensus_role::kLeader) {
-    confirmed_ = std::max(confirmed_, QuorumTime(now));
-    if (commit_index_ < term_start_index_) confirmed_.reset();
+    if (commit_index_ >= term_start_index_) {
+      confirmed_ = std::max(confirmed_, QuorumTime(now));
+    }
     FailReads(result_code::kNotLeader, out);
     peers_.clear();
     transfer_target_ = kNoMember;
@@ -783,7 +784,8 @@
     return;
   }
   if (message.total > settings_.max_snapshot_bytes ||
-      message.data.size() > message.total) {
+      message.data.size() > message.total ||
+      group_membership{message.members}.voter_count() == 0) {
     return;
   }
   if (incoming_.from != message.from || incoming_.term != message.term ||
