--- /dev/null
+++ b/bilberrycourse/testing/member_repair_test.cc
@@ -0,0 +1,129 @@
+#include "bilberrycourse/member_repair.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace bilberrycourse {
+namespace {
+
+using std::chrono::seconds;
+
+struct member_row {
+  std::uint64_t id;
+  bool voter;
+  int silence_s;
+  log_index match;
+};
+
+struct repair_case {
+  const char* name;
+  std::vector<member_row> peers;
+  std::vector<std::uint64_t> spares;
+  bool pending;
+  bool quorum;
+  std::string want;
+};
+
+const repair_case kCases[] = {
+    {"AllAlive", {{2, true, 0, 9}, {3, true, 9, 9}}, {4}, false, true, ""},
+    {"LostAndSpare",
+     {{2, true, 0, 9}, {3, true, 10, 5}},
+     {4},
+     false,
+     true,
+     "add 4"},
+    {"LostWithoutSpare",
+     {{2, true, 0, 9}, {3, true, 10, 5}},
+     {},
+     false,
+     true,
+     ""},
+    {"ChangePending", {{2, true, 0, 9}, {3, true, 10, 5}}, {4}, true, true, ""},
+    {"NoQuorum", {{2, true, 10, 9}, {3, true, 10, 5}}, {4}, false, false, ""},
+    {"LearnerBehind",
+     {{2, true, 0, 9}, {3, true, 10, 5}, {4, false, 0, 8}},
+     {},
+     false,
+     true,
+     ""},
+    {"LearnerCaughtUp",
+     {{2, true, 0, 9}, {3, true, 10, 5}, {4, false, 0, 9}},
+     {},
+     false,
+     true,
+     "promote 4"},
+    {"LearnerSilent",
+     {{2, true, 0, 9}, {3, true, 10, 5}, {4, false, 3, 9}},
+     {},
+     false,
+     true,
+     ""},
+    {"LearnerLost",
+     {{2, true, 0, 9}, {3, true, 10, 5}, {4, false, 10, 9}},
+     {5},
+     false,
+     true,
+     "remove 4"},
+    {"PromotedThenRemove",
+     {{2, true, 0, 9}, {3, true, 10, 5}, {4, true, 0, 9}},
+     {},
+     false,
+     true,
+     "remove 3"},
+    {"LostCameBack",
+     {{2, true, 0, 9}, {3, true, 0, 5}, {4, true, 0, 9}},
+     {},
+     false,
+     true,
+     "remove 3"},
+    {"TooFewVoters", {{2, true, 0, 9}}, {4}, false, true, "add 4"},
+    {"SameInstancePreferred",
+     {{2, true, 0, 9}, {3, true, 10, 5}},
+     {4, 33},
+     false,
+     true,
+     "add 33"},
+};
+
+class member_repair_test : public ::testing::TestWithParam<repair_case> {};
+
+// Guards against removals before a replacement votes, changes that overlap,
+// and repairs without a quorum. Member 1 leads; ids 3 and 33 are one instance.
+TEST_P(member_repair_test, Plan_GivesNextChange) {
+  const repair_case& c = GetParam();
+  repair_view view;
+  view.self = member_id{1};
+  view.commit_index = 9;
+  view.change_pending = c.pending;
+  view.quorum_confirmed = c.quorum;
+  view.membership.members.push_back(
+      {member_id{1}, "c1", "", member_role::kVoter});
+  for (const member_row& row : c.peers) {
+    const log_member member{
+        member_id{row.id}, "c" + std::to_string(row.id % 30), "",
+        row.voter ? member_role::kVoter : member_role::kLearner};
+    view.membership.members.push_back(member);
+    view.peers.push_back({member, row.match, seconds(row.silence_s), false});
+  }
+  for (const std::uint64_t id : c.spares) {
+    view.spares.push_back({{member_id{id}, "c" + std::to_string(id % 30), "",
+                            member_role::kLearner},
+                           seconds(0)});
+  }
+  const auto change = member_repair({.voters = 3}).Plan(view);
+  std::string got;
+  if (change) {
+    const char* const names[] = {"add ", "promote ", "remove "};
+    got = names[static_cast<int>(change->kind)] +
+          std::to_string(static_cast<std::uint64_t>(change->member.id));
+  }
+  EXPECT_EQ(got, c.want);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, member_repair_test, ::testing::ValuesIn(kCases),
+                         [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace bilberrycourse
