--- a/bilberrycourse/consensus_member.cc
+++ b/bilberrycourse/consensus_member.cc
@@ -75,6 +75,10 @@
   commit_index_ = applied_index_ = snapshot_.index;
   durable_index_ = last_index();
   if (formed()) role_ = consensus_role::kFollower;
+  // Term 1 is only the term of the first entry; no election has taken place.
+  formation_unsent_ =
+      last_index() == 1 && snapshot_.index == 0 && state_.term == 1 &&
+      state_.formation == static_cast<std::uint64_t>(identity_.id);
   started_us_ = Microseconds(now);
   clock_offset_ = static_cast<std::int64_t>(random_() >> 3);
   discover_due_ = now;
@@ -324,8 +328,9 @@
 void consensus_member::BecomeFollower(log_term term, member_id leader,
                                       time_point now, consensus_effects* out) {
   if (role_ == consensus_role::kLeader) {
-    confirmed_ = std::max(confirmed_, QuorumTime(now));
-    if (commit_index_ < term_start_index_) confirmed_.reset();
+    if (commit_index_ >= term_start_index_) {
+      confirmed_ = std::max(confirmed_, QuorumTime(now));
+    }
     FailReads(result_code::kNotLeader, out);
     peers_.clear();
     transfer_target_ = kNoMember;
@@ -433,6 +438,7 @@
   heartbeat_due_ = now + settings_.heartbeat;
   transfer_target_ = kNoMember;
   term_start_index_ = last_index() + 1;
+  formation_unsent_ = false;
   SetRole(consensus_role::kLeader, identity_.id, out);
   UpdatePeers(now);
   AppendAsLeader(entry_kind::kNoOp, nullptr, now, out);
@@ -495,9 +501,7 @@
   }
   // A message to the earlier identity of this instance, or of another
   // formation of the group, is not for this member.
-  if (message.to != identity_.id && !settings_.faults.accept_any_recipient) {
-    return;
-  }
+  if (message.to != identity_.id) return;
   if (message.formation == 0 || message.formation != state_.formation) return;
   if (message.members.size() == 1 &&
       message.members.front().id == message.from &&
@@ -739,11 +743,13 @@
                                         time_point now) {
   if (message.confirmation_age_us < 0 || message.follower_us < 0) return;
   const std::int64_t echo = message.follower_us - clock_offset_;
-  const std::int64_t transit = Microseconds(now) - echo - message.held_us;
+  std::int64_t transit = Microseconds(now) - echo - message.held_us;
   if (echo < started_us_ || transit < 0) return;
+  if (settings_.faults.confirm_without_transit) transit = 0;
   const time_point confirmed =
       now - duration(message.confirmation_age_us + transit);
-  if (applied_index_ >= message.commit) {
+  if (applied_index_ >= message.commit ||
+      settings_.faults.confirm_before_applied) {
     confirmed_ = std::max(confirmed_, std::optional(confirmed));
   } else if (!pending_confirmed_) {
     pending_confirmed_ = confirmed;
@@ -778,7 +784,8 @@
     return;
   }
   if (message.total > settings_.max_snapshot_bytes ||
-      message.data.size() > message.total) {
+      message.data.size() > message.total ||
+      group_membership{message.members}.voter_count() == 0) {
     return;
   }
   if (incoming_.from != message.from || incoming_.term != message.term ||
@@ -794,6 +801,7 @@
     consensus_message reply = Reply(message_kind::kSnapshotReply, message);
     reply.index = message.index;
     reply.offset = incoming_.data.size();
+    reply.total = message.offset;
     Send(message.from, std::move(reply), out);
     return;
   }
@@ -1044,11 +1052,11 @@
       message.offset > peer.snapshot.state->size()) {
     return;
   }
-  // A smaller offset means that the follower has started over; one that comes
-  // soon after a chunk is more likely an old reply.
+  // An answer to the outstanding chunk that asks for an earlier one means that
+  // the follower has started over. Other smaller offsets are old replies.
+  const bool answers_outstanding = message.total == peer.snapshot_offset;
   if (message.offset > peer.snapshot_offset ||
-      (message.offset < peer.snapshot_offset &&
-       now - peer.snapshot_sent >= settings_.heartbeat)) {
+      (message.offset < peer.snapshot_offset && answers_outstanding)) {
     peer.snapshot_offset = message.offset;
     SendChunk(message.from, now, out);
   }
@@ -1058,7 +1066,10 @@
   if (role_ != consensus_role::kLeader) return;
   std::vector<log_index> matches;
   for (const log_member& member : membership().members) {
-    if (member.role != member_role::kVoter) continue;
+    if (member.role != member_role::kVoter &&
+        !settings_.faults.count_learners) {
+      continue;
+    }
     matches.push_back(member.id == identity_.id ? durable_index_
                                                 : peers_.at(member.id).match);
   }
@@ -1328,6 +1339,17 @@
       PersistState(out);
     }
   }
+  // An initial voter that was wiped before the first election: the group is
+  // formed again with its new identity. With two such voters it could never
+  // elect a leader.
+  if (formation_unsent_ && !message.formed &&
+      membership().Find(sender.id) == nullptr &&
+      std::any_of(membership().members.begin(), membership().members.end(),
+                  [&](const log_member& member) {
+                    return member.instance == sender.instance;
+                  })) {
+    AbandonFormation(out);
+  }
   if (message.kind == message_kind::kDiscover) {
     consensus_message reply;
     reply.kind = message_kind::kDiscoverReply;
@@ -1365,6 +1387,7 @@
     }
     if (configured.initial_voter) initial.members.push_back(std::move(member));
   }
+  formation_unsent_ = true;
   state_.term = std::max<log_term>(state_.term, 1);
   std::vector<log_entry> entries;
   entries.push_back(
@@ -1376,4 +1399,11 @@
   election_due_ = now;
 }
 
+void consensus_member::AbandonFormation(consensus_effects* out) {
+  formation_unsent_ = false;
+  votes_.clear();
+  Append(1, {}, out);
+  SetRole(consensus_role::kUnformed, kNoMember, out);
+}
+
 }  // namespace bilberrycourse
