--- a/bilberrycourse/config_document.cc
+++ b/bilberrycourse/config_document.cc
@@ -15,7 +15,7 @@
 namespace json = boost::json;
 
 constexpr std::size_t kMaxNameBytes = 64;
-constexpr std::size_t kMaxCallerBytes = 128;
+constexpr std::size_t kMaxCallerBytes = 256;
 constexpr std::size_t kMaxAuthorBytes = 200;
 constexpr std::size_t kMaxReasonBytes = 2000;
 // The two limits of time keep every value in microseconds within 64 bits.
--- a/bilberrycourse/control_state.cc
+++ b/bilberrycourse/control_state.cc
@@ -16,7 +16,7 @@
 constexpr std::size_t kMaxAuthorBytes = 200;
 constexpr std::size_t kMaxReasonBytes = 2000;
 constexpr std::size_t kMaxNameBytes = 64;
-constexpr std::size_t kMaxCallerBytes = 128;
+constexpr std::size_t kMaxCallerBytes = 256;
 constexpr std::size_t kMaxKeyBytes = 256;
 constexpr std::uint32_t kMaxShardCount = 65536;
 // Outcomes are kept for days, so the differences in them are bounded.
@@ -317,7 +317,7 @@
       !Fits(command.target, kMaxNameBytes) ||
       !Fits(command.run.origin, kMaxNameBytes) || command.run.run_id == 0) {
     return Refuse(result_code::kInvalidField,
-                  "allowed: caller of 1 to 128 bytes, key of 1 to 256 bytes, "
+                  "allowed: caller and key of 1 to 256 bytes, "
                   "target and origin of 1 to 64 bytes, run_id above 0");
   }
   const bool too_old =
