Refuse documents that state a member twice

Cause: the JSON parser keeps the last of members with equal names, so a second "services" object would drop the first one without an error. Change: one pass over the text names each repeated member by its path. Conclusion: config set reports such files before it sends them. The daemon takes parsed JSON, so other clients are not protected.

--- a/bilberrycourse/config_document.cc
+++ b/bilberrycourse/config_document.cc
@@ -199,6 +199,7 @@
                    error.message());
       return std::nullopt;
     }
+    FindRepeatedMembers(text);
     return parser.release();
   }
 
@@ -266,6 +267,50 @@
   }
 
  private:
+  // The parser keeps only the last of members with equal names, so an
+  // operator would lose the others unnoticed. Scans text that is valid JSON.
+  void FindRepeatedMembers(std::string_view text) {
+    struct scope {
+      bool object;
+      bool name_next;
+      std::string name;
+      std::size_t index = 0;
+      std::set<std::string> names = {};
+    };
+    std::vector<scope> scopes;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+      const char c = text[i];
+      if (c == '{' || c == '[') {
+        scopes.push_back({c == '{', c == '{', {}});
+      } else if (c == '}' || c == ']') {
+        scopes.pop_back();
+      } else if (c == ',') {
+        scopes.back().name_next = scopes.back().object;
+        ++scopes.back().index;
+      } else if (c == '"') {
+        const std::size_t start = i;
+        for (++i; text[i] != '"'; ++i) {
+          if (text[i] == '\\') ++i;
+        }
+        if (scopes.empty() || !std::exchange(scopes.back().name_next, false)) {
+          continue;
+        }
+        const std::string_view quoted = text.substr(start, i + 1 - start);
+        scopes.back().name =
+            quoted.find('\\') == std::string_view::npos
+                ? std::string(quoted.substr(1, quoted.size() - 2))
+                : std::string(ParseTrusted(quoted).as_string());
+        if (scopes.back().names.insert(scopes.back().name).second) continue;
+        std::string path;
+        for (const auto& each : scopes) {
+          path =
+              Child(path, each.object ? each.name : std::to_string(each.index));
+        }
+        Fail(path, "contradictory: is stated twice; allowed: each member once");
+      }
+    }
+  }
+
   void Fail(const std::string& path, std::string message) {
     failed_ = true;
     if (errors_->size() < limits_.max_reported) {
