Let every suspicion run its full time and tell its subject

Cause: after a partition of 1.5 s the new property removed healthy instances from views of their own side: a claim of death that arrived shortly after a claim of suspicion was accepted at once, and claims that came by an exchange were not told to their subject. 10 such removals at 64 instances. Change: a claim of death never shortens the own suspicion; whoever learns of a suspicion by gossip sends the subject a notice, which it refutes directly. Conclusion: the notice costs one message per instance and suspicion.

--- a/bilberrycourse/membership.cc
+++ b/bilberrycourse/membership.cc
@@ -181,17 +181,30 @@
       if (record.incarnation == p.record.incarnation) p.withdrawn = false;
       return;
     }
-    if (status == instance_status::kDead &&
-        p.status == instance_status::kAlive) {
+    if (status == instance_status::kDead && InView(p.status)) {
+      // The own suspicion runs its full time, so that the subject can refute
+      // even if claims of a suspicion and of a death arrive close together.
+      const bool suspected_already = p.status == instance_status::kSuspect &&
+                                     record.incarnation == p.record.incarnation;
+      if (suspected_already) return;
       status = instance_status::kSuspect;
     }
   }
+  const bool claimed = !direct && status == instance_status::kSuspect &&
+                       was_in_view && p.status == instance_status::kAlive;
   p.withdrawn = false;
   p.record = record;
   SetStatus(&p, status, now);
   if (direct) Publish(record, status, out);
   out->push_back(instance_changed{record, status});
   UpdateView(record, InView(status), out);
+  if (claimed && !leaving_) {
+    // Tells the subject: the claim may have come by an exchange, which is not
+    // pushed on, so that its subject would not hear of it in time.
+    out->push_back(membership_send{
+        record.name,
+        EncodeMembership(notice_message{Knowledge(record.name), self_})});
+  }
   if (was_in_view || !InView(status)) return;
   // A random place among the remaining targets of this round, as in SWIM, so
   // that a new peer is not always probed last.
--- a/bilberrycourse/membership.h
+++ b/bilberrycourse/membership.h
@@ -19,8 +19,9 @@
 // The version of an instance record is (incarnation, status), with status in
 // the order alive, suspect, dead, leaving. Only the instance itself raises its
 // incarnation. A claim by gossip that a peer is dead counts as a suspicion
-// while this instance sees the peer alive: an instance that was cut off and
-// returns must not remove the others from every view.
+// while this instance sees the peer alive, and whoever learns of a suspicion
+// tells the peer: an instance that was cut off and returns must not remove the
+// others from every view.
 //
 // A gap between ticks (the process was paused) prolongs running probes and
 // suspicions, because acks and refutations may be waiting unread.
--- a/bilberrycourse/testing/soft_state_property_test.cc
+++ b/bilberrycourse/testing/soft_state_property_test.cc
@@ -113,6 +113,37 @@
   }
 }
 
+// Guards against a healed partition in which claims of one side remove healthy
+// instances of the other side from views of that side, or remove any again.
+RC_GTEST_PROP(soft_state_property_test, Membership_PartitionHeals_NobodyRemoved,
+              ()) {
+  soft_state_network net(*rc::gen::inRange<std::size_t>(8, 65),
+                         *rc::gen::arbitrary<std::uint64_t>());
+  net.delay = milliseconds(*rc::gen::inRange(0, 10));
+  Settle(&net);
+  const std::size_t every = *rc::gen::inRange<std::size_t>(2, 9);
+  for (std::size_t i = 0; i < net.size(); i += every) net.node(i).side = 1;
+  net.Run(milliseconds(*rc::gen::inRange(500, 20000)));
+  std::vector<int> sides;
+  for (std::size_t i = 0; i < net.size(); ++i) {
+    sides.push_back(net.node(i).side);
+  }
+  net.Heal();
+  // Suspicions from before the end of the partition may still time out.
+  net.Run(seconds(2));
+  Settle(&net);
+  const int removals = net.TotalRemovals();
+  net.Run(seconds(10));
+  RC_ASSERT(net.ViewsAgree());
+  RC_ASSERT(net.TotalRemovals() == removals);
+  for (std::size_t i = 0; i < net.size(); ++i) {
+    for (std::size_t j = 0; j < net.size(); ++j) {
+      RC_ASSERT(sides[i] != sides[j] ||
+                !net.node(i).removals.contains(net.NameOf(j)));
+    }
+  }
+}
+
 // Guards against views that do not agree after pauses, restarts with any
 // incarnation, isolation and loss, and against incarnations that go down.
 RC_GTEST_PROP(soft_state_property_test, Membership_AnyFaults_ViewsAgreeAfter,
