--- a/bench/rig.py
+++ b/bench/rig.py
@@ -11,6 +11,7 @@
 import ctypes
 import http.client
 import json
+import math
 import os
 import random
 import shutil
@@ -57,9 +58,12 @@
 MEDIAN_US = 5000
 SIGMA = 0.5
 STRAGGLER_SHARE, STRAGGLER_FACTOR = 0.01, 10
-# Mean of the lognormal service time with the stragglers.
-MEAN_SERVICE_S = (MEDIAN_US * 2.718281828459045 ** (SIGMA ** 2 / 2) / 1e6 *
-                  (1 + STRAGGLER_SHARE * (STRAGGLER_FACTOR - 1)))
+
+
+def mean_service_s(median_us):
+    """Mean of the lognormal service time with the stragglers."""
+    return (median_us / 1e6 * math.exp(SIGMA ** 2 / 2) *
+            (1 + STRAGGLER_SHARE * (STRAGGLER_FACTOR - 1)))
 
 
 class Target:
@@ -70,13 +74,14 @@
         self.name, self.replicas, self.slots = name, replicas, slots
         self.connections, self.cost_us = connections, cost_us
         self.order_share = order_share
+        self.median_us = MEDIAN_US
         self.group = services > 1
         self.services = ([f"{name}_{i + 1:02d}" for i in range(services)]
                          if self.group else [name])
 
     def capacity(self):
         """Queries a second that the slots of each shard allow."""
-        return self.replicas * self.slots / MEAN_SERVICE_S
+        return self.replicas * self.slots / mean_service_s(self.median_us)
 
 
 class Deployment:
@@ -92,7 +97,14 @@
         return next(t for t in self.targets if t.name == name)
 
 
-def deployment(name):
+def deployment(name, median_us=MEDIAN_US):
+    layout = _deployment(name)
+    for target in layout.targets:
+        target.median_us = median_us
+    return layout
+
+
+def _deployment(name):
     # The share of orders is an assumption: each costs two synced commits of
     # the control group, and 5% of a desk is about 85 orders a second.
     if name == "lakambini":
@@ -217,7 +229,7 @@
         self.members = names[:control]
         self.spares = names[control:control + spares]
         self.defaults = {
-            "median_us": MEDIAN_US, "sigma": SIGMA,
+            "median_us": layout.targets[0].median_us, "sigma": SIGMA,
             "straggler_share": STRAGGLER_SHARE,
             "straggler_factor": STRAGGLER_FACTOR,
             # Owners are spread over the zones, so two of three requests cross
