--- a/app/control_service.cc
+++ b/app/control_service.cc
@@ -227,6 +227,7 @@
   control_outcome outcome;
   outcome.code = result_code::kInternal;
   const log_entry& entry = effect.entry;
+  if (entry.payload != nullptr) bytes_since_snapshot_ += entry.payload->size();
   if (entry.kind == entry_kind::kCommand && entry.payload != nullptr &&
       entry.payload->size() >= kWallClockBytes) {
     const auto wall = boost::endian::load_little_s64(
@@ -251,6 +252,8 @@
     return Stop(result_code::kLogDamaged,
                 "a log snapshot of the leader does not decode");
   }
+  snapshot_bytes_ = effect.snapshot.state->size();
+  bytes_since_snapshot_ = 0;
   // What became of proposals that the snapshot covers is not known here.
   while (!proposals_.empty() &&
          proposals_.begin()->first <= effect.snapshot.index) {
@@ -299,10 +302,15 @@
 
 void control_service::CompactIfDue() {
   if (member_ == nullptr || !member_->compaction_due()) return;
+  // Writing a log snapshot costs time in proportion to the state. Waiting for
+  // as many bytes of log bounds that cost per command, and a restart reads at
+  // most twice the size of the state.
+  if (bytes_since_snapshot_ < snapshot_bytes_) return;
+  auto state = std::make_shared<const std::string>(state_.SaveSnapshot());
+  snapshot_bytes_ = state->size();
+  bytes_since_snapshot_ = 0;
   consensus_effects effects;
-  member_->Compact(member_->applied_index(),
-                   std::make_shared<const std::string>(state_.SaveSnapshot()),
-                   &effects);
+  member_->Compact(member_->applied_index(), std::move(state), &effects);
   for (consensus_effect& effect : effects) {
     std::visit([this](auto& each) { Do(each); }, effect);
   }
--- a/app/control_service.h
+++ b/app/control_service.h
@@ -115,6 +115,9 @@
   std::map<log_index, pending_proposal> proposals_;
   std::map<std::uint64_t, pending_read> reads_;
   std::uint64_t next_read_ = 1;
+  // Size of the last log snapshot and of the commands applied since.
+  std::size_t snapshot_bytes_ = 0;
+  std::size_t bytes_since_snapshot_ = 0;
   mutable std::uint64_t published_cache_version_ = 0;
   mutable std::string published_cache_;
   result_code stop_code_ = result_code::kOk;
