--- a/bench/rig.py
+++ b/bench/rig.py
@@ -526,7 +526,9 @@
                 "callers": {f"caller_{i}": 1 for i in range(1, 9)},
                 "non_idempotent_share": target.order_share, **fields}
 
-    def start_load(self, streams, seconds, direct=False, **fields):
+    def start_load(self, streams, seconds, direct=False, through=None,
+                   **fields):
+        """Sends through the named instances, through all by default."""
         load = {"seconds": seconds, "streams": streams, "threads": 2,
                 "seed": random.randrange(1 << 30),
                 "caller_delay_us": self.layout.caller_delay_us, **fields}
@@ -540,8 +542,8 @@
                          for service in t.services]
                 for t in self.layout.targets}
         else:
-            load["entries"] = {n: i.address
-                               for n, i in self.instances.items()}
+            load["entries"] = {n: self.instances[n].address
+                               for n in through or self.instances}
         path = self._write(f"load-{len(self.processes)}.json",
                            json.dumps(load))
         return Load(self.spawn([self.program("load_generator"), "--load",
