Send new requests past an owner that is frozen

Ruled out: membership, which removed the owner after 1.5 s as designed. Also, two settings tests that ran at once removed each other's secret file. Change: a silent owner is skipped until any frame of it arrives; one file per test process.

--- a/app/daemon.cc
+++ b/app/daemon.cc
@@ -224,7 +224,9 @@
                      return each.type == frame.payload_type();
                    });
   if (route == std::end(kFrameRoutes)) return;
-  (this->*route->handle)(peer, frame, Now());
+  const time_point now = Now();
+  queries_.OnPeerHeard(peer, now);
+  (this->*route->handle)(peer, frame, now);
 }
 
 void daemon_process::OnConsensus(const instance_name&,
--- a/app/query_service.cc
+++ b/app/query_service.cc
@@ -214,13 +214,15 @@
   Run(now);
 }
 
+void query_service::OnPeerHeard(const instance_name& peer, time_point now) {
+  const auto link = owners_.find(peer);
+  if (link == owners_.end()) return;
+  link->second.silent_since = now;
+  link->second.silent = false;
+}
+
 void query_service::OnPeerFrame(const instance_name& peer,
                                 const wire::peer_frame& frame, time_point now) {
-  const auto link = owners_.find(peer);
-  if (link != owners_.end()) {
-    link->second.silent_since = now;
-    link->second.reported_silent = false;
-  }
   if (const auto* batch = frame.payload_as_shard_batch()) {
     OnShardBatch(peer, *batch, now);
   } else if (const auto* results = frame.payload_as_shard_result_batch()) {
@@ -398,9 +400,9 @@
 
 void query_service::CheckSilentOwners(time_point now) {
   for (auto& [peer, link] : owners_) {
-    if (link.outstanding.empty() || link.reported_silent) continue;
+    if (link.outstanding.empty() || link.silent) continue;
     if (now - link.silent_since < kOwnerSilence) continue;
-    link.reported_silent = true;
+    link.silent = true;
     LogDecision("owner_silent",
                 {{"owner", peer}, {"outstanding", link.outstanding.size()}});
     const std::vector<shard_request_id> waiting(link.outstanding.begin(),
@@ -430,9 +432,12 @@
       deputy ? ownership.Owner(shard) : ownership.Deputy(shard);
   for (const instance_name* each : {first, second}) {
     if (each == nullptr) continue;
-    if (*each == config_.name || transport_->Connected(*each)) return *each;
+    if (*each == config_.name) return *each;
+    const auto link = owners_.find(*each);
+    const bool silent = link != owners_.end() && link->second.silent;
+    if (!silent && transport_->Connected(*each)) return *each;
   }
-  // Neither can be reached: this instance stands in.
+  // Neither responds: this instance stands in.
   return config_.name;
 }
 
@@ -484,10 +489,7 @@
     return;
   }
   owner_link& link = owners_[owner];
-  if (link.outstanding.empty()) {
-    link.silent_since = now;
-    link.reported_silent = false;
-  }
+  if (link.outstanding.empty()) link.silent_since = now;
   link.outstanding.insert(id);
   owner_of_request_[static_cast<std::uint64_t>(id)] = owner;
   outgoing_[owner].requests.push_back(
--- a/app/query_service.h
+++ b/app/query_service.h
@@ -74,6 +74,8 @@
   void OnCrashEvidence(const crash_evidence_record& record, time_point now);
   void SetSendingAllowed(bool allowed, time_point now);
 
+  // A frame of any kind arrived from the peer.
+  void OnPeerHeard(const instance_name& peer, time_point now);
   void OnPeerFrame(const instance_name& peer, const wire::peer_frame& frame,
                    time_point now);
   void OnPeerDisconnected(const instance_name& peer, time_point now);
@@ -103,7 +105,9 @@
   struct owner_link {
     std::set<shard_request_id> outstanding;
     time_point silent_since{};
-    bool reported_silent = false;
+    // Set after a silence with work outstanding; cleared by any frame. New
+    // requests go to the deputy meanwhile.
+    bool silent = false;
   };
   // What is sent to one peer at the end of a round.
   struct outgoing {
--- a/app/testing/settings_test.cc
+++ b/app/testing/settings_test.cc
@@ -1,6 +1,7 @@
 #include "app/settings.h"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <boost/leaf/handle_errors.hpp>
 #include <cstdio>
@@ -18,7 +19,9 @@
 class settings_test : public ::testing::Test {
  protected:
   void SetUp() override {
-    secret_file_ = ::testing::TempDir() + "settings_test_secret";
+    // Tests run in parallel processes, and each removes its file.
+    secret_file_ = ::testing::TempDir() + "settings_test_secret_" +
+                   std::to_string(::getpid());
     std::ofstream(secret_file_) << "0123456789abcdef0123456789abcdef\n";
   }
 
