Review held queues and learn from attempts that were given up

Cause: a queue held for a fast replica that stopped replying was looked at only with the next event, and closing the connection of a hanging attempt recorded nothing about the searcher.

Change: a queue that is not empty is reviewed every 10 ms, and the age of an attempt whose connection is given up counts as a sample.

Figures: the new test finds the held request sent to the slow replica within 100 ms; without the review it is not sent.

--- a/bilberrycourse/dispatch_tables.h
+++ b/bilberrycourse/dispatch_tables.h
@@ -126,6 +126,7 @@
   std::vector<dispatch_server*> servers;
   fair_queue queue;
   std::uint32_t running = 0;
+  timer_subscription queue_timer;
   timer_subscription unused_timer;
 };
 
--- a/bilberrycourse/shard_dispatcher.cc
+++ b/bilberrycourse/shard_dispatcher.cc
@@ -16,6 +16,9 @@
 // Wait before a hedge that found no free slot or no budget is tried again.
 constexpr duration kHedgeRetry = std::chrono::milliseconds(1);
 
+// Longest time between two choices for a queue that is not empty.
+constexpr duration kQueueReview = std::chrono::milliseconds(10);
+
 // Hedge quantile when the budget is empty.
 constexpr double kLatestHedgeQuantile = 0.99;
 
@@ -550,7 +553,10 @@
         }
         return chosen != nullptr;
       });
-      if (entry == nullptr) return;
+      if (entry == nullptr) {
+        WatchQueue(shard);
+        return;
+      }
       auto* request = static_cast<dispatch_request*>(entry);
       if (const auto refused = RefusalOf(*request)) {
         Fail(request, *refused);
@@ -563,6 +569,15 @@
     }
   }
 
+  // A queue may be held for a busy replica that never replies. Its attempts
+  // grow older without an event, so the choice is repeated.
+  void WatchQueue(dispatch_shard* shard) {
+    if (shard->queue_timer.active()) return;
+    timers_.SubscribeOnce(
+        now_ + kQueueReview, [this, shard](time_point) { Pump(shard); },
+        &shard->queue_timer);
+  }
+
   // ---- Replica choice ----
 
   duration PriorServiceTime(const dispatch_shard& shard) const {
@@ -1029,6 +1044,9 @@
     server->pool.Forget(id);
     connections_.erase(id);
     out_->push_back(close_connection{id});
+    if (attempt->incarnation == server->record.incarnation) {
+      server->estimator.RecordAtLeast(now_ - attempt->sent_at, now_);
+    }
     EraseAttempt(attempt);
     Maintain(server);
     Pump(server->shard);
--- a/bilberrycourse/testing/shard_dispatcher_test.cc
+++ b/bilberrycourse/testing/shard_dispatcher_test.cc
@@ -389,6 +389,32 @@
   }
 }
 
+// Guards against a queue that waits for a fast replica which stopped replying.
+TEST_F(shard_dispatcher_test, FastReplicaHangs_HeldRequestGoesToSlowOne) {
+  policy_.hedging = false;
+  Restart();
+  AddServer(Record("a"));
+  AddServer(Record("b"));
+  Submit(Request(1));
+  Submit(Request(2));
+  const auto first = Take<send_attempt>();
+  ASSERT_EQ(first.size(), 2u);
+  Advance(milliseconds(10));
+  Reply(first[0].attempt, attempt_reply_kind::kOk);
+  Advance(milliseconds(90));
+  Reply(first[1].attempt, attempt_reply_kind::kOk);
+  const std::string fast = first[0].server.replica;
+  for (std::uint64_t id = 11; id <= 13; ++id) Submit(Request(id));
+  const auto on_fast = Take<send_attempt>();
+  ASSERT_EQ(on_fast.size(), 2u);
+  EXPECT_EQ(on_fast[0].server.replica, fast);
+  EXPECT_EQ(on_fast[1].server.replica, fast);
+  Advance(milliseconds(20));
+  EXPECT_TRUE(Take<send_attempt>().empty());
+  for (int i = 0; i < 8; ++i) Advance(milliseconds(10));
+  EXPECT_NE(OnlyAttempt().server.replica, fast);
+}
+
 // Guards against work for an origin that is gone, and against cancelling what
 // must run at most once but may still succeed.
 TEST_F(shard_dispatcher_test, OriginLost_OnlyIdempotentWorkIsCancelled) {
