--- a/bench/coordinator_benchmark.cc
+++ b/bench/coordinator_benchmark.cc
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "bilberrycourse/testing/query_path_simulation.h"
+#include "bench/query_path_simulation.h"
 
 namespace bilberrycourse {
 namespace {
--- a/bilberrycourse/testing/query_path_simulation.h
+++ b/bench/query_path_simulation.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYCOURSE_TESTING_QUERY_PATH_SIMULATION_H_
-#define BILBERRYCOURSE_TESTING_QUERY_PATH_SIMULATION_H_
+#ifndef BENCH_QUERY_PATH_SIMULATION_H_
+#define BENCH_QUERY_PATH_SIMULATION_H_
 
 // Origins, one admission instance and a fake of the shards in virtual time.
 // Each shard has `slots` servers behind a queue that is fair among callers and
@@ -397,4 +397,4 @@
 
 }  // namespace bilberrycourse
 
-#endif  // BILBERRYCOURSE_TESTING_QUERY_PATH_SIMULATION_H_
+#endif  // BENCH_QUERY_PATH_SIMULATION_H_
--- a/bilberrycourse/testing/query_path_simulation_test.cc
+++ b/bench/testing/query_path_simulation_test.cc
@@ -1,4 +1,4 @@
-#include "bilberrycourse/testing/query_path_simulation.h"
+#include "bench/query_path_simulation.h"
 
 #include <gtest/gtest.h>
 
--- a/bilberrycourse/shard_directory.h
+++ b/bilberrycourse/shard_directory.h
@@ -47,7 +47,7 @@
   shard_key key;
   // False if no replica serves the shard at the version of the plan.
   bool serving = false;
-  auto operator<=>(const planned_shard&) const = default;
+  bool operator==(const planned_shard&) const = default;
 };
 
 // The denominator of one target at one index version. Immutable and shared
