Name local functions of the benchmark as clang-tidy asks

Cause: clang-tidy reported four lambdas in CamelCase. Change: names only. Conclusion: no change of behaviour.

--- a/bench/coordinator_benchmark.cc
+++ b/bench/coordinator_benchmark.cc
@@ -102,13 +102,13 @@
   std::vector<query_id> running;
   admission_request request;
   request.scope = "group";
-  const auto Ask = [&](std::uint64_t caller) {
+  const auto ask = [&](std::uint64_t caller) {
     request.query = query_id{++number};
     request.caller = "caller-" + std::to_string(caller);
     request.deadline = now + seconds(1);
     controller.OnRequest("instance-1", request, now, &out);
   };
-  for (std::uint64_t i = 0; i < 1000 + callers; ++i) Ask(i % callers);
+  for (std::uint64_t i = 0; i < 1000 + callers; ++i) ask(i % callers);
   for (const admission_reply& reply : out) {
     if (reply.decision.verdict == admission_verdict::kGranted) {
       running.push_back(reply.decision.query);
@@ -121,7 +121,7 @@
     out.clear();
     controller.OnRelease("instance-1", {running[oldest], "group", true, {}, {}},
                          now, &out);
-    Ask(number % callers);
+    ask(number % callers);
     controller.Tick(now, &out);
     bool granted = false;
     for (const admission_reply& reply : out) {
@@ -204,14 +204,14 @@
         start + seconds(4), start + seconds(16), {}, query_outcome::kNotRun);
     const auto partial = simulation.LatenciesMs(
         start + seconds(4), start + seconds(16), {}, query_outcome::kPartial);
-    const auto Quantile = query_path_simulation::Quantile;
+    const auto quantile = query_path_simulation::Quantile;
     state.counters["answered"] =
         static_cast<double>(peak.size()) / (simulation.allowed() * 10);
-    state.counters["peak_p50"] = Quantile(peak, 0.5);
-    state.counters["peak_p99"] = Quantile(peak, 0.99);
-    state.counters["steady_p99"] = Quantile(steady, 0.99);
-    state.counters["after_p99"] = Quantile(after, 0.99);
-    state.counters["refused_p99"] = Quantile(refused, 0.99);
+    state.counters["peak_p50"] = quantile(peak, 0.5);
+    state.counters["peak_p99"] = quantile(peak, 0.99);
+    state.counters["steady_p99"] = quantile(steady, 0.99);
+    state.counters["after_p99"] = quantile(after, 0.99);
+    state.counters["refused_p99"] = quantile(refused, 0.99);
     state.counters["partial"] = static_cast<double>(partial.size());
     state.counters["limit"] = simulation.status().limit;
   }
--- a/bench/testing/query_path_simulation_test.cc
+++ b/bench/testing/query_path_simulation_test.cc
@@ -40,21 +40,21 @@
                                            : high;
                            }),
                    seconds(22));
-    const auto Between = [&](int from, int until, query_outcome outcome) {
+    const auto between = [&](int from, int until, query_outcome outcome) {
       return simulation.LatenciesMs(kStart + seconds(from),
                                     kStart + seconds(until), {}, outcome);
     };
-    const auto Quantile = query_path_simulation::Quantile;
-    const auto peak = Between(6, 16, query_outcome::kComplete);
+    const auto quantile = query_path_simulation::Quantile;
+    const auto peak = between(6, 16, query_outcome::kComplete);
     EXPECT_GE(static_cast<double>(peak.size()),
               0.95 * simulation.allowed() * 10);
     EXPECT_LE(peak.back(), 1000);
-    EXPECT_LE(Quantile(Between(4, 16, query_outcome::kNotRun), 0.99), 20);
-    EXPECT_LE(Between(4, 16, query_outcome::kPartial).size(),
+    EXPECT_LE(quantile(between(4, 16, query_outcome::kNotRun), 0.99), 20);
+    EXPECT_LE(between(4, 16, query_outcome::kPartial).size(),
               peak.size() / 1000);
     // Two seconds after the peak; few samples, so that the bound is loose.
-    EXPECT_LE(Quantile(Between(18, 21, query_outcome::kComplete), 0.99),
-              1.5 * Quantile(Between(0, 4, query_outcome::kComplete), 0.99));
+    EXPECT_LE(quantile(between(18, 21, query_outcome::kComplete), 0.99),
+              1.5 * quantile(between(0, 4, query_outcome::kComplete), 0.99));
   }
 }
 
