--- a/bilberrycourse/testing/log_codec_property_test.cc
+++ b/bilberrycourse/testing/log_codec_property_test.cc
@@ -215,7 +215,7 @@
   }
   damaged.resize(*rc::gen::inRange<std::size_t>(0, damaged.size() + 1));
   DecodeMessage(damaged);
-  DecodeMembership(damaged);
+  DecodeGroupMembership(damaged);
 }
 
 }  // namespace
