Limit exchanges with returning peers to one per probe period

Cause: when two regions find each other again, one instance started an exchange with each of hundreds of peers: 13.9 MB/s over 200 ms at 512. Change: membership emits synchronize_with at most once in 200 ms; the periodic anti-entropy brings the rest. Benchmark case of 512 in halves.

--- a/bench/membership_benchmark.cc
+++ b/bench/membership_benchmark.cc
@@ -232,6 +232,7 @@
     ->Args({64, 2})
     ->Args({256, 2})
     ->Args({256, 8})
+    ->Args({512, 2})
     ->Iterations(1)
     ->Unit(benchmark::kMillisecond);
 
--- a/bilberrycourse/membership.cc
+++ b/bilberrycourse/membership.cc
@@ -212,7 +212,12 @@
       next_in_order_ + RandomBelow(order_.size() - next_in_order_ + 1);
   order_.insert(order_.begin() + static_cast<std::ptrdiff_t>(place),
                 record.name);
-  if (direct) out->push_back(synchronize_with{record.name});
+  // When a partition heals, hundreds of peers return at once. An exchange with
+  // a few of them brings the same records as one with each.
+  if (direct && now >= next_synchronize_) {
+    next_synchronize_ = now + options_.probe_period;
+    out->push_back(synchronize_with{record.name});
+  }
 }
 
 void membership::Merge(const soft_record& record, bool expired, time_point now,
--- a/bilberrycourse/membership.h
+++ b/bilberrycourse/membership.h
@@ -86,7 +86,7 @@
   std::optional<time_point> probe_sent_at;
 };
 // A peer was reached for the first time or again; the daemon calls
-// gossip_table::Synchronize(peer).
+// gossip_table::Synchronize(peer). At most one in each probe period.
 struct synchronize_with {
   instance_name peer;
 };
@@ -278,6 +278,7 @@
   std::size_t next_in_order_ = 0;
   time_point next_probe_{};
   time_point next_reconnect_{};
+  time_point next_synchronize_{};
   std::optional<time_point> last_tick_;
   // Names learned by contacting a seed.
   std::map<std::string, instance_name> seed_names_;
