Align bytes before FlatBuffers reads them

UBSan stopped consensus_member_test, log_codec_property_test and consensus_property_test at a misaligned access. Change: decoding copies input that is not aligned to eight bytes.

--- a/bilberrycourse/consensus_codec.cc
+++ b/bilberrycourse/consensus_codec.cc
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <cstring>
+
 #include "bilberrycourse/consensus_generated.h"
 
 namespace bilberrycourse {
@@ -22,6 +24,16 @@
   return {reinterpret_cast<const char*>(bytes->data()), bytes->size()};
 }
 
+// FlatBuffers reads in place and needs eight-byte alignment, which a part of a
+// log file does not have.
+std::string_view Aligned(std::string_view bytes,
+                         std::vector<std::uint64_t>* copy) {
+  if (reinterpret_cast<std::uintptr_t>(bytes.data()) % 8 == 0) return bytes;
+  copy->resize(bytes.size() / 8 + 1);
+  std::memcpy(copy->data(), bytes.data(), bytes.size());
+  return {reinterpret_cast<const char*>(copy->data()), bytes.size()};
+}
+
 std::vector<member_offset> EncodeMembers(
     flatbuffers::FlatBufferBuilder& builder,
     const std::vector<log_member>& members) {
@@ -114,6 +126,8 @@
 }
 
 std::optional<consensus_message> DecodeMessage(std::string_view bytes) {
+  std::vector<std::uint64_t> copy;
+  bytes = Aligned(bytes, &copy);
   flatbuffers::Verifier verifier(
       reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
   if (!verifier.VerifyBuffer<wire::message>(nullptr)) return std::nullopt;
@@ -172,6 +186,8 @@
 }
 
 std::optional<group_membership> DecodeGroupMembership(std::string_view bytes) {
+  std::vector<std::uint64_t> copy;
+  bytes = Aligned(bytes, &copy);
   flatbuffers::Verifier verifier(
       reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
   if (!verifier.VerifyBuffer<wire::membership>(nullptr)) return std::nullopt;
