Keep a content that crashes searchers from more shards, and innocents from the verdict

The second canary went to the other replica of the same shard, which left that shard without a replica. And the searchers of a lost zone, dying with one innocent content, condemned it for 10 min. Change: the owner says when it sends the canary, and the wait counts from there; the canary runs on a shard with the most replicas; content with a crash and without a success runs as canary only; crashes within 500 ms are one incident and two incidents condemn; a shard request whose searcher died is sent again once if the content has run elsewhere. Dead peers are dialed, refused shard sets are not proposed again, election seeds differ between starts.

--- a/app/cluster_service.cc
+++ b/app/cluster_service.cc
@@ -223,7 +223,10 @@
                                      const std::string& bytes) {
   wire::membershipT payload;
   payload.payload = ToBytes(bytes);
-  transport_->Send(to, MakeFrame(std::move(payload)));
+  if (transport_->Send(to, MakeFrame(std::move(payload)))) return;
+  // Dead peers are dialed, too, so that the sides of a healed partition meet.
+  const instance_record* peer = members_.Find(to);
+  if (peer != nullptr) transport_->Dial(peer->peer_address);
 }
 
 void cluster_service::Do(const membership_send& effect, time_point) {
@@ -247,6 +250,11 @@
             {"status", Name(effect.status)},
             {"incarnation", effect.record.incarnation},
             {"availability_zone", effect.record.zone}});
+  if (effect.status == instance_status::kAlive &&
+      !transport_->Connected(effect.record.name)) {
+    // Opened now, so that a handshake does not use up the time of a probe.
+    transport_->Dial(effect.record.peer_address);
+  }
 }
 
 void cluster_service::Do(const view_changed&, time_point now) {
--- a/app/control_service.cc
+++ b/app/control_service.cc
@@ -82,7 +82,10 @@
   consensus_settings options;
   options.address = config_.peer_listen.ToText();
   options.instances = ControlInstances(config_);
-  options.seed = static_cast<std::uint64_t>(opened.log.identity.id);
+  // Differs between members and between starts, so that elections do not
+  // collide again and again.
+  options.seed = static_cast<std::uint64_t>(opened.log.identity.id) ^
+                 static_cast<std::uint64_t>(now.time_since_epoch().count());
   member_ = std::make_unique<consensus_member>(std::move(options),
                                                std::move(opened.log), now);
   repair_ = std::make_unique<member_repair>(
--- a/app/daemon.cc
+++ b/app/daemon.cc
@@ -110,6 +110,7 @@
     {wire::payload::shard_batch, &daemon_process::OnQueryFrame},
     {wire::payload::shard_result_batch, &daemon_process::OnQueryFrame},
     {wire::payload::shard_cancel, &daemon_process::OnQueryFrame},
+    {wire::payload::canary_started, &daemon_process::OnQueryFrame},
     {wire::payload::heartbeat, &daemon_process::OnQueryFrame},
     {wire::payload::admission_batch, &daemon_process::OnQueryFrame},
 };
@@ -206,7 +207,9 @@
 
 void daemon_process::OnPeerConnected(const instance_name& peer) {
   LogEvent(log_level::kInfo, "peer_connected", {{"peer", peer}});
-  cluster_.OnPeerConnected(peer, Now());
+  const time_point now = Now();
+  cluster_.OnPeerConnected(peer, now);
+  queries_.OnPeerConnected(peer, now);
 }
 
 void daemon_process::OnPeerDisconnected(const instance_name& peer) {
@@ -426,7 +429,10 @@
                  {"shard_count", record.shard_count}});
     control_.Propose(
         EncodeCommand(shard_set_record{service, version, record.shard_count}),
-        Now() + kShardSetWait, [this, service, version](const control_reply&) {
+        Now() + kShardSetWait,
+        [this, service, version](const control_reply& reply) {
+          // A refused record is not proposed again with each renewal.
+          if (reply.code == result_code::kOk) return;
           proposed_shard_sets_.erase({service, version});
         });
   }
--- a/app/frames.cc
+++ b/app/frames.cc
@@ -38,6 +38,7 @@
   out.idempotent = request.idempotent;
   out.canary = request.canary;
   out.deputy = request.deputy;
+  out.proven = request.proven;
   if (request.body != nullptr) out.body = ToBytes(*request.body);
   out.traceparent = request.traceparent;
   return out;
@@ -55,6 +56,7 @@
   out.idempotent = request.idempotent();
   out.canary = request.canary();
   out.deputy = request.deputy();
+  out.proven = request.proven();
   out.body = ToBody(request.body());
   out.traceparent = ToText(request.traceparent());
   return out;
--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 
+#include "app/problem_details.h"
 #include "bilberrycourse/result_code.h"
 
 namespace bilberrycourse {
@@ -39,16 +40,8 @@
 
 http_response ProblemResponse(result_code code, std::string_view detail,
                               boost::json::object members) {
-  const result_code_info& info = Describe(code);
-  boost::json::object body{{"type", "about:blank"},
-                           {"title", info.explanation},
-                           {"status", info.http_status},
-                           {"code", info.number},
-                           {"name", info.name}};
-  if (!detail.empty()) body["detail"] = detail;
-  for (auto& member : members) body[member.key()] = std::move(member.value());
-  return {static_cast<unsigned>(info.http_status), "application/problem+json",
-          boost::json::serialize(body), 0};
+  return {static_cast<unsigned>(Describe(code).http_status),
+          "application/problem+json", ProblemText(code, detail, members), 0};
 }
 
 class http_server::impl : public std::enable_shared_from_this<impl> {
--- a/app/peer_frame_generated.h
+++ b/app/peer_frame_generated.h
@@ -76,6 +76,10 @@
 struct shard_result_batchBuilder;
 struct shard_result_batchT;
 
+struct canary_started;
+struct canary_startedBuilder;
+struct canary_startedT;
+
 struct shard_cancel;
 struct shard_cancelBuilder;
 struct shard_cancelT;
@@ -122,11 +126,12 @@
   shard_cancel = 14,
   heartbeat = 15,
   admission_batch = 16,
+  canary_started = 17,
   MIN = NONE,
-  MAX = admission_batch
+  MAX = canary_started
 };
 
-inline const payload (&EnumValuespayload())[17] {
+inline const payload (&EnumValuespayload())[18] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -144,13 +149,14 @@
     payload::shard_result_batch,
     payload::shard_cancel,
     payload::heartbeat,
-    payload::admission_batch
+    payload::admission_batch,
+    payload::canary_started
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[18] = {
+  static const char * const names[19] = {
     "NONE",
     "hello",
     "proof",
@@ -168,13 +174,14 @@
     "shard_cancel",
     "heartbeat",
     "admission_batch",
+    "canary_started",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::admission_batch)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::canary_started)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -247,6 +254,10 @@
   static const payload enum_value = payload::admission_batch;
 };
 
+template<> struct payloadTraits<bilberrycourse::wire::canary_started> {
+  static const payload enum_value = payload::canary_started;
+};
+
 template<typename T> struct payloadUnionTraits {
   static const payload enum_value = payload::NONE;
 };
@@ -315,6 +326,10 @@
   static const payload enum_value = payload::admission_batch;
 };
 
+template<> struct payloadUnionTraits<bilberrycourse::wire::canary_startedT> {
+  static const payload enum_value = payload::canary_started;
+};
+
 struct payloadUnion {
   payload type;
   void *value;
@@ -473,6 +488,14 @@
     return type == payload::admission_batch ?
       reinterpret_cast<const bilberrycourse::wire::admission_batchT *>(value) : nullptr;
   }
+  bilberrycourse::wire::canary_startedT *Ascanary_started() {
+    return type == payload::canary_started ?
+      reinterpret_cast<bilberrycourse::wire::canary_startedT *>(value) : nullptr;
+  }
+  const bilberrycourse::wire::canary_startedT *Ascanary_started() const {
+    return type == payload::canary_started ?
+      reinterpret_cast<const bilberrycourse::wire::canary_startedT *>(value) : nullptr;
+  }
 };
 
 bool Verifypayload(flatbuffers::Verifier &verifier, const void *obj, payload type);
@@ -1379,6 +1402,7 @@
   bool idempotent = false;
   bool canary = false;
   bool deputy = false;
+  bool proven = false;
   std::vector<uint8_t> body{};
   std::string traceparent{};
 };
@@ -1398,8 +1422,9 @@
     VT_IDEMPOTENT = 20,
     VT_CANARY = 22,
     VT_DEPUTY = 24,
-    VT_BODY = 26,
-    VT_TRACEPARENT = 28
+    VT_PROVEN = 26,
+    VT_BODY = 28,
+    VT_TRACEPARENT = 30
   };
   uint64_t request_id() const {
     return GetField<uint64_t>(VT_REQUEST_ID, 0);
@@ -1434,6 +1459,9 @@
   bool deputy() const {
     return GetField<uint8_t>(VT_DEPUTY, 0) != 0;
   }
+  bool proven() const {
+    return GetField<uint8_t>(VT_PROVEN, 0) != 0;
+  }
   const flatbuffers::Vector<uint8_t> *body() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
   }
@@ -1456,6 +1484,7 @@
            VerifyField<uint8_t>(verifier, VT_IDEMPOTENT, 1) &&
            VerifyField<uint8_t>(verifier, VT_CANARY, 1) &&
            VerifyField<uint8_t>(verifier, VT_DEPUTY, 1) &&
+           VerifyField<uint8_t>(verifier, VT_PROVEN, 1) &&
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyVector(body()) &&
            VerifyOffset(verifier, VT_TRACEPARENT) &&
@@ -1504,6 +1533,9 @@
   void add_deputy(bool deputy) {
     fbb_.AddElement<uint8_t>(shard_request::VT_DEPUTY, static_cast<uint8_t>(deputy), 0);
   }
+  void add_proven(bool proven) {
+    fbb_.AddElement<uint8_t>(shard_request::VT_PROVEN, static_cast<uint8_t>(proven), 0);
+  }
   void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
     fbb_.AddOffset(shard_request::VT_BODY, body);
   }
@@ -1534,6 +1566,7 @@
     bool idempotent = false,
     bool canary = false,
     bool deputy = false,
+    bool proven = false,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
     flatbuffers::Offset<flatbuffers::String> traceparent = 0) {
   shard_requestBuilder builder_(_fbb);
@@ -1547,6 +1580,7 @@
   builder_.add_caller(caller);
   builder_.add_shard(shard);
   builder_.add_service(service);
+  builder_.add_proven(proven);
   builder_.add_deputy(deputy);
   builder_.add_canary(canary);
   builder_.add_idempotent(idempotent);
@@ -1566,6 +1600,7 @@
     bool idempotent = false,
     bool canary = false,
     bool deputy = false,
+    bool proven = false,
     const std::vector<uint8_t> *body = nullptr,
     const char *traceparent = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
@@ -1586,6 +1621,7 @@
       idempotent,
       canary,
       deputy,
+      proven,
       body__,
       traceparent__);
 }
@@ -1894,6 +1930,68 @@
 
 flatbuffers::Offset<shard_result_batch> Createshard_result_batch(flatbuffers::FlatBufferBuilder &_fbb, const shard_result_batchT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct canary_startedT : public flatbuffers::NativeTable {
+  typedef canary_started TableType;
+  std::vector<uint64_t> request_ids{};
+};
+
+struct canary_started FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef canary_startedT NativeTableType;
+  typedef canary_startedBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST_IDS = 4
+  };
+  const flatbuffers::Vector<uint64_t> *request_ids() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_REQUEST_IDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_REQUEST_IDS) &&
+           verifier.VerifyVector(request_ids()) &&
+           verifier.EndTable();
+  }
+  canary_startedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(canary_startedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<canary_started> Pack(flatbuffers::FlatBufferBuilder &_fbb, const canary_startedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct canary_startedBuilder {
+  typedef canary_started Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request_ids(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> request_ids) {
+    fbb_.AddOffset(canary_started::VT_REQUEST_IDS, request_ids);
+  }
+  explicit canary_startedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<canary_started> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<canary_started>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<canary_started> Createcanary_started(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> request_ids = 0) {
+  canary_startedBuilder builder_(_fbb);
+  builder_.add_request_ids(request_ids);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<canary_started> Createcanary_startedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint64_t> *request_ids = nullptr) {
+  auto request_ids__ = request_ids ? _fbb.CreateVector<uint64_t>(*request_ids) : 0;
+  return bilberrycourse::wire::Createcanary_started(
+      _fbb,
+      request_ids__);
+}
+
+flatbuffers::Offset<canary_started> Createcanary_started(flatbuffers::FlatBufferBuilder &_fbb, const canary_startedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct shard_cancelT : public flatbuffers::NativeTable {
   typedef shard_cancel TableType;
   std::vector<uint64_t> request_ids{};
@@ -2544,6 +2642,9 @@
   const bilberrycourse::wire::admission_batch *payload_as_admission_batch() const {
     return payload_type() == bilberrycourse::wire::payload::admission_batch ? static_cast<const bilberrycourse::wire::admission_batch *>(payload()) : nullptr;
   }
+  const bilberrycourse::wire::canary_started *payload_as_canary_started() const {
+    return payload_type() == bilberrycourse::wire::payload::canary_started ? static_cast<const bilberrycourse::wire::canary_started *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -2620,6 +2721,10 @@
   return payload_as_admission_batch();
 }
 
+template<> inline const bilberrycourse::wire::canary_started *peer_frame::payload_as<bilberrycourse::wire::canary_started>() const {
+  return payload_as_canary_started();
+}
+
 struct peer_frameBuilder {
   typedef peer_frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3007,6 +3112,7 @@
   { auto _e = idempotent(); _o->idempotent = _e; }
   { auto _e = canary(); _o->canary = _e; }
   { auto _e = deputy(); _o->deputy = _e; }
+  { auto _e = proven(); _o->proven = _e; }
   { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
   { auto _e = traceparent(); if (_e) _o->traceparent = _e->str(); }
 }
@@ -3030,6 +3136,7 @@
   auto _idempotent = _o->idempotent;
   auto _canary = _o->canary;
   auto _deputy = _o->deputy;
+  auto _proven = _o->proven;
   auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
   auto _traceparent = _o->traceparent.empty() ? 0 : _fbb.CreateString(_o->traceparent);
   return bilberrycourse::wire::Createshard_request(
@@ -3045,6 +3152,7 @@
       _idempotent,
       _canary,
       _deputy,
+      _proven,
       _body,
       _traceparent);
 }
@@ -3171,6 +3279,32 @@
       _results);
 }
 
+inline canary_startedT *canary_started::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<canary_startedT>(new canary_startedT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void canary_started::UnPackTo(canary_startedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request_ids(); if (_e) { _o->request_ids.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->request_ids[_i] = _e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<canary_started> canary_started::Pack(flatbuffers::FlatBufferBuilder &_fbb, const canary_startedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createcanary_started(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<canary_started> Createcanary_started(flatbuffers::FlatBufferBuilder &_fbb, const canary_startedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const canary_startedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request_ids = _o->request_ids.size() ? _fbb.CreateVector(_o->request_ids) : 0;
+  return bilberrycourse::wire::Createcanary_started(
+      _fbb,
+      _request_ids);
+}
+
 inline shard_cancelT *shard_cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<shard_cancelT>(new shard_cancelT());
   UnPackTo(_o.get(), _resolver);
@@ -3489,6 +3623,10 @@
       auto ptr = reinterpret_cast<const bilberrycourse::wire::admission_batch *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::canary_started: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::canary_started *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -3572,6 +3710,10 @@
       auto ptr = reinterpret_cast<const bilberrycourse::wire::admission_batch *>(obj);
       return ptr->UnPack(resolver);
     }
+    case payload::canary_started: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::canary_started *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -3643,6 +3785,10 @@
       auto ptr = reinterpret_cast<const bilberrycourse::wire::admission_batchT *>(value);
       return Createadmission_batch(_fbb, ptr, _rehasher).Union();
     }
+    case payload::canary_started: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::canary_startedT *>(value);
+      return Createcanary_started(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -3713,6 +3859,10 @@
       value = new bilberrycourse::wire::admission_batchT(*reinterpret_cast<bilberrycourse::wire::admission_batchT *>(u.value));
       break;
     }
+    case payload::canary_started: {
+      value = new bilberrycourse::wire::canary_startedT(*reinterpret_cast<bilberrycourse::wire::canary_startedT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -3800,6 +3950,11 @@
       delete ptr;
       break;
     }
+    case payload::canary_started: {
+      auto ptr = reinterpret_cast<bilberrycourse::wire::canary_startedT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/app/query_service.cc
+++ b/app/query_service.cc
@@ -90,14 +90,17 @@
   const query_id id{next_query_++};
   const fingerprint content = ContentOf(query);
   const crash_verdict verdict = evidence_.Verdict(content, now);
-  if (verdict == crash_verdict::kCondemned) {
+  const bool held_back = evidence_.HeldBack(content, now);
+  if (verdict == crash_verdict::kCondemned || held_back) {
     answer refused;
     refused.query = id;
     refused.code = result_code::kSuspectedCrasher;
     LogDecision("query_refused", {{"query", static_cast<std::uint64_t>(id)},
                                   {"target", query.target},
                                   {"caller", query.caller},
-                                  {"reason", "condemned content"}});
+                                  {"reason", held_back ? "content held back"
+                                                       : "condemned content"}});
+    if (held_back) refused.retry_after = std::chrono::seconds(1);
     callback(refused);
     return id;
   }
@@ -111,9 +114,16 @@
   request.idempotent = query.idempotent;
   request.canary_needed =
       query.policy.canary && verdict != crash_verdict::kRecentlyGood;
+  request.content_proven = verdict == crash_verdict::kRecentlyGood;
   request.body = query.body;
   request.traceparent = query.traceparent;
   request.policy = query.policy;
+  if (verdict == crash_verdict::kSuspect) {
+    // A content with a crash runs on its canary until that ends.
+    request.canary_needed = true;
+    request.policy.canary = true;
+    request.policy.canary_wait = Remaining(query.deadline, now);
+  }
   queries_[static_cast<std::uint64_t>(id)] = {std::move(callback), content, now,
                                               query.target, false};
   coordinator_.Submit(request, now, &coordinator_out_);
@@ -233,6 +243,12 @@
         dispatcher_.Cancel(peer, shard_request_id{id}, now, &dispatch_out_);
       }
     }
+  } else if (const auto* started = frame.payload_as_canary_started()) {
+    if (started->request_ids() != nullptr) {
+      for (const std::uint64_t id : *started->request_ids()) {
+        coordinator_.OnCanaryStarted(shard_request_id{id}, now);
+      }
+    }
   } else if (const auto* admission = frame.payload_as_admission_batch()) {
     OnAdmissionBatch(peer, *admission, now);
   }
@@ -292,6 +308,14 @@
   coordinator_.OnShardResult(result, now, &coordinator_out_);
 }
 
+void query_service::OnPeerConnected(const instance_name& peer, time_point now) {
+  for (const auto& [scope, instance] : admission_of_scope_) {
+    if (instance != peer) continue;
+    admission_client_.OnInstanceChanged(scope, now, &admission_client_out_);
+  }
+  Run(now);
+}
+
 void query_service::OnPeerDisconnected(const instance_name& peer,
                                        time_point now) {
   const auto link = owners_.find(peer);
@@ -382,6 +406,11 @@
       cancel.request_ids = out.cancels;
       transport_->Send(peer, MakeFrame(std::move(cancel)));
     }
+    if (!out.canaries.empty()) {
+      wire::canary_startedT started;
+      started.request_ids = std::move(out.canaries);
+      transport_->Send(peer, MakeFrame(std::move(started)));
+    }
     if (out.admission != nullptr) {
       transport_->Send(peer, MakeFrame(std::move(*out.admission)));
     }
@@ -628,6 +657,14 @@
   backend_.SendAttempt(effect.connection, attempt);
 }
 
+void query_service::Do(canary_started& effect, time_point now) {
+  if (effect.origin == config_.name) {
+    return coordinator_.OnCanaryStarted(effect.request, now);
+  }
+  outgoing_[effect.origin].canaries.push_back(
+      static_cast<std::uint64_t>(effect.request));
+}
+
 void query_service::Do(cancel_attempt& effect, time_point) {
   const auto address = addresses_.find(effect.server);
   if (address == addresses_.end()) return;
--- a/app/query_service.h
+++ b/app/query_service.h
@@ -78,6 +78,7 @@
   void OnPeerHeard(const instance_name& peer, time_point now);
   void OnPeerFrame(const instance_name& peer, const wire::peer_frame& frame,
                    time_point now);
+  void OnPeerConnected(const instance_name& peer, time_point now);
   void OnPeerDisconnected(const instance_name& peer, time_point now);
   void Tick(time_point now);
   std::optional<time_point> next_due() const;
@@ -114,6 +115,7 @@
     std::vector<std::unique_ptr<wire::shard_requestT>> requests;
     std::vector<std::unique_ptr<wire::shard_resultT>> results;
     std::vector<std::uint64_t> cancels;
+    std::vector<std::uint64_t> canaries;
     std::unique_ptr<wire::admission_batchT> admission;
   };
   struct running_query {
@@ -142,6 +144,7 @@
   void Do(open_connection& effect, time_point now);
   void Do(close_connection& effect, time_point now);
   void Do(send_attempt& effect, time_point now);
+  void Do(canary_started& effect, time_point now);
   void Do(cancel_attempt& effect, time_point now);
   void Do(finish_request& effect, time_point now);
   void Do(report_crash& effect, time_point now);
--- a/bilberrycourse/crash_evidence.cc
+++ b/bilberrycourse/crash_evidence.cc
@@ -131,7 +131,37 @@
   return true;
 }
 
+std::size_t crash_evidence::Incidents(const suspect& entry,
+                                      time_point now) const {
+  std::vector<time_point> times;
+  for (const crash_event& crash : entry.crashes) {
+    if (crash.cleared || crash.at + options_.expiry <= now) continue;
+    if (!IsUnreliable(crash.server, now)) times.push_back(crash.at);
+  }
+  std::sort(times.begin(), times.end());
+  std::size_t incidents = 0;
+  time_point started{};
+  for (const time_point at : times) {
+    if (incidents > 0 && at < started + options_.incident_window) continue;
+    ++incidents;
+    started = at;
+  }
+  return incidents;
+}
+
+bool crash_evidence::HeldBack(fingerprint content, time_point now) const {
+  const auto found = suspects_.find(content);
+  if (found == suspects_.end()) return false;
+  return std::any_of(found->second.crashes.begin(), found->second.crashes.end(),
+                     [&](const crash_event& crash) {
+                       return !crash.cleared &&
+                              crash.at + options_.incident_window > now;
+                     });
+}
+
 bool crash_evidence::Condemned(const suspect& entry, time_point now) const {
+  const std::size_t incidents = Incidents(entry, now);
+  if (incidents < options_.condemned_after) return false;
   // Crashes kept for one content are few, so comparing all pairs is cheap.
   std::size_t servers = 0;
   for (std::size_t i = 0; i < entry.crashes.size(); ++i) {
@@ -143,7 +173,10 @@
     if (!counts(crash) || IsUnreliable(crash.server, now)) continue;
     const auto same = static_cast<std::size_t>(
         std::count_if(entry.crashes.begin(), entry.crashes.end(), counts));
-    if (same >= options_.condemned_after_same) return true;
+    if (same >= options_.condemned_after_same &&
+        incidents >= options_.condemned_after_same) {
+      return true;
+    }
     if (std::none_of(entry.crashes.begin(), entry.crashes.begin() + i,
                      counts)) {
       ++servers;
--- a/bilberrycourse/crash_evidence.h
+++ b/bilberrycourse/crash_evidence.h
@@ -9,6 +9,11 @@
 //   switch (evidence.Verdict(content, now)) { ... }
 //   gossip = evidence.Export(now);         // and Merge() on other instances
 //
+// Crashes that follow each other within the incident window count as one: when
+// an availability zone fails, many searchers die while they run one innocent
+// content. A content is held back during the window, so that resending it
+// quickly does not crash one searcher after another unseen.
+//
 // A crash counts once for each (content, searcher, incarnation), whichever
 // instance reported it, so merging is idempotent. A content is condemned after
 // crashes of two searchers, or three crashes of one, without a success in
@@ -67,6 +72,8 @@
 struct crash_evidence_options {
   // Lifetime of a crash and of a verdict.
   duration expiry = std::chrono::minutes(10);
+  // Longer than it takes to notice the loss of a zone's searchers.
+  duration incident_window = std::chrono::milliseconds(500);
   // Lifetime of a success.
   duration good_expiry = std::chrono::minutes(10);
   // Distinct searchers crashed after which a content is condemned.
@@ -104,6 +111,10 @@
 
   crash_verdict Verdict(fingerprint content, time_point now) const;
 
+  // True while the content must not start anew, because its last crash is
+  // younger than the incident window.
+  bool HeldBack(fingerprint content, time_point now) const;
+
   // True if the searcher dies with contents that have nothing in common.
   bool IsUnreliable(const backend_server_key& server, time_point now) const;
 
@@ -152,6 +163,8 @@
   void AddServerCrash(fingerprint content, const backend_server_key& server,
                       std::uint64_t incarnation, time_point at);
   bool AddSuccess(fingerprint content, time_point at, time_point now);
+  // Groups of crashes that started at least one incident window apart.
+  std::size_t Incidents(const suspect& entry, time_point now) const;
   bool Condemned(const suspect& entry, time_point now) const;
 
   crash_evidence_options options_;
--- a/bilberrycourse/dispatch_effects.h
+++ b/bilberrycourse/dispatch_effects.h
@@ -90,6 +90,13 @@
   duration remaining{0};
 };
 
+// The first attempt of a canary request follows; tell its origin, whose wait
+// for the canary starts now.
+struct canary_started {
+  instance_name origin;
+  shard_request_id request{};
+};
+
 // Send POST /cancel on the connection reserved for it. The attempt keeps its
 // slot until OnReply or OnConnectionClosed.
 struct cancel_attempt {
@@ -138,7 +145,7 @@
 
 using dispatch_effect =
     std::variant<open_connection, close_connection, send_attempt,
-                 cancel_attempt, finish_request, report_crash,
+                 canary_started, cancel_attempt, finish_request, report_crash,
                  dispatch_decision>;
 using dispatch_effects = std::vector<dispatch_effect>;
 
--- a/bilberrycourse/query_coordinator.cc
+++ b/bilberrycourse/query_coordinator.cc
@@ -22,9 +22,15 @@
 constexpr std::string_view kOutcomeNames[] = {"complete", "partial", "not_run",
                                               "unknown"};
 constexpr std::string_view kDecisionNames[] = {
-    "snapshot_pinned",   "canary_sent",    "canary_passed",  "canary_failed",
-    "canary_wait_ended", "fanned_out",     "sent_to_deputy", "restarted",
-    "restart_declined",  "stragglers_cut", "answered",       "abandoned"};
+    "snapshot_pinned",  "canary_sent",         "canary_passed",
+    "canary_failed",    "canary_wait_ended",   "fanned_out",
+    "sent_to_deputy",   "retried_after_crash", "restarted",
+    "restart_declined", "stragglers_cut",      "answered",
+    "abandoned"};
+
+// A canary that its owner has not sent yet is waited for this many times the
+// canary wait.
+constexpr int kCanaryStartWaits = 10;
 
 enum class query_phase : std::uint8_t { kAdmission, kCanary, kCollecting };
 enum class shard_state : std::uint8_t { kUnsent, kSent, kAnswered, kMissing };
@@ -49,6 +55,8 @@
   bool deputy = false;
   // True if the request was sent again after kNotOwner.
   bool redirected = false;
+  // True if the request was sent again after a crash of its searcher.
+  bool crashed = false;
   std::uint8_t rounds = 0;
   // Bit r is set while a result of round r can arrive.
   std::uint8_t live = 0;
@@ -66,6 +74,8 @@
   // True while a grant or a request for one must be released.
   bool admission_open = false;
   bool sent = false;
+  // True if the content has run without a crash, recently or as canary.
+  bool proven = false;
   bool restarted = false;
   bool decline_noted = false;
   // True if work on an abandoned snapshot may have run.
@@ -314,9 +324,11 @@
   Pin(query, std::move(plan));
   Note(coordinator_decision_kind::kSnapshotPinned, *query, query->plan->serving,
        result_code::kOk, out);
+  query->proven = query->request.content_proven;
   if (query->request.canary_needed && query->request.policy.canary) {
     query->phase = query_phase::kCanary;
-    query->canary_due = now + query->request.policy.canary_wait;
+    query->canary_due =
+        now + kCanaryStartWaits * query->request.policy.canary_wait;
     SendCanary(query, now, out);
   } else {
     SendRest(query, out);
@@ -345,6 +357,7 @@
   request.content = query->request.content;
   request.idempotent = query->idempotent;
   request.canary = canary;
+  request.proven = query->proven;
   request.deputy = deputy;
   request.body = query->request.body;
   request.traceparent = query->request.traceparent;
@@ -357,10 +370,20 @@
   const std::size_t count = query->shards.size();
   const std::size_t start =
       static_cast<std::uint64_t>(query->request.content) % count;
+  // A shard with the most replicas left can best afford to lose one. After a
+  // crash the next canary therefore runs on another shard.
+  std::optional<std::size_t> chosen;
   for (std::size_t offset = 0; offset < count && now < query->canary_due;
        ++offset) {
     const std::size_t index = (start + offset) % count;
     if (query->shards[index].state != shard_state::kUnsent) continue;
+    if (!chosen.has_value() || query->plan->shards[index].replicas >
+                                   query->plan->shards[*chosen].replicas) {
+      chosen = index;
+    }
+  }
+  if (chosen.has_value()) {
+    const std::size_t index = *chosen;
     query->canary = index;
     Send(query, index, true, false, out);
     Note(coordinator_decision_kind::kCanarySent, *query, 1, result_code::kOk,
@@ -401,6 +424,37 @@
   return true;
 }
 
+// Sends a request again whose searcher died, if its content has run elsewhere
+// without a crash: then the searcher is to blame, and another replica answers.
+bool query_coordinator::RetryAfterCrash(query_entry* query, std::size_t index,
+                                        effects* out) {
+  shard_entry& shard = query->shards[index];
+  if (!query->proven || !query->idempotent || shard.crashed ||
+      query->request.policy.max_attempts < 2 || shard.rounds >= kMaxRounds ||
+      query->phase != query_phase::kCollecting ||
+      query->plan->shards[index].replicas < 2) {
+    return false;
+  }
+  shard.crashed = true;
+  ++query->extra_attempts;
+  Send(query, index, false, false, out);
+  Note(coordinator_decision_kind::kRetriedAfterCrash, *query, 1,
+       result_code::kBackendServerCrashed, out, query->plan->shards[index].key);
+  return true;
+}
+
+void query_coordinator::OnCanaryStarted(shard_request_id request,
+                                        time_point now) {
+  const live_request live = FindRequest(request);
+  if (live.query == nullptr) return;
+  query_entry* query = live.query;
+  if (query->phase != query_phase::kCanary || live.index != query->canary) {
+    return;
+  }
+  query->canary_due = now + query->request.policy.canary_wait;
+  Schedule(query, now);
+}
+
 void query_coordinator::Miss(query_entry* query, std::size_t index,
                              result_code code) {
   shard_entry& shard = query->shards[index];
@@ -476,6 +530,10 @@
   if (!keep) shard.code = code;
   shard.may_have_run = shard.may_have_run || !not_run;
   if (shard.live != 0) return;
+  if (code == result_code::kBackendServerCrashed &&
+      RetryAfterCrash(query, index, out)) {
+    return;
+  }
   Miss(query, index, shard.code);
   if ((code == result_code::kVersionGone ||
        code == result_code::kNoServingReplica) &&
@@ -493,6 +551,7 @@
   const shard_entry& shard = query->shards[query->canary];
   const shard_key& key = query->plan->shards[query->canary].key;
   if (shard.state == shard_state::kAnswered) {
+    query->proven = true;
     Note(coordinator_decision_kind::kCanaryPassed, *query, 1, result_code::kOk,
          out, key);
     SendRest(query, out);
--- a/bilberrycourse/query_coordinator.h
+++ b/bilberrycourse/query_coordinator.h
@@ -59,6 +59,8 @@
   bool idempotent = true;
   // True if the content has no recent success and must pass a canary first.
   bool canary_needed = false;
+  // True if the content has a recent success.
+  bool content_proven = false;
   shared_body body;
   std::string traceparent;
   service_policy policy;
@@ -149,6 +151,7 @@
   kCanaryWaitEnded,
   kFannedOut,
   kSentToDeputy,
+  kRetriedAfterCrash,
   kRestarted,
   kRestartDeclined,
   kStragglersCutOff,
@@ -206,6 +209,9 @@
   void OnAdmission(query_id query, bool granted, result_code code,
                    duration retry_after, time_point now, effects* out);
   void OnShardResult(const shard_result& result, time_point now, effects* out);
+  // The owner has sent the canary; the rest waits for it at most canary_wait
+  // from now on. Queueing at the owner says nothing about the content.
+  void OnCanaryStarted(shard_request_id request, time_point now);
   // The owner of these requests is silent: idempotent ones also go to the
   // deputy; the owner may still answer.
   void OnOwnerUnresponsive(std::span<const shard_request_id> requests,
@@ -253,6 +259,7 @@
   // Ends one round of a shard without an answer.
   void EndRound(query_entry* query, std::size_t index, result_code code,
                 bool not_run, time_point now, effects* out);
+  bool RetryAfterCrash(query_entry* query, std::size_t index, effects* out);
   void Miss(query_entry* query, std::size_t index, result_code code);
   void OnCanarySettled(query_entry* query, time_point now, effects* out);
   bool RestartIfBetter(query_entry* query, time_point now, effects* out);
--- a/bilberrycourse/shard_directory.cc
+++ b/bilberrycourse/shard_directory.cc
@@ -223,9 +223,10 @@
     const shard_set& set =
         at_version ? recorded->second : entry->versions.rbegin()->second;
     for (std::uint32_t shard = 0; shard < set.shards.size(); ++shard) {
-      const bool serving = at_version && set.shards[shard].replicas > 0;
-      plan->shards.push_back({{service, shard}, serving});
-      if (serving) ++plan->serving;
+      const std::uint32_t replicas =
+          at_version ? set.shards[shard].replicas : 0;
+      plan->shards.push_back({{service, shard}, replicas > 0, replicas});
+      if (replicas > 0) ++plan->serving;
     }
   }
   return plan;
--- a/bilberrycourse/shard_directory.h
+++ b/bilberrycourse/shard_directory.h
@@ -47,6 +47,8 @@
   shard_key key;
   // False if no replica serves the shard at the version of the plan.
   bool serving = false;
+  // Replicas that serve the shard at the version of the plan.
+  std::uint32_t replicas = 0;
   bool operator==(const planned_shard&) const = default;
 };
 
--- a/bilberrycourse/shard_dispatcher.cc
+++ b/bilberrycourse/shard_dispatcher.cc
@@ -490,17 +490,21 @@
       return failure{result_code::kQueueDeadline,
                      dispatch_reason::kDeadlineInQueue};
     }
-    if (Condemned(request)) {
+    if (Refused(*request.message)) {
       return failure{result_code::kSuspectedCrasher,
                      dispatch_reason::kContentCondemned};
     }
     return Impossible(request);
   }
 
-  bool Condemned(const dispatch_request& request) const {
-    return evidence_ != nullptr &&
-           evidence_->Verdict(request.message->content, now_) ==
-               crash_verdict::kCondemned;
+  // A condemned content is refused, and so is one with any crash that has not
+  // been seen to run: its canary alone may be sent.
+  bool Refused(const shard_request& request) const {
+    if (evidence_ == nullptr) return false;
+    const crash_verdict verdict = evidence_->Verdict(request.content, now_);
+    return verdict == crash_verdict::kCondemned ||
+           (verdict == crash_verdict::kSuspect && !request.proven &&
+            !request.canary);
   }
 
   std::optional<failure> Impossible(const dispatch_request& request) const {
@@ -714,6 +718,9 @@
     server->last_used = now_;
     ++request->attempts;
     ++request->may_have_run;
+    if (request->message->canary && request->attempts == 1) {
+      out_->push_back(canary_started{request->origin, request->message->id});
+    }
     out_->push_back(send_attempt{id, attempt.connection, server->record.key,
                                  request->message,
                                  Remaining(*request, *server)});
--- a/bilberrycourse/shard_protocol.h
+++ b/bilberrycourse/shard_protocol.h
@@ -29,6 +29,9 @@
   // True for the first shard of a request of unknown content: it is neither
   // hedged nor retried on a second replica after a crash.
   bool canary = false;
+  // True if this content has run without a crash before, on the canary shard
+  // of this query or recently. Otherwise one crash anywhere ends its attempts.
+  bool proven = false;
   // True when the receiver stands in for an owner that does not respond.
   bool deputy = false;
   shared_body body;
--- a/bilberrycourse/testing/dispatch_rig.h
+++ b/bilberrycourse/testing/dispatch_rig.h
@@ -292,6 +292,7 @@
     });
   }
 
+  void Do(const canary_started&) {}
   void Do(const cancel_attempt& e) {
     const std::size_t at = index_.at(e.server);
     At(now_ + options_.one_way_delay, [this, id = e.attempt, at] {
--- a/bilberrycourse/testing/query_coordinator_test.cc
+++ b/bilberrycourse/testing/query_coordinator_test.cc
@@ -420,6 +420,10 @@
 TEST_F(query_coordinator_test, Canary_Silent_RestIsSentAfterTheWait) {
   request_.canary_needed = true;
   Submit();
+  // Queueing at the owner does not use up the wait.
+  TickAfter(milliseconds(100));
+  EXPECT_EQ(sent_.size(), 1u);
+  coordinator_.OnCanaryStarted(sent_[0].request.id, now_);
   TickAfter(milliseconds(19));
   EXPECT_EQ(sent_.size(), 1u);
   EXPECT_EQ(coordinator_.next_due(), now_ + milliseconds(1));
@@ -429,6 +433,61 @@
   ExpectAnswer(query_outcome::kComplete, result_code::kOk, 3, 3);
 }
 
+// Guards against a canary that is never sent and holds up the query.
+TEST_F(query_coordinator_test, Canary_NeverStarted_RestIsSentAfterTenWaits) {
+  request_.canary_needed = true;
+  Submit();
+  TickAfter(milliseconds(199));
+  EXPECT_EQ(sent_.size(), 1u);
+  TickAfter(milliseconds(1));
+  EXPECT_EQ(sent_.size(), 3u);
+}
+
+// Guards against a second canary that takes the last replica of a shard.
+TEST_F(query_coordinator_test, Canary_OneShardHasMoreReplicas_RunsThere) {
+  Announce("y", 0, 1, {kOld}, "b");
+  request_.canary_needed = true;
+  for (std::uint64_t content = 0; content < 3; ++content) {
+    sent_.clear();
+    request_.content = fingerprint{content};
+    request_.query = query_id{100 + content};
+    Submit();
+    ASSERT_EQ(sent_.size(), 1u);
+    EXPECT_EQ(sent_[0].request.shard, (shard_key{"y", 0}));
+  }
+}
+
+// Guards against a lost replica that costs coverage, and against a content
+// that is sent to the next replica before it has run anywhere.
+TEST_F(query_coordinator_test, Crash_ContentProven_IsRetriedOnce) {
+  for (const char* service : {"x", "y", "z"}) {
+    Announce(service, 0, 1, {kOld}, "b");
+  }
+  request_.canary_needed = true;
+  Submit();
+  Result(0);
+  ASSERT_EQ(sent_.size(), 3u);
+  EXPECT_TRUE(sent_[1].request.proven);
+  Result(1, result_code::kBackendServerCrashed);
+  ASSERT_EQ(sent_.size(), 4u);
+  EXPECT_EQ(sent_[3].request.shard, sent_[1].request.shard);
+  Result(2, result_code::kBackendServerCrashed);
+  ASSERT_EQ(sent_.size(), 5u);
+  Result(3);
+  Result(4, result_code::kBackendServerCrashed);
+  EXPECT_EQ(sent_.size(), 5u);
+  ExpectAnswer(query_outcome::kPartial, result_code::kOk, 2, 3);
+
+  // Without a canary and without a recent success there is no retry.
+  sent_.clear();
+  answers_.clear();
+  request_.canary_needed = false;
+  Submit();
+  EXPECT_FALSE(sent_[0].request.proven);
+  Result(0, result_code::kBackendServerCrashed);
+  EXPECT_EQ(sent_.size(), 3u);
+}
+
 // Guards against an owner's silence that costs coverage, and against two
 // answers of one shard.
 TEST_F(query_coordinator_test, OwnerUnresponsive_Read_GoesToTheDeputy) {
--- a/bilberrycourse/testing/shard_dispatcher_property_test.cc
+++ b/bilberrycourse/testing/shard_dispatcher_property_test.cc
@@ -252,6 +252,13 @@
     }
     attempts_[e.attempt] = {id, e.server, e.connection};
   }
+  void See(const canary_started& e) {
+    // Announced before the first attempt of a request that is not finished.
+    const request_model& request =
+        requests_[static_cast<std::uint64_t>(e.request)];
+    RC_ASSERT(request.attempts == 0);
+    RC_ASSERT(request.finishes == 0);
+  }
   void See(const cancel_attempt& e) {
     RC_ASSERT(attempts_.contains(e.attempt));
   }
