--- a/bilberrycourse/shard_dispatcher.cc
+++ b/bilberrycourse/shard_dispatcher.cc
@@ -691,7 +691,9 @@
     Send(request, server, request->next_reason);
     if (!MayDuplicate(*request)) return;
     ScheduleHedge(request, *server);
-    if (request->attempts == 1) ProbeAvoided(request, *server);
+    if (request->attempts == 1 && !request->message->canary) {
+      ProbeAvoided(request, *server);
+    }
   }
 
   void Send(dispatch_request* request, dispatch_server* server,
@@ -726,12 +728,13 @@
                                  Remaining(*request, *server)});
   }
 
-  // A request whose content may crash searchers runs on one at a time.
+  // A request whose content may crash searchers runs on one at a time. A canary
+  // that has run for the canary wait without a crash counts as harmless, as it
+  // does for the other shards of its query.
   bool MayDuplicate(const dispatch_request& request) const {
     const service_policy& policy = request.scope->policy;
-    return policy.hedging && request.message->idempotent &&
-           !request.message->canary && !request.crashed && !request.hedged &&
-           request.attempts < policy.max_attempts &&
+    return policy.hedging && request.message->idempotent && !request.crashed &&
+           !request.hedged && request.attempts < policy.max_attempts &&
            (evidence_ == nullptr ||
             evidence_->Verdict(request.message->content, now_) <
                 crash_verdict::kSuspect);
@@ -761,7 +764,11 @@
     if (!delay) {
       delay = server.estimator.Quantile(probability, now_);
     }
-    HedgeAfter(request, delay.value_or(options_.initial_hedge_delay));
+    duration wait = delay.value_or(options_.initial_hedge_delay);
+    if (request->message->canary) {
+      wait = std::max(wait, request->scope->policy.canary_wait);
+    }
+    HedgeAfter(request, wait);
   }
 
   void HedgeAfter(dispatch_request* request, duration delay) {
