--- a/app/query_service.cc
+++ b/app/query_service.cc
@@ -281,8 +281,7 @@
   if (batch.requests() != nullptr) {
     for (const wire::admission_request* request : *batch.requests()) {
       const admission_request typed = FromWire(*request, now);
-      admission_.SetFloor(typed.scope,
-                          directory_.SmallestShardSlots(typed.scope));
+      admission_.SetFloor(typed.scope, AdmissionFloor(typed.scope));
       admission_.OnRequest(peer, typed, now, &admission_out_);
     }
   }
@@ -471,6 +470,13 @@
   return config_.name;
 }
 
+// Twice the slots of the smallest shard: a query also spends the way to its
+// owners and to the searchers, when it holds no slot, and a queue of one
+// request for each slot costs about one service time.
+std::uint32_t query_service::AdmissionFloor(const std::string& scope) const {
+  return 2 * directory_.SmallestShardSlots(scope);
+}
+
 void query_service::Do(request_admission& effect, time_point now) {
   if (!admission_of_scope_.contains(effect.scope)) {
     const instance_name* instance =
@@ -478,8 +484,7 @@
     admission_of_scope_[effect.scope] =
         instance == nullptr ? config_.name : *instance;
   }
-  admission_client_.SetFloor(effect.scope,
-                             directory_.SmallestShardSlots(effect.scope));
+  admission_client_.SetFloor(effect.scope, AdmissionFloor(effect.scope));
   admission_request request;
   request.query = effect.query;
   request.scope = effect.scope;
@@ -585,7 +590,7 @@
   const instance_name& to = admission_of_scope_[effect.message.scope];
   if (to == config_.name) {
     admission_.SetFloor(effect.message.scope,
-                        directory_.SmallestShardSlots(effect.message.scope));
+                        AdmissionFloor(effect.message.scope));
     admission_.OnRequest(config_.name, effect.message, now, &admission_out_);
     return;
   }
--- a/app/query_service.h
+++ b/app/query_service.h
@@ -162,6 +162,7 @@
   void CheckSilentOwners(time_point now);
   void SendHeartbeats(time_point now);
   instance_name ChooseOwner(const shard_key& shard, bool deputy) const;
+  std::uint32_t AdmissionFloor(const std::string& scope) const;
   wire::admission_batchT& AdmissionBatch(const instance_name& peer);
   std::string WireId(attempt_id attempt) const;
 
--- a/bilberrycourse/consensus_member.h
+++ b/bilberrycourse/consensus_member.h
@@ -253,6 +253,13 @@
   std::vector<spare_status> spares(time_point now) const;
 
  private:
+  // Instances outside the group that are remembered.
+  static constexpr std::size_t kMaxDiscovered = 64;
+
+  static std::int64_t Microseconds(time_point time) {
+    return time.time_since_epoch().count();
+  }
+
   enum class transfer_state : std::uint8_t { kProbe, kReplicate, kSnapshot };
 
   struct progress {
--- /dev/null
+++ b/bilberrycourse/consensus_member_formation.cc
@@ -0,0 +1,139 @@
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "bilberrycourse/consensus_codec.h"
+#include "bilberrycourse/consensus_member.h"
+
+// Formation of a group by members without a log.
+
+namespace bilberrycourse {
+
+bool consensus_member::IsCoordinator(const instance_name& instance) const {
+  const instance_name* lowest = nullptr;
+  for (const control_instance& configured : settings_.instances) {
+    if (configured.initial_voter &&
+        (lowest == nullptr || configured.instance < *lowest)) {
+      lowest = &configured.instance;
+    }
+  }
+  return lowest != nullptr && *lowest == instance;
+}
+
+bool consensus_member::KnowsFormedPeer(time_point) const {
+  return std::any_of(discovered_.begin(), discovered_.end(),
+                     [](const auto& item) { return item.second.formed; });
+}
+
+void consensus_member::Discover(time_point now, consensus_effects* out) {
+  discover_due_ = now + settings_.discover_interval;
+  if (!formed() && IsCoordinator(identity_.instance) && !KnowsFormedPeer(now) &&
+      state_.formation == 0) {
+    state_.formation = static_cast<std::uint64_t>(identity_.id);
+    PersistState(out);
+  }
+  for (const control_instance& configured : settings_.instances) {
+    if (configured.instance == identity_.instance) continue;
+    consensus_message message;
+    message.kind = message_kind::kDiscover;
+    message.formed = formed();
+    message.members = {Self()};
+    SendTo(configured.instance, configured.address, std::move(message), out);
+  }
+  TryFormGroup(now, out);
+}
+
+void consensus_member::OnDiscover(const consensus_message& message,
+                                  time_point now, consensus_effects* out) {
+  if (message.members.size() != 1 ||
+      message.members.front().id != message.from) {
+    return;
+  }
+  const log_member& sender = message.members.front();
+  if (sender.instance == identity_.instance) return;
+  if (discovered_.size() >= kMaxDiscovered &&
+      !discovered_.contains(sender.instance)) {
+    return;
+  }
+  discovered_[sender.instance] = {sender, message.formation, message.formed,
+                                  now};
+  if (!formed() && message.formation != 0 &&
+      message.formation != state_.formation) {
+    // A group that exists comes before one that is being formed.
+    const bool joins =
+        message.formed ||
+        (IsCoordinator(sender.instance) && !KnowsFormedPeer(now) &&
+         message.formation == static_cast<std::uint64_t>(sender.id));
+    if (joins) {
+      state_.formation = message.formation;
+      PersistState(out);
+    }
+  }
+  // An initial voter that was wiped before the first election: the group is
+  // formed again with its new identity. With two such voters it could never
+  // elect a leader.
+  if (formation_unsent_ && !message.formed &&
+      membership().Find(sender.id) == nullptr &&
+      std::any_of(membership().members.begin(), membership().members.end(),
+                  [&](const log_member& member) {
+                    return member.instance == sender.instance;
+                  })) {
+    AbandonFormation(out);
+  }
+  if (message.kind == message_kind::kDiscover) {
+    consensus_message reply;
+    reply.kind = message_kind::kDiscoverReply;
+    reply.to = message.from;
+    reply.formed = formed();
+    reply.members = {Self()};
+    SendTo(sender.instance, sender.address, std::move(reply), out);
+  }
+  TryFormGroup(now, out);
+}
+
+void consensus_member::TryFormGroup(time_point now, consensus_effects* out) {
+  const auto own_formation = static_cast<std::uint64_t>(identity_.id);
+  if (formed() || role_ == consensus_role::kStopped ||
+      !IsCoordinator(identity_.instance) || state_.formation != own_formation ||
+      state_position_ > persisted_position_) {
+    return;
+  }
+  group_membership initial;
+  for (const control_instance& configured : settings_.instances) {
+    log_member member{identity_.id, configured.instance, configured.address,
+                      member_role::kVoter};
+    if (configured.instance != identity_.instance) {
+      const auto peer = discovered_.find(configured.instance);
+      // An old answer may be from before the instance joined a group.
+      const bool fresh =
+          peer != discovered_.end() &&
+          now - peer->second.heard <= 3 * settings_.discover_interval;
+      const bool ready = fresh && !peer->second.formed &&
+                         (!configured.initial_voter ||
+                          peer->second.formation == own_formation);
+      if (!ready && !settings_.faults.form_without_peers) return;
+      if (peer == discovered_.end()) continue;
+      member.id = peer->second.member.id;
+    }
+    if (configured.initial_voter) initial.members.push_back(std::move(member));
+  }
+  formation_unsent_ = true;
+  state_.term = std::max<log_term>(state_.term, 1);
+  std::vector<log_entry> entries;
+  entries.push_back(
+      {1, 1, entry_kind::kMembership,
+       std::make_shared<const std::string>(EncodeGroupMembership(initial))});
+  PersistState(out);
+  Append(0, std::move(entries), out);
+  SetRole(consensus_role::kFollower, kNoMember, out);
+  election_due_ = now;
+}
+
+void consensus_member::AbandonFormation(consensus_effects* out) {
+  formation_unsent_ = false;
+  votes_.clear();
+  Append(1, {}, out);
+  SetRole(consensus_role::kUnformed, kNoMember, out);
+}
+
+}  // namespace bilberrycourse
