Send a shard request past an owner without a control lease

Ruled out: the instance that stops; its requests ended. Change: kControlLeaseExpired, which proves that nothing ran, is redirected to the deputy once, like kNotOwner; the test covers both. A link whose backlog overflows closes outside of Send(), because its handler must not run there. Conclusion: an owner that has just started costs one hop and no shard.

--- a/app/peer_transport.cc
+++ b/app/peer_transport.cc
@@ -230,7 +230,12 @@
   void Queue(encoded_frame frame) {
     if (state_ == link_state::kClosed) return;
     backlog_bytes_ += frame->size();
-    if (backlog_bytes_ > owner_->options.max_backlog_bytes) return Close();
+    if (backlog_bytes_ > owner_->options.max_backlog_bytes) {
+      // Closing calls the handler, which must not run inside its own Send().
+      asio::post(owner_->executor,
+                 [self = shared_from_this()] { self->Close(); });
+      return;
+    }
     ++owner_->counters.frames_sent;
     owner_->counters.bytes_sent += frame->size();
     queue_.push_back(std::move(frame));
--- a/bilberrycourse/query_coordinator.cc
+++ b/bilberrycourse/query_coordinator.cc
@@ -516,10 +516,13 @@
     EndRound(query, live.index, result_code::kVersionGone, false, now, out);
     return;
   }
-  if (result.code == result_code::kNotOwner && result.not_run &&
-      !shard.redirected && shard.rounds < kMaxRounds) {
-    // The two views of ownership differ. The next instance in the order owns
-    // the shard in the other view, or takes it as deputy.
+  const bool cannot_send = result.code == result_code::kNotOwner ||
+                           result.code == result_code::kControlLeaseExpired;
+  if (cannot_send && result.not_run && !shard.redirected &&
+      shard.rounds < kMaxRounds) {
+    // The two views of ownership differ, or the owner has just started and has
+    // no control lease yet. The next instance in the order owns the shard in
+    // the other view, or takes it as deputy.
     shard.redirected = true;
     const bool canary =
         query->phase == query_phase::kCanary && live.index == query->canary;
--- a/bilberrycourse/testing/query_coordinator_test.cc
+++ b/bilberrycourse/testing/query_coordinator_test.cc
@@ -579,12 +579,18 @@
 TEST_F(query_coordinator_test, NotOwner_IsSentToTheNextOnce) {
   request_.target = "x";
   request_.idempotent = false;
-  Submit();
-  Result(0, result_code::kNotOwner, true);
-  ASSERT_EQ(sent_.size(), 2u);
-  EXPECT_TRUE(sent_[1].deputy);
-  Result(1, result_code::kNotOwner, true);
-  ExpectAnswer(query_outcome::kNotRun, result_code::kNotOwner, 0, 1);
+  // An owner that has just started has no control lease yet.
+  for (const result_code code :
+       {result_code::kNotOwner, result_code::kControlLeaseExpired}) {
+    sent_.clear();
+    answers_.clear();
+    Submit();
+    Result(0, code, true);
+    ASSERT_EQ(sent_.size(), 2u);
+    EXPECT_TRUE(sent_[1].deputy);
+    Result(1, code, true);
+    ExpectAnswer(query_outcome::kNotRun, code, 0, 1);
+  }
 }
 
 // Guards against a straggler that sets the latency of a latency-first target,
