Ask callers to close their connections when the shutdown begins

Ruled out: requests in flight, which are counted and waited for. Change: from the start of the shutdown each answer carries Connection: close, so that connections in use are gone before idle ones are closed; a test covers the header. Conclusion: only a connection that was idle for the whole handover can still meet the closing.

--- a/app/daemon.cc
+++ b/app/daemon.cc
@@ -494,6 +494,7 @@
   LogEvent(log_level::kInfo, "shutdown_started",
            {{"in_flight", callers_.in_flight()}});
   callers_.Drain();
+  http_.BeginDrain();
   cluster_.Leave(shutdown_started_);
   if (control_member_ != nullptr) {
     control_member_->TransferLeadership(shutdown_started_);
--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -62,6 +62,7 @@
   http_handler handler;
   std::set<std::shared_ptr<session>> sessions;
   std::size_t pending = 0;
+  bool draining = false;
   bool stopping = false;
 };
 
@@ -198,7 +199,7 @@
       response_.set(http::field::retry_after,
                     std::to_string(response.retry_after));
     }
-    response_.keep_alive(keep_alive_ && !server_->stopping);
+    response_.keep_alive(keep_alive_ && !server_->draining);
     response_.body() = std::move(response.body);
     response_.prepare_payload();
     stream_.expires_after(server_->options.read_timeout);
@@ -291,7 +292,10 @@
 
 boost::leaf::result<void> http_server::Listen() { return impl_->Listen(); }
 
+void http_server::BeginDrain() { impl_->draining = true; }
+
 void http_server::StopAccepting() {
+  impl_->draining = true;
   impl_->stopping = true;
   boost::system::error_code ignored;
   impl_->acceptor.close(ignored);
--- a/app/http_server.h
+++ b/app/http_server.h
@@ -74,8 +74,11 @@
   ~http_server();
 
   boost::leaf::result<void> Listen();
-  // Takes no new connection and asks callers to close theirs: each further
-  // answer carries `Connection: close`, idle connections are closed.
+  // From now on each answer carries `Connection: close`. Called some time
+  // before StopAccepting(), so that no connection in use is closed while its
+  // caller sends the next request.
+  void BeginDrain();
+  // Takes no new connection and closes idle ones.
   void StopAccepting();
   // Requests whose answer has not been written completely.
   std::size_t pending() const;
--- a/app/testing/http_server_test.cc
+++ b/app/testing/http_server_test.cc
@@ -109,6 +109,22 @@
   }
 }
 
+// Guards against a connection that the server closes as idle while its caller
+// sends the next request.
+TEST_F(http_server_test, BeginDrain_NextAnswer_AsksToClose) {
+  const std::string request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+  EXPECT_EQ(Exchange(request, "GET").find("Connection: close"),
+            std::string::npos);
+  std::promise<void> done;
+  asio::post(context_, [&] {
+    server_->BeginDrain();
+    done.set_value();
+  });
+  done.get_future().wait();
+  EXPECT_NE(Exchange(request, "GET").find("Connection: close"),
+            std::string::npos);
+}
+
 // Guards against a shutdown that cuts off a request in flight.
 TEST_F(http_server_test, StopAccepting_RequestInFlight_IsAnswered) {
   std::string answer;
