--- a/app/control_client.cc
+++ b/app/control_client.cc
@@ -1,6 +1,7 @@
 #include "app/control_client.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include "app/daemon_clock.h"
@@ -18,6 +19,13 @@
 constexpr duration kCallTimeout = std::chrono::milliseconds(500);
 constexpr duration kRetryWait = std::chrono::milliseconds(25);
 
+// Spreads the polls of entry instances over the control members.
+instance_name FirstPollTarget(const settings& config, bool local) {
+  if (local) return config.name;
+  const std::size_t hash = std::hash<std::string>()(config.name);
+  return config.initial_members[hash % config.initial_members.size()];
+}
+
 bool Retriable(result_code code) {
   return code == result_code::kNotLeader ||
          code == result_code::kProposalLost || code == result_code::kNoQuorum ||
@@ -38,8 +46,7 @@
       transport_(transport),
       local_(local),
       handler_(handler),
-      poll_target_(local != nullptr ? config.name
-                                    : config.initial_members.front()) {}
+      poll_target_(FirstPollTarget(config, local != nullptr)) {}
 
 void control_client::Tick(time_point now) {
   if (now >= poll_due_) {
@@ -75,36 +82,87 @@
 }
 
 void control_client::Poll(const instance_name& to, time_point now) {
-  const std::uint64_t version = lease_.applied_version();
+  const known_versions known = Known();
   if (to == config_.name) {
-    if (local_ != nullptr) TakeNews(now, local_->News(version, now));
+    if (local_ != nullptr) TakeNews(now, local_->News(known, now));
     return;
   }
   wire::control_pollT poll;
   poll.poll_id = next_poll_++;
-  poll.published_version = version;
+  poll.published_version = known.published_version;
+  poll.routed = known.routed;
+  poll.route_version = known.route_version;
+  poll.searcher_revision = known.searcher_revision;
   const std::uint64_t id = poll.poll_id;
   if (!transport_->Send(to, MakeFrame(std::move(poll)))) return;
   polls_[id] = {to, now};
   while (polls_.size() > kMaxOutstandingPolls) polls_.erase(polls_.begin());
 }
 
+known_versions control_client::Known() const {
+  return {lease_.applied_version(),
+          config_.interface == serving_interface::kRoutes && local_ == nullptr,
+          route_version_, searcher_revision_};
+}
+
+void control_client::SetGroup(std::vector<instance_name> names) {
+  group_ = std::move(names);
+}
+
 void control_client::OnNews(const instance_name& from,
                             const wire::control_news& news, time_point) {
   const auto found = polls_.find(news.poll_id());
   if (found == polls_.end() || found->second.to != from) return;
   const time_point sent_at = found->second.at;
   polls_.erase(found);
-  TakeNews(
-      sent_at,
-      {news.confirmed(),
-       duration(static_cast<duration::rep>(
-           std::min<std::uint64_t>(news.confirmed_age_us(), 3'600'000'000ULL))),
-       news.published_version(), ToText(news.state()), ToText(news.leader())});
+  control_news taken;
+  taken.confirmed = news.confirmed();
+  taken.age = duration(static_cast<duration::rep>(
+      std::min<std::uint64_t>(news.confirmed_age_us(), 3'600'000'000ULL)));
+  taken.published_version = news.published_version();
+  taken.state = ToText(news.state());
+  taken.leader = ToText(news.leader());
+  taken.routes = ToText(news.routes());
+  taken.entry_instances = news.entry_instances();
+  if (news.group() != nullptr) {
+    for (const wire::control_address* row : *news.group()) {
+      log_member member;
+      member.instance = ToText(row->instance());
+      member.address = ToText(row->address());
+      taken.group.push_back(std::move(member));
+    }
+  }
+  TakeNews(sent_at, taken);
+}
+
+// Versions never go back: news of a member that is behind is ignored.
+void control_client::TakeRouteNews(const control_news& news) {
+  if (!news.group.empty()) {
+    handler_->OnControlGroup(news.group, news.entry_instances);
+  }
+  if (news.routes.empty()) return;
+  auto routes = LoadRouteNews(news.routes);
+  if (!routes.has_value()) {
+    LogEvent(log_level::kError, "route_news_invalid", {});
+    return;
+  }
+  const bool searchers_fit = routes->revision >= searcher_revision_ &&
+                             (routes->base_revision == 0 ||
+                              routes->base_revision == searcher_revision_);
+  if (!searchers_fit) {
+    routes->searchers.clear();
+    routes->base_revision = searcher_revision_;
+    routes->revision = searcher_revision_;
+  }
+  if (routes->routes.version <= route_version_) routes->routes = {};
+  handler_->OnRouteNews(*routes);
+  route_version_ = std::max(route_version_, routes->routes.version);
+  searcher_revision_ = routes->revision;
 }
 
 void control_client::TakeNews(time_point sent_at, const control_news& news) {
   if (!news.leader.empty()) leader_ = news.leader;
+  TakeRouteNews(news);
   if (!news.state.empty() &&
       news.published_version > lease_.applied_version()) {
     auto state = LoadPublished(news.state);
@@ -153,6 +211,7 @@
 }
 
 std::vector<instance_name> control_client::ControlNames() const {
+  if (!group_.empty()) return group_;
   std::vector<instance_name> names = config_.initial_members;
   names.insert(names.end(), config_.spares.begin(), config_.spares.end());
   return names;
--- a/app/control_client.h
+++ b/app/control_client.h
@@ -32,6 +32,11 @@
   virtual ~control_client_handler() = default;
   // A newer published state is in force from this call on.
   virtual void OnPublished(const published_state& state) = 0;
+  // Routed interface: changes of routes or searchers.
+  virtual void OnRouteNews(const route_news&) {}
+  // Routed interface: the control group and the number of entry instances as
+  // the member that was polled sees them.
+  virtual void OnControlGroup(const std::vector<log_member>&, std::uint32_t) {}
 };
 
 class control_client {
@@ -63,7 +68,10 @@
   const control_lease& lease() const { return lease_; }
   // The empty state of version 0 until the first one arrives.
   const published_state& published() const { return published_; }
+  std::uint64_t route_version() const { return route_version_; }
   const instance_name& leader() const { return leader_; }
+  // Replaces the control instances of the settings as targets.
+  void SetGroup(std::vector<instance_name> names);
 
  private:
   struct sent_poll {
@@ -83,6 +91,8 @@
     control_callback callback;
   };
 
+  known_versions Known() const;
+  void TakeRouteNews(const control_news& news);
   void Poll(const instance_name& to, time_point now);
   void PollNext(time_point now);
   void TakeNews(time_point sent_at, const control_news& news);
@@ -102,6 +112,11 @@
   published_state published_;
   std::string published_bytes_;
   instance_name leader_;
+  std::uint64_t route_version_ = 0;
+  std::uint64_t searcher_revision_ = 0;
+  // Members of the control group by the newest news, in place of those of the
+  // settings.
+  std::vector<instance_name> group_;
   // Whom to poll; changes when a poll is not confirmed.
   instance_name poll_target_;
   time_point poll_due_{};
--- a/app/control_service.cc
+++ b/app/control_service.cc
@@ -1,5 +1,6 @@
 #include "app/control_service.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/endian/conversion.hpp>
 #include <charconv>
@@ -14,7 +15,13 @@
 namespace {
 
 constexpr std::size_t kWallClockBytes = 8;
-constexpr duration kRepairPeriod = std::chrono::seconds(1);
+constexpr duration kRepairPeriod = std::chrono::milliseconds(100);
+// Pause before a folder that failed is opened again.
+constexpr duration kReopenPause = std::chrono::milliseconds(500);
+// With the routed interface a spare takes the place of a member that has been
+// silent for this long. A replaced instance counts as lost until its successor
+// has its place, and a second one may be lost seconds later.
+constexpr duration kRoutesLostAfter = std::chrono::milliseconds(1500);
 constexpr std::size_t kHistoryRows = 200;
 
 // A log payload is the leader's wall clock followed by the command, so that
@@ -33,6 +40,11 @@
   for (const instance_name& name : config.initial_members) {
     instances.push_back({name, "", true});
   }
+  if (config.interface == serving_interface::kRoutes) {
+    for (control_instance& each : instances) {
+      each.address = socket_address{each.instance, config.seed_port}.ToText();
+    }
+  }
   for (const instance_name& name : config.spares) {
     instances.push_back({name, "", false});
   }
@@ -54,19 +66,37 @@
   store_.reset();
 }
 
-void control_service::Start(time_point now) {
+void control_service::Start(time_point now) { Open(now); }
+
+void control_service::Open(time_point now) {
+  member_.reset();
+  store_.reset();
+  state_ = control_state();
+  proposals_.clear();
+  reads_.clear();
+  if (discard_folder_) {
+    discard_folder_ = false;
+    posix_storage_files folder(config_.data_dir);
+    std::vector<std::string> names;
+    folder.List(&names);
+    for (const std::string& name : names) folder.Remove(name);
+    folder.SyncFolder();
+  }
   files_ = std::make_unique<posix_storage_files>(config_.data_dir);
-  const auto completed = [executor = executor_,
-                          alive = alive_](const log_store_event& event) {
-    boost::asio::post(executor, [alive, event] {
-      if (*alive != nullptr) (*alive)->OnStoreEvent(event);
+  const auto completed = [executor = executor_, alive = alive_,
+                          opening = ++opening_](const log_store_event& event) {
+    boost::asio::post(executor, [alive, opening, event] {
+      if (*alive != nullptr) (*alive)->OnStoreEvent(opening, event);
     });
   };
   store_ = std::make_unique<log_store>(
       files_.get(), log_store_settings{config_.group, config_.name, 0},
       completed);
   log_store::opened opened = store_->Open();
-  if (opened.code != result_code::kOk) return Stop(opened.code, opened.reason);
+  if (opened.code != result_code::kOk) {
+    Stop(opened.code, opened.reason);
+    return ScheduleReopen(opened.code, now);
+  }
   if (opened.log.snapshot.has_value() &&
       opened.log.snapshot->state != nullptr &&
       !state_.LoadSnapshot(*opened.log.snapshot->state)) {
@@ -82,17 +112,37 @@
   consensus_settings options;
   options.address = config_.peer_listen.ToText();
   options.instances = ControlInstances(config_);
+  options.may_form_group = config_.bootstrap;
   // Differs between members and between starts, so that elections do not
   // collide again and again.
   options.seed = static_cast<std::uint64_t>(opened.log.identity.id) ^
                  static_cast<std::uint64_t>(now.time_since_epoch().count());
   member_ = std::make_unique<consensus_member>(std::move(options),
                                                std::move(opened.log), now);
-  repair_ = std::make_unique<member_repair>(
-      repair_options{.voters = config_.initial_members.size()});
+  repair_options repair;
+  repair.voters = config_.initial_members.size();
+  if (config_.interface == serving_interface::kRoutes) {
+    repair.lost_after = kRoutesLostAfter;
+    repair.voters = std::max<std::size_t>(repair.voters, config_.voters);
+  }
+  repair_ = std::make_unique<member_repair>(repair);
+}
+
+// Only the routed interface recovers a folder by itself.
+void control_service::ScheduleReopen(result_code code, time_point now) {
+  if (config_.interface != serving_interface::kRoutes) return;
+  reopen_at_ = now + kReopenPause;
+  discard_folder_ = code == result_code::kDataFolderForeign ||
+                    code == result_code::kLogDamaged;
 }
 
 void control_service::Tick(time_point now) {
+  if (reopen_at_.has_value() && now >= *reopen_at_) {
+    reopen_at_.reset();
+    LogEvent(log_level::kWarning, "folder_reopened",
+             {{"discarded", discard_folder_}});
+    Open(now);
+  }
   if (member_ == nullptr) return;
   consensus_effects effects;
   member_->Tick(now, &effects);
@@ -139,16 +189,27 @@
   Execute(std::move(effects));
 }
 
-control_news control_service::News(std::uint64_t published_version,
+std::vector<log_member> control_service::Group() const {
+  if (member_ == nullptr) return {};
+  return member_->membership().members.empty() ? member_->known_group()
+                                               : member_->membership().members;
+}
+
+control_news control_service::News(const known_versions& known,
                                    time_point now) const {
   control_news news;
   news.leader = leader();
   if (member_ == nullptr) return news;
+  if (known.routed) {
+    news.routes =
+        state_.SaveRouteNews(known.route_version, known.searcher_revision);
+    news.group = Group();
+  }
   const auto age = member_->confirmation_age(now);
   news.confirmed = age.has_value();
   news.age = age.value_or(duration{0});
   news.published_version = state_.published_version();
-  if (news.published_version > published_version) {
+  if (news.published_version > known.published_version) {
     if (published_cache_version_ != news.published_version) {
       published_cache_ = state_.SavePublished();
       published_cache_version_ = news.published_version;
@@ -290,10 +351,12 @@
   LogEvent(log_level::kError, "control_stopped",
            {{"code", bilberrycourse::Describe(effect.code).number},
             {"reason", effect.reason}});
+  ScheduleReopen(effect.code, Now());
 }
 
-void control_service::OnStoreEvent(const log_store_event& event) {
-  if (member_ == nullptr) return;
+void control_service::OnStoreEvent(std::uint64_t opening,
+                                   const log_store_event& event) {
+  if (member_ == nullptr || opening != opening_) return;
   consensus_effects effects;
   if (event.code == result_code::kOk) {
     member_->OnPersisted(event.position, Now(), &effects);
@@ -337,6 +400,7 @@
 std::string control_service::View(const std::string& view,
                                   const std::string& argument) const {
   if (view == "config") return state_.ConfigView();
+  if (view == "routes") return state_.routes().document;
   if (view == "history") return state_.HistoryView(kHistoryRows);
   if (view == "exceptions") return state_.ExceptionsView(WallNow());
   if (view == "request") return RequestView(argument);
--- a/app/control_service.h
+++ b/app/control_service.h
@@ -11,6 +11,9 @@
 //
 // A folder that is damaged or foreign does not end the process: the member
 // takes no part and says why, while the entry role goes on with other members.
+// With the routed interface nobody repairs a folder by hand: after a failed
+// write the folder is opened again until that succeeds, and a damaged or stale
+// folder is discarded, so that the instance rejoins as one that lost its disk.
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/json.hpp>
@@ -18,8 +21,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "app/log_store.h"
 #include "app/peer_transport.h"
@@ -47,6 +52,19 @@
   // Encoded published_state, empty if the asker is up to date.
   std::string state;
   instance_name leader;
+  // Routed interface: encoded route_news, empty if the asker is up to date,
+  // the members of the group, and how many entry instances are linked.
+  std::string routes;
+  std::vector<log_member> group;
+  std::uint32_t entry_instances = 0;
+};
+
+// What the asker of news knows already.
+struct known_versions {
+  std::uint64_t published_version = 0;
+  bool routed = false;
+  std::uint64_t route_version = 0;
+  std::uint64_t searcher_revision = 0;
 };
 
 class control_service {
@@ -65,7 +83,10 @@
   // request and group.
   void Read(const std::string& view, const std::string& argument,
             control_callback callback);
-  control_news News(std::uint64_t published_version, time_point now) const;
+  control_news News(const known_versions& known, time_point now) const;
+  // Members of the group, or what a newcomer has heard of it.
+  std::vector<log_member> Group() const;
+  const control_state& state() const { return state_; }
 
   bool leads() const;
   instance_name leader() const;
@@ -96,7 +117,9 @@
   void Do(read_ready& effect);
   void Do(role_changed& effect);
   void Do(stopped& effect);
-  void OnStoreEvent(const log_store_event& event);
+  void OnStoreEvent(std::uint64_t opening, const log_store_event& event);
+  void Open(time_point now);
+  void ScheduleReopen(result_code code, time_point now);
   void CompactIfDue();
   void Repair(time_point now);
   std::string View(const std::string& view, const std::string& argument) const;
@@ -120,6 +143,11 @@
   std::size_t bytes_since_snapshot_ = 0;
   mutable std::uint64_t published_cache_version_ = 0;
   mutable std::string published_cache_;
+  // Counts openings of the folder: completions of an earlier one are dropped.
+  std::uint64_t opening_ = 0;
+  // When to open the folder again after a failure; unset while it works.
+  std::optional<time_point> reopen_at_;
+  bool discard_folder_ = false;
   result_code stop_code_ = result_code::kOk;
   std::string stop_reason_;
   // Guards store completions that arrive after destruction.
--- a/app/daemon.cc
+++ b/app/daemon.cc
@@ -53,17 +53,6 @@
                                            transport);
 }
 
-wire::control_newsT ToWire(const control_news& news, std::uint64_t poll_id) {
-  wire::control_newsT out;
-  out.poll_id = poll_id;
-  out.confirmed = news.confirmed;
-  out.confirmed_age_us = static_cast<std::uint64_t>(news.age.count());
-  out.published_version = news.published_version;
-  out.state = ToBytes(news.state);
-  out.leader = news.leader;
-  return out;
-}
-
 // Reads an announcement; throws std::exception on a missing or wrong field.
 backend_server_record ParseAnnouncement(const json::object& body) {
   backend_server_record record;
@@ -98,14 +87,8 @@
 }  // namespace
 
 const daemon_process::frame_route daemon_process::kFrameRoutes[] = {
-    {wire::payload::consensus, &daemon_process::OnConsensus},
     {wire::payload::membership, &daemon_process::OnMembership},
     {wire::payload::gossip, &daemon_process::OnGossip},
-    {wire::payload::control_poll, &daemon_process::OnControlPoll},
-    {wire::payload::control_news, &daemon_process::OnControlNews},
-    {wire::payload::propose, &daemon_process::OnPropose},
-    {wire::payload::propose_result, &daemon_process::OnProposeResult},
-    {wire::payload::read, &daemon_process::OnRead},
     {wire::payload::read_result, &daemon_process::OnReadResult},
     {wire::payload::shard_batch, &daemon_process::OnQueryFrame},
     {wire::payload::shard_result_batch, &daemon_process::OnQueryFrame},
@@ -125,6 +108,7 @@
           MakeControl(context_.get_executor(), config_, &transport_)),
       cluster_(config_, incarnation_, &transport_, this),
       control_(config_, &transport_, control_member_.get(), this),
+      control_frames_(&transport_, control_member_.get(), &control_),
       queries_(context_.get_executor(), config_, incarnation_, &transport_,
                &cluster_, &metrics_),
       ledger_(config_, incarnation_, &control_),
@@ -226,18 +210,13 @@
                    [&](const frame_route& each) {
                      return each.type == frame.payload_type();
                    });
-  if (route == std::end(kFrameRoutes)) return;
   const time_point now = Now();
-  queries_.OnPeerHeard(peer, now);
-  (this->*route->handle)(peer, frame, now);
-}
-
-void daemon_process::OnConsensus(const instance_name&,
-                                 const wire::peer_frame& frame,
-                                 time_point now) {
-  if (control_member_ == nullptr) return;
-  control_member_->OnConsensusFrame(
-      ToText(frame.payload_as_consensus()->payload()), now);
+  if (route != std::end(kFrameRoutes)) {
+    queries_.OnPeerHeard(peer, now);
+    (this->*route->handle)(peer, frame, now);
+  } else if (control_frames_.Handle(peer, frame, now)) {
+    queries_.OnPeerHeard(peer, now);
+  }
 }
 
 void daemon_process::OnMembership(const instance_name& peer,
@@ -253,77 +232,12 @@
                          now);
 }
 
-void daemon_process::OnControlPoll(const instance_name& peer,
-                                   const wire::peer_frame& frame,
-                                   time_point now) {
-  const wire::control_poll* poll = frame.payload_as_control_poll();
-  control_news news;
-  if (control_member_ != nullptr) {
-    news = control_member_->News(poll->published_version(), now);
-  }
-  if (!news.confirmed) news = control_.Relay(poll->published_version(), now);
-  transport_.Send(peer, MakeFrame(ToWire(news, poll->poll_id())));
-}
-
-void daemon_process::OnControlNews(const instance_name& peer,
-                                   const wire::peer_frame& frame,
-                                   time_point now) {
-  control_.OnNews(peer, *frame.payload_as_control_news(), now);
-}
-
-void daemon_process::OnPropose(const instance_name& peer,
-                               const wire::peer_frame& frame, time_point) {
-  const wire::propose* propose = frame.payload_as_propose();
-  const std::uint64_t id = propose->proposal_id();
-  const auto reply = [this, peer, id](const control_reply& answer) {
-    wire::propose_resultT result;
-    result.proposal_id = id;
-    result.code = Describe(answer.code).number;
-    result.outcome = ToBytes(answer.body);
-    result.leader = answer.leader;
-    transport_.Send(peer, MakeFrame(std::move(result)));
-  };
-  if (control_member_ == nullptr) {
-    return reply({result_code::kNotLeader, "", control_.leader()});
-  }
-  control_member_->Propose(ToText(propose->command()), reply);
-}
-
-void daemon_process::OnProposeResult(const instance_name&,
-                                     const wire::peer_frame& frame,
-                                     time_point now) {
-  control_.OnProposeResult(*frame.payload_as_propose_result(), now);
-}
-
-void daemon_process::OnRead(const instance_name& peer,
-                            const wire::peer_frame& frame, time_point) {
-  const wire::read* read = frame.payload_as_read();
-  const std::uint64_t id = read->read_id();
-  const auto reply = [this, peer, id](const control_reply& answer) {
-    wire::read_resultT result;
-    result.read_id = id;
-    result.code = Describe(answer.code).number;
-    result.body = answer.body;
-    result.leader = answer.leader;
-    transport_.Send(peer, MakeFrame(std::move(result)));
-  };
-  const std::string view = ToText(read->view());
-  if (view == "in_force") {
-    return reply({result_code::kOk,
-                  std::to_string(control_.published().config_version), ""});
-  }
-  if (control_member_ == nullptr) {
-    return reply({result_code::kNotLeader, "", control_.leader()});
-  }
-  control_member_->Read(view, ToText(read->argument()), reply);
-}
-
 void daemon_process::OnReadResult(const instance_name& peer,
                                   const wire::peer_frame& frame,
                                   time_point now) {
   const wire::read_result* result = frame.payload_as_read_result();
   operators_.OnInForce(peer, *result);
-  control_.OnReadResult(*result, now);
+  control_frames_.Handle(peer, frame, now);
 }
 
 void daemon_process::OnQueryFrame(const instance_name& peer,
--- a/app/daemon.h
+++ b/app/daemon.h
@@ -20,6 +20,7 @@
 #include "app/caller_api.h"
 #include "app/cluster_service.h"
 #include "app/control_client.h"
+#include "app/control_frames.h"
 #include "app/control_service.h"
 #include "app/http_server.h"
 #include "app/metrics.h"
@@ -61,22 +62,10 @@
   };
   static const frame_route kFrameRoutes[];
 
-  void OnConsensus(const instance_name& peer, const wire::peer_frame& frame,
-                   time_point now);
   void OnMembership(const instance_name& peer, const wire::peer_frame& frame,
                     time_point now);
   void OnGossip(const instance_name& peer, const wire::peer_frame& frame,
                 time_point now);
-  void OnControlPoll(const instance_name& peer, const wire::peer_frame& frame,
-                     time_point now);
-  void OnControlNews(const instance_name& peer, const wire::peer_frame& frame,
-                     time_point now);
-  void OnPropose(const instance_name& peer, const wire::peer_frame& frame,
-                 time_point now);
-  void OnProposeResult(const instance_name& peer, const wire::peer_frame& frame,
-                       time_point now);
-  void OnRead(const instance_name& peer, const wire::peer_frame& frame,
-              time_point now);
   void OnReadResult(const instance_name& peer, const wire::peer_frame& frame,
                     time_point now);
   void OnQueryFrame(const instance_name& peer, const wire::peer_frame& frame,
@@ -110,6 +99,7 @@
   std::unique_ptr<control_service> control_member_;
   cluster_service cluster_;
   control_client control_;
+  control_frames control_frames_;
   query_service queries_;
   request_ledger ledger_;
   caller_api callers_;
--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -1,11 +1,13 @@
 #include "app/http_server.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
+#include <cstdio>
 #include <optional>
 #include <set>
 
@@ -30,6 +32,33 @@
   return result_code::kMalformedRequest;
 }
 
+// Headers that concern one connection or the framing of the body.
+constexpr std::array<http::field, 9> kConnectionFields = {
+    http::field::connection,       http::field::keep_alive,
+    http::field::proxy_connection, http::field::te,
+    http::field::trailer,          http::field::transfer_encoding,
+    http::field::upgrade,          http::field::content_length,
+    http::field::host};
+
+header_list EndToEndHeaders(const http::request<http::string_body>& message) {
+  http::token_list named(message[http::field::connection]);
+  header_list headers;
+  for (const auto& field : message) {
+    const bool hop = std::find(kConnectionFields.begin(),
+                               kConnectionFields.end(),
+                               field.name()) != kConnectionFields.end();
+    if (hop || named.exists(field.name_string())) continue;
+    headers.emplace_back(field.name_string(), field.value());
+  }
+  return headers;
+}
+
+std::string RetryAfterText(double seconds) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3g", seconds);
+  return text.data();
+}
+
 std::string Field(const http::request<http::string_body>& message,
                   std::string_view name) {
   const auto found = message.find(name);
@@ -79,6 +108,7 @@
   void Read() {
     parser_.emplace();
     parser_->body_limit(server_->options.max_request_bytes);
+    parser_->header_limit(server_->options.max_header_bytes);
     reading_head_ = true;
     // An idle keep-alive connection may stay open; the timeout starts with
     // the first byte of a request.
@@ -110,6 +140,7 @@
   // too slow could not be told; a timer that only cancels the read leaves the
   // socket open for the answer.
   void ReadRequest() {
+    received_at_ = std::chrono::steady_clock::now();
     timed_out_ = false;
     timer_.expires_after(server_->options.read_timeout);
     timer_.async_wait([self = shared_from_this()](const beast::error_code& e) {
@@ -157,6 +188,15 @@
     const std::string target(message.target());
     const std::size_t mark = target.find('?');
     request.path = target.substr(0, mark);
+    request.target = target;
+    request.host = Field(message, "Host");
+    request.received_at = received_at_;
+    request.first_on_connection = !served_one_;
+    served_one_ = true;
+    head_request_ = message.method() == http::verb::head;
+    if (server_->options.keep_headers) {
+      request.headers = EndToEndHeaders(message);
+    }
     if (mark != std::string::npos) request.query = target.substr(mark + 1);
     request.idempotency_key = Field(message, "Idempotency-Key");
     request.traceparent = Field(message, "traceparent");
@@ -187,21 +227,31 @@
 
   void Write(http_response response) {
     on_disconnect_.reset();
-    if (closed_) {
+    if (closed_ || response.abort) {
       --server_->pending;
-      return;
+      return Close();
     }
     response_ = {};
     response_.result(response.status);
     response_.version(11);
-    response_.set(http::field::content_type, response.content_type);
+    for (const auto& [name, value] : response.headers) {
+      response_.insert(name, value);
+    }
+    if (!response.content_type.empty()) {
+      response_.set(http::field::content_type, response.content_type);
+    }
     if (response.retry_after > 0) {
       response_.set(http::field::retry_after,
-                    std::to_string(response.retry_after));
+                    RetryAfterText(response.retry_after));
     }
     response_.keep_alive(keep_alive_ && !server_->draining);
     response_.body() = std::move(response.body);
-    response_.prepare_payload();
+    if (head_request_) {
+      // The length is that of the body that GET would have had.
+      response_.body().clear();
+    } else {
+      response_.prepare_payload();
+    }
     stream_.expires_after(server_->options.read_timeout);
     http::async_write(
         stream_, response_,
@@ -245,6 +295,9 @@
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> response_;
   std::shared_ptr<std::function<void()>> on_disconnect_;
+  std::chrono::steady_clock::time_point received_at_;
+  bool served_one_ = false;
+  bool head_request_ = false;
   bool keep_alive_ = true;
   bool reading_head_ = false;
   bool timed_out_ = false;
--- a/app/http_server.h
+++ b/app/http_server.h
@@ -30,8 +30,20 @@
 
 namespace bilberrycourse {
 
+using header_list = std::vector<std::pair<std::string, std::string>>;
+
 struct http_request {
   std::string method;
+  // Path and query string as they came.
+  std::string target;
+  std::string host;
+  // Every header as it came, but for those that concern the connection or the
+  // length of the body only. Filled if http_server_options asks for it.
+  header_list headers;
+  // Time at which the first byte came.
+  std::chrono::steady_clock::time_point received_at;
+  // True for the first request on a connection.
+  bool first_on_connection = false;
   // Path without the query string.
   std::string path;
   // Query string without the question mark.
@@ -48,8 +60,12 @@
   unsigned status = 200;
   std::string content_type = "application/json";
   std::string body;
-  // Seconds; 0 leaves the header out.
-  unsigned retry_after = 0;
+  // Seconds, fractions included; 0 leaves the header out.
+  double retry_after = 0;
+  // Headers to add. With `content_type` empty, one of them may be the type.
+  header_list headers = {};
+  // Breaks the connection in place of an answer.
+  bool abort = false;
 };
 
 // Problem details by RFC 9457 with the number and name of the code; `members`
@@ -65,6 +81,8 @@
   std::uint64_t max_request_bytes = 1 << 20;
   std::uint64_t max_connections = 10000;
   std::chrono::milliseconds read_timeout{10000};
+  bool keep_headers = false;
+  std::uint32_t max_header_bytes = 8192;
 };
 
 class http_server {
--- a/app/peer_frame_generated.h
+++ b/app/peer_frame_generated.h
@@ -40,6 +40,10 @@
 struct control_pollBuilder;
 struct control_pollT;
 
+struct control_address;
+struct control_addressBuilder;
+struct control_addressT;
+
 struct control_news;
 struct control_newsBuilder;
 struct control_newsT;
@@ -830,6 +834,9 @@
   typedef control_poll TableType;
   uint64_t poll_id = 0;
   uint64_t published_version = 0;
+  uint64_t route_version = 0;
+  uint64_t searcher_revision = 0;
+  bool routed = false;
 };
 
 struct control_poll FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -837,7 +844,10 @@
   typedef control_pollBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_POLL_ID = 4,
-    VT_PUBLISHED_VERSION = 6
+    VT_PUBLISHED_VERSION = 6,
+    VT_ROUTE_VERSION = 8,
+    VT_SEARCHER_REVISION = 10,
+    VT_ROUTED = 12
   };
   uint64_t poll_id() const {
     return GetField<uint64_t>(VT_POLL_ID, 0);
@@ -845,10 +855,22 @@
   uint64_t published_version() const {
     return GetField<uint64_t>(VT_PUBLISHED_VERSION, 0);
   }
+  uint64_t route_version() const {
+    return GetField<uint64_t>(VT_ROUTE_VERSION, 0);
+  }
+  uint64_t searcher_revision() const {
+    return GetField<uint64_t>(VT_SEARCHER_REVISION, 0);
+  }
+  bool routed() const {
+    return GetField<uint8_t>(VT_ROUTED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_POLL_ID, 8) &&
            VerifyField<uint64_t>(verifier, VT_PUBLISHED_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ROUTE_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEARCHER_REVISION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ROUTED, 1) &&
            verifier.EndTable();
   }
   control_pollT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -866,6 +888,15 @@
   void add_published_version(uint64_t published_version) {
     fbb_.AddElement<uint64_t>(control_poll::VT_PUBLISHED_VERSION, published_version, 0);
   }
+  void add_route_version(uint64_t route_version) {
+    fbb_.AddElement<uint64_t>(control_poll::VT_ROUTE_VERSION, route_version, 0);
+  }
+  void add_searcher_revision(uint64_t searcher_revision) {
+    fbb_.AddElement<uint64_t>(control_poll::VT_SEARCHER_REVISION, searcher_revision, 0);
+  }
+  void add_routed(bool routed) {
+    fbb_.AddElement<uint8_t>(control_poll::VT_ROUTED, static_cast<uint8_t>(routed), 0);
+  }
   explicit control_pollBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -880,15 +911,98 @@
 inline flatbuffers::Offset<control_poll> Createcontrol_poll(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t poll_id = 0,
-    uint64_t published_version = 0) {
+    uint64_t published_version = 0,
+    uint64_t route_version = 0,
+    uint64_t searcher_revision = 0,
+    bool routed = false) {
   control_pollBuilder builder_(_fbb);
+  builder_.add_searcher_revision(searcher_revision);
+  builder_.add_route_version(route_version);
   builder_.add_published_version(published_version);
   builder_.add_poll_id(poll_id);
+  builder_.add_routed(routed);
   return builder_.Finish();
 }
 
 flatbuffers::Offset<control_poll> Createcontrol_poll(flatbuffers::FlatBufferBuilder &_fbb, const control_pollT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct control_addressT : public flatbuffers::NativeTable {
+  typedef control_address TableType;
+  std::string instance{};
+  std::string address{};
+};
+
+struct control_address FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef control_addressT NativeTableType;
+  typedef control_addressBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_INSTANCE = 4,
+    VT_ADDRESS = 6
+  };
+  const flatbuffers::String *instance() const {
+    return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_INSTANCE) &&
+           verifier.VerifyString(instance()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           verifier.EndTable();
+  }
+  control_addressT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(control_addressT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<control_address> Pack(flatbuffers::FlatBufferBuilder &_fbb, const control_addressT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct control_addressBuilder {
+  typedef control_address Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_instance(flatbuffers::Offset<flatbuffers::String> instance) {
+    fbb_.AddOffset(control_address::VT_INSTANCE, instance);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(control_address::VT_ADDRESS, address);
+  }
+  explicit control_addressBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<control_address> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<control_address>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<control_address> Createcontrol_address(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> instance = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0) {
+  control_addressBuilder builder_(_fbb);
+  builder_.add_address(address);
+  builder_.add_instance(instance);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<control_address> Createcontrol_addressDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *instance = nullptr,
+    const char *address = nullptr) {
+  auto instance__ = instance ? _fbb.CreateString(instance) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  return bilberrycourse::wire::Createcontrol_address(
+      _fbb,
+      instance__,
+      address__);
+}
+
+flatbuffers::Offset<control_address> Createcontrol_address(flatbuffers::FlatBufferBuilder &_fbb, const control_addressT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct control_newsT : public flatbuffers::NativeTable {
   typedef control_news TableType;
   uint64_t poll_id = 0;
@@ -897,6 +1011,13 @@
   uint64_t published_version = 0;
   std::vector<uint8_t> state{};
   std::string leader{};
+  std::vector<uint8_t> routes{};
+  std::vector<std::unique_ptr<bilberrycourse::wire::control_addressT>> group{};
+  uint32_t entry_instances = 0;
+  control_newsT() = default;
+  control_newsT(const control_newsT &o);
+  control_newsT(control_newsT&&) FLATBUFFERS_NOEXCEPT = default;
+  control_newsT &operator=(control_newsT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct control_news FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -908,7 +1029,10 @@
     VT_CONFIRMED_AGE_US = 8,
     VT_PUBLISHED_VERSION = 10,
     VT_STATE = 12,
-    VT_LEADER = 14
+    VT_LEADER = 14,
+    VT_ROUTES = 16,
+    VT_GROUP = 18,
+    VT_ENTRY_INSTANCES = 20
   };
   uint64_t poll_id() const {
     return GetField<uint64_t>(VT_POLL_ID, 0);
@@ -928,6 +1052,15 @@
   const flatbuffers::String *leader() const {
     return GetPointer<const flatbuffers::String *>(VT_LEADER);
   }
+  const flatbuffers::Vector<uint8_t> *routes() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_ROUTES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::control_address>> *group() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::control_address>> *>(VT_GROUP);
+  }
+  uint32_t entry_instances() const {
+    return GetField<uint32_t>(VT_ENTRY_INSTANCES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_POLL_ID, 8) &&
@@ -938,6 +1071,12 @@
            verifier.VerifyVector(state()) &&
            VerifyOffset(verifier, VT_LEADER) &&
            verifier.VerifyString(leader()) &&
+           VerifyOffset(verifier, VT_ROUTES) &&
+           verifier.VerifyVector(routes()) &&
+           VerifyOffset(verifier, VT_GROUP) &&
+           verifier.VerifyVector(group()) &&
+           verifier.VerifyVectorOfTables(group()) &&
+           VerifyField<uint32_t>(verifier, VT_ENTRY_INSTANCES, 4) &&
            verifier.EndTable();
   }
   control_newsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -967,6 +1106,15 @@
   void add_leader(flatbuffers::Offset<flatbuffers::String> leader) {
     fbb_.AddOffset(control_news::VT_LEADER, leader);
   }
+  void add_routes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> routes) {
+    fbb_.AddOffset(control_news::VT_ROUTES, routes);
+  }
+  void add_group(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::control_address>>> group) {
+    fbb_.AddOffset(control_news::VT_GROUP, group);
+  }
+  void add_entry_instances(uint32_t entry_instances) {
+    fbb_.AddElement<uint32_t>(control_news::VT_ENTRY_INSTANCES, entry_instances, 0);
+  }
   explicit control_newsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -985,11 +1133,17 @@
     uint64_t confirmed_age_us = 0,
     uint64_t published_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> state = 0,
-    flatbuffers::Offset<flatbuffers::String> leader = 0) {
+    flatbuffers::Offset<flatbuffers::String> leader = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> routes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::control_address>>> group = 0,
+    uint32_t entry_instances = 0) {
   control_newsBuilder builder_(_fbb);
   builder_.add_published_version(published_version);
   builder_.add_confirmed_age_us(confirmed_age_us);
   builder_.add_poll_id(poll_id);
+  builder_.add_entry_instances(entry_instances);
+  builder_.add_group(group);
+  builder_.add_routes(routes);
   builder_.add_leader(leader);
   builder_.add_state(state);
   builder_.add_confirmed(confirmed);
@@ -1003,9 +1157,14 @@
     uint64_t confirmed_age_us = 0,
     uint64_t published_version = 0,
     const std::vector<uint8_t> *state = nullptr,
-    const char *leader = nullptr) {
+    const char *leader = nullptr,
+    const std::vector<uint8_t> *routes = nullptr,
+    const std::vector<flatbuffers::Offset<bilberrycourse::wire::control_address>> *group = nullptr,
+    uint32_t entry_instances = 0) {
   auto state__ = state ? _fbb.CreateVector<uint8_t>(*state) : 0;
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
+  auto routes__ = routes ? _fbb.CreateVector<uint8_t>(*routes) : 0;
+  auto group__ = group ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::control_address>>(*group) : 0;
   return bilberrycourse::wire::Createcontrol_news(
       _fbb,
       poll_id,
@@ -1013,7 +1172,10 @@
       confirmed_age_us,
       published_version,
       state__,
-      leader__);
+      leader__,
+      routes__,
+      group__,
+      entry_instances);
 }
 
 flatbuffers::Offset<control_news> Createcontrol_news(flatbuffers::FlatBufferBuilder &_fbb, const control_newsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2902,6 +3064,9 @@
   (void)_resolver;
   { auto _e = poll_id(); _o->poll_id = _e; }
   { auto _e = published_version(); _o->published_version = _e; }
+  { auto _e = route_version(); _o->route_version = _e; }
+  { auto _e = searcher_revision(); _o->searcher_revision = _e; }
+  { auto _e = routed(); _o->routed = _e; }
 }
 
 inline flatbuffers::Offset<control_poll> control_poll::Pack(flatbuffers::FlatBufferBuilder &_fbb, const control_pollT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2914,10 +3079,71 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const control_pollT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _poll_id = _o->poll_id;
   auto _published_version = _o->published_version;
+  auto _route_version = _o->route_version;
+  auto _searcher_revision = _o->searcher_revision;
+  auto _routed = _o->routed;
   return bilberrycourse::wire::Createcontrol_poll(
       _fbb,
       _poll_id,
-      _published_version);
+      _published_version,
+      _route_version,
+      _searcher_revision,
+      _routed);
+}
+
+inline control_addressT *control_address::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<control_addressT>(new control_addressT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void control_address::UnPackTo(control_addressT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = instance(); if (_e) _o->instance = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+}
+
+inline flatbuffers::Offset<control_address> control_address::Pack(flatbuffers::FlatBufferBuilder &_fbb, const control_addressT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createcontrol_address(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<control_address> Createcontrol_address(flatbuffers::FlatBufferBuilder &_fbb, const control_addressT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const control_addressT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _instance = _o->instance.empty() ? 0 : _fbb.CreateString(_o->instance);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  return bilberrycourse::wire::Createcontrol_address(
+      _fbb,
+      _instance,
+      _address);
+}
+
+inline control_newsT::control_newsT(const control_newsT &o)
+      : poll_id(o.poll_id),
+        confirmed(o.confirmed),
+        confirmed_age_us(o.confirmed_age_us),
+        published_version(o.published_version),
+        state(o.state),
+        leader(o.leader),
+        routes(o.routes),
+        entry_instances(o.entry_instances) {
+  group.reserve(o.group.size());
+  for (const auto &group_ : o.group) { group.emplace_back((group_) ? new bilberrycourse::wire::control_addressT(*group_) : nullptr); }
+}
+
+inline control_newsT &control_newsT::operator=(control_newsT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(poll_id, o.poll_id);
+  std::swap(confirmed, o.confirmed);
+  std::swap(confirmed_age_us, o.confirmed_age_us);
+  std::swap(published_version, o.published_version);
+  std::swap(state, o.state);
+  std::swap(leader, o.leader);
+  std::swap(routes, o.routes);
+  std::swap(group, o.group);
+  std::swap(entry_instances, o.entry_instances);
+  return *this;
 }
 
 inline control_newsT *control_news::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -2935,6 +3161,9 @@
   { auto _e = published_version(); _o->published_version = _e; }
   { auto _e = state(); if (_e) { _o->state.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->state.begin()); } }
   { auto _e = leader(); if (_e) _o->leader = _e->str(); }
+  { auto _e = routes(); if (_e) { _o->routes.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->routes.begin()); } }
+  { auto _e = group(); if (_e) { _o->group.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->group[_i] = std::unique_ptr<bilberrycourse::wire::control_addressT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = entry_instances(); _o->entry_instances = _e; }
 }
 
 inline flatbuffers::Offset<control_news> control_news::Pack(flatbuffers::FlatBufferBuilder &_fbb, const control_newsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2951,6 +3180,9 @@
   auto _published_version = _o->published_version;
   auto _state = _o->state.size() ? _fbb.CreateVector(_o->state) : 0;
   auto _leader = _o->leader.empty() ? 0 : _fbb.CreateString(_o->leader);
+  auto _routes = _o->routes.size() ? _fbb.CreateVector(_o->routes) : 0;
+  auto _group = _o->group.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::control_address>> (_o->group.size(), [](size_t i, _VectorArgs *__va) { return Createcontrol_address(*__va->__fbb, __va->__o->group[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _entry_instances = _o->entry_instances;
   return bilberrycourse::wire::Createcontrol_news(
       _fbb,
       _poll_id,
@@ -2958,7 +3190,10 @@
       _confirmed_age_us,
       _published_version,
       _state,
-      _leader);
+      _leader,
+      _routes,
+      _group,
+      _entry_instances);
 }
 
 inline proposeT *propose::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/app/peer_transport.cc
+++ b/app/peer_transport.cc
@@ -294,6 +294,7 @@
   }
 
   void HandleBody() {
+    silent_periods_ = 0;
     ++owner_->counters.frames_received;
     owner_->counters.bytes_received += kLengthBytes + body_.size();
     flatbuffers::Verifier verifier(body_.data(), body_.size());
@@ -348,9 +349,32 @@
     if (!dialer_) --owner_->unauthenticated;
     state_ = link_state::kOpen;
     timer_.cancel();
+    if (owner_->options.heartbeat_period.count() > 0) ArmHeartbeat();
     owner_->Opened(shared_from_this());
   }
 
+  void ArmHeartbeat() {
+    timer_.expires_after(owner_->options.heartbeat_period);
+    timer_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error) {
+          if (!error && self->open()) self->OnHeartbeatDue();
+        });
+  }
+
+  // Counts periods in place of reading the clock: while the process itself
+  // stands still, it can't blame the peer for its silence.
+  void OnHeartbeatDue() {
+    ++silent_periods_;
+    if (silent_periods_ * owner_->options.heartbeat_period >=
+        owner_->options.silence_timeout) {
+      return Close();
+    }
+    wire::peer_frameT frame;
+    frame.payload.Set(wire::heartbeatT());
+    SendFrame(frame);
+    ArmHeartbeat();
+  }
+
   std::shared_ptr<impl> owner_;
   tcp::socket socket_;
   asio::steady_timer timer_;
@@ -365,6 +389,7 @@
   std::vector<encoded_frame> in_write_;
   std::size_t backlog_bytes_ = 0;
   bool writing_ = false;
+  int silent_periods_ = 0;
 };
 
 boost::leaf::result<void> peer_transport::impl::Listen() {
--- /dev/null
+++ b/app/route_daemon.cc
@@ -0,0 +1,342 @@
+#include "app/route_daemon.h"
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+#include <csignal>
+#include <set>
+#include <utility>
+
+#include "app/daemon_clock.h"
+#include "app/json_log.h"
+
+namespace bilberrycourse {
+namespace {
+
+// Consensus counts in tens of milliseconds; an entry instance has its own
+// timer for what is due between ticks.
+constexpr duration kControlTick = std::chrono::milliseconds(10);
+constexpr duration kEntryTick = std::chrono::milliseconds(50);
+constexpr duration kDialPeriod = std::chrono::milliseconds(250);
+constexpr std::chrono::milliseconds kHeartbeatPeriod{1000};
+constexpr std::chrono::milliseconds kSilenceTimeout{3000};
+constexpr std::chrono::milliseconds kHandshakeTimeout{1000};
+// An entry instance that is away for less than this still has its share of the
+// retry budget: it may have spent it.
+constexpr duration kCountHold = std::chrono::seconds(10);
+// Shutdown: idle connections close this long before the end of the grace.
+constexpr duration kIdleCloseMargin = std::chrono::milliseconds(1200);
+// A control instance hands over at once and has nothing in flight for longer.
+constexpr duration kControlShutdown = std::chrono::milliseconds(300);
+// Headers of callers within their limits always fit.
+constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+
+peer_transport_options TransportOptions(const settings& config) {
+  peer_transport_options options;
+  options.self = config.name;
+  options.listen = config.peer_listen;
+  options.shared_key = config.shared_key;
+  options.heartbeat_period = kHeartbeatPeriod;
+  options.silence_timeout = kSilenceTimeout;
+  options.handshake_timeout = kHandshakeTimeout;
+  return options;
+}
+
+http_server_options MainOptions(const settings& config) {
+  http_server_options options;
+  options.listen = config.caller_listen;
+  options.max_request_bytes = config.max_request_bytes;
+  options.max_connections = config.max_connections;
+  options.read_timeout = config.read_timeout;
+  options.keep_headers = config.entry;
+  options.max_header_bytes = kMaxHeaderBytes;
+  return options;
+}
+
+std::unique_ptr<control_service> MakeMember(boost::asio::io_context* context,
+                                            const settings& config,
+                                            peer_transport* transport) {
+  if (!config.control) return nullptr;
+  return std::make_unique<control_service>(context->get_executor(), config,
+                                           transport);
+}
+
+}  // namespace
+
+route_daemon::route_daemon(settings config,
+                           std::unique_ptr<edge_protocol> protocol)
+    : config_(std::move(config)),
+      protocol_(std::move(protocol)),
+      signals_(context_, SIGTERM, SIGINT, SIGHUP),
+      timer_(context_),
+      transport_(context_.get_executor(), TransportOptions(config_), this),
+      member_(MakeMember(&context_, config_, &transport_)),
+      control_(config_, &transport_, member_.get(), this),
+      frames_(&transport_, member_.get(), &control_),
+      main_server_(context_.get_executor(), MainOptions(config_),
+                   [this](http_request request, http_responder respond) {
+                     HandleMain(std::move(request), std::move(respond));
+                   }) {
+  if (config_.entry) {
+    gateway_ = std::make_unique<route_gateway>(
+        context_.get_executor(), config_, protocol_.get(), &metrics_,
+        [this] { ArmTimer(); });
+  }
+  if (config_.control) {
+    registry_ = std::make_unique<route_registry>(protocol_.get(),
+                                                 member_.get(), &control_);
+  }
+  if (config_.readiness_listen.port != 0) {
+    http_server_options options;
+    options.listen = config_.readiness_listen;
+    readiness_server_ = std::make_unique<http_server>(
+        context_.get_executor(), options,
+        [this](http_request request, http_responder respond) {
+          HandleReadiness(std::move(request), std::move(respond));
+        });
+  }
+}
+
+route_daemon::~route_daemon() = default;
+
+boost::leaf::result<void> route_daemon::Run() {
+  BOOST_LEAF_CHECK(transport_.Listen());
+  BOOST_LEAF_CHECK(main_server_.Listen());
+  if (readiness_server_ != nullptr) {
+    BOOST_LEAF_CHECK(readiness_server_->Listen());
+  }
+  const time_point now = Now();
+  if (member_ != nullptr) member_->Start(now);
+  timers_.SubscribePeriodic(
+      config_.control ? kControlTick : kEntryTick, now,
+      [this](time_point t) { Tick(t); }, &tick_);
+  AwaitSignal();
+  LogEvent(log_level::kInfo, "started",
+           {{"entry", config_.entry},
+            {"control", config_.control},
+            {"bootstrap", config_.bootstrap},
+            {"availability_zone", config_.zone},
+            {"caller_address", config_.caller_listen.ToText()},
+            {"peer_address", config_.peer_listen.ToText()}});
+  DialPeers(now);
+  ArmTimer();
+  context_.run();
+  if (member_ != nullptr) member_->Drain();
+  LogEvent(log_level::kInfo, "stopped", {});
+  return {};
+}
+
+void route_daemon::AwaitSignal() {
+  signals_.async_wait(
+      [this](const boost::system::error_code& error, int signal) {
+        if (error) return;
+        if (signal == SIGHUP) {
+          Reload();
+        } else {
+          BeginShutdown();
+        }
+        AwaitSignal();
+      });
+}
+
+// Seeds may change while the process runs; addresses and roles may not.
+void route_daemon::Reload() {
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(fresh, LoadSettings(config_.file));
+        config_.seeds = fresh.seeds;
+        LogEvent(log_level::kInfo, "settings_reloaded",
+                 {{"seeds", config_.seeds.size()}});
+        return {};
+      },
+      [](const settings_errors& errors) {
+        LogEvent(log_level::kError, "settings_refused",
+                 {{"problem", ToText(errors)}});
+      },
+      [] { LogEvent(log_level::kError, "settings_refused", {}); });
+}
+
+// Runs at the earlier of the next tick and what is due in the gateway.
+void route_daemon::ArmTimer() {
+  if (gateway_ != nullptr) {
+    const auto due = gateway_->next_due();
+    if (due.has_value() && (!due_.active() || *due < due_.due())) {
+      timers_.SubscribeOnce(
+          *due, [this](time_point t) { gateway_->Tick(t); }, &due_);
+    }
+  }
+  const auto next = timers_.next_due();
+  if (!next.has_value() || (armed_.has_value() && *armed_ <= *next)) return;
+  armed_ = next;
+  timer_.expires_at(ToSteady(*next));
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    armed_.reset();
+    timers_.Advance(Now());
+    ArmTimer();
+  });
+}
+
+void route_daemon::Tick(time_point now) {
+  if (member_ != nullptr) member_->Tick(now);
+  control_.Tick(now);
+  if (registry_ != nullptr) registry_->Tick(now);
+  if (now >= dial_due_) DialPeers(now);
+  if (shutting_down_) CheckShutdown(now);
+}
+
+// Entry instances hold a link to every control instance; control instances
+// hold links among themselves.
+void route_daemon::DialPeers(time_point now) {
+  dial_due_ = now + kDialPeriod;
+  if (member_ != nullptr) {
+    const std::vector<log_member> group = member_->Group();
+    if (!group.empty()) {
+      OnControlGroup(group, 0);
+      CountEntryInstances(now);
+    }
+  }
+  std::set<std::string> addresses;
+  for (const socket_address& seed : config_.seeds) {
+    if (!group_.empty() && !group_.contains(seed.ip) && gateway_ != nullptr) {
+      continue;
+    }
+    if (seed.ip != config_.peer_listen.ip && !transport_.Connected(seed.ip)) {
+      addresses.insert(seed.ToText());
+    }
+  }
+  for (const auto& [name, address] : group_) {
+    if (name != config_.name && !transport_.Connected(name)) {
+      addresses.insert(address);
+    }
+  }
+  for (const std::string& address : addresses) transport_.Dial(address);
+}
+
+void route_daemon::CountEntryInstances(time_point now) {
+  std::uint32_t count = 0;
+  for (const instance_name& peer : transport_.connected_peers()) {
+    if (!group_.contains(peer)) ++count;
+  }
+  if (count >= entry_instances_ || now - counted_at_ >= kCountHold) {
+    entry_instances_ = count;
+    counted_at_ = now;
+  }
+  frames_.SetEntryInstances(entry_instances_);
+}
+
+void route_daemon::OnControlGroup(const std::vector<log_member>& group,
+                                  std::uint32_t entry_instances) {
+  if (gateway_ != nullptr) gateway_->SetInstances(entry_instances);
+  std::map<instance_name, std::string> members;
+  std::vector<instance_name> names;
+  for (const log_member& member : group) {
+    members[member.instance] = member.address;
+    names.push_back(member.instance);
+  }
+  if (members == group_) return;
+  boost::json::array listed;
+  for (const instance_name& name : names) listed.emplace_back(name);
+  LogEvent(log_level::kInfo, "control_group", {{"members", std::move(listed)}});
+  group_ = std::move(members);
+  control_.SetGroup(std::move(names));
+}
+
+void route_daemon::OnPeerConnected(const instance_name& peer) {
+  LogEvent(log_level::kInfo, "peer_connected", {{"peer", peer}});
+}
+
+void route_daemon::OnPeerDisconnected(const instance_name& peer) {
+  LogEvent(log_level::kInfo, "peer_disconnected", {{"peer", peer}});
+  control_.OnPeerDisconnected(peer, Now());
+}
+
+void route_daemon::OnPeerFrame(const instance_name& peer,
+                               const wire::peer_frame& frame) {
+  frames_.Handle(peer, frame, Now());
+}
+
+void route_daemon::OnPublished(const published_state&) {}
+
+void route_daemon::OnRouteNews(const route_news& news) {
+  if (gateway_ != nullptr) gateway_->OnRouteNews(news, Now());
+}
+
+bool route_daemon::Ready() const {
+  return gateway_ != nullptr && gateway_->configured() && !shutting_down_;
+}
+
+void route_daemon::HandleMain(http_request request, http_responder respond) {
+  if (gateway_ != nullptr) {
+    return gateway_->Handle(std::move(request), std::move(respond));
+  }
+  if (request.path == "/metrics" && request.method == "GET") {
+    return HandleMetrics(std::move(respond));
+  }
+  registry_->Handle(request, std::move(respond));
+}
+
+void route_daemon::HandleReadiness(http_request request,
+                                   http_responder respond) {
+  if (protocol_->IsReadinessCheck(request)) {
+    if (Ready()) return respond({200, "application/json", "{}"});
+    return respond(ProblemResponse(shutting_down_
+                                       ? result_code::kShuttingDown
+                                       : result_code::kControlLeaseExpired));
+  }
+  if (request.path == "/metrics" && request.method == "GET") {
+    return HandleMetrics(std::move(respond));
+  }
+  respond(ProblemResponse(result_code::kUnknownPath));
+}
+
+void route_daemon::HandleMetrics(http_responder respond) {
+  const peer_transport_counters& peers = transport_.counters();
+  metrics_.SetGauge("bilberrycourse_peer_bytes_sent", "Bytes sent to peers.",
+                    static_cast<double>(peers.bytes_sent));
+  metrics_.SetGauge("bilberrycourse_peer_bytes_received",
+                    "Bytes received from peers.",
+                    static_cast<double>(peers.bytes_received));
+  if (gateway_ != nullptr) gateway_->UpdateMetrics();
+  if (member_ != nullptr) {
+    metrics_.SetGauge("bilberrycourse_control_leads",
+                      "1 while this member leads the control group.",
+                      member_->leads() ? 1 : 0);
+    metrics_.SetGauge("bilberrycourse_entry_instances",
+                      "Entry instances linked to this member.",
+                      entry_instances_);
+  }
+  respond({200, "text/plain; version=0.0.4", metrics_.Text()});
+}
+
+void route_daemon::BeginShutdown() {
+  if (shutting_down_) return;
+  shutting_down_ = true;
+  shutdown_started_ = Now();
+  LogEvent(log_level::kInfo, "shutdown_started",
+           {{"in_flight", gateway_ == nullptr ? 0 : gateway_->in_flight()}});
+  main_server_.BeginDrain();
+  if (member_ != nullptr) member_->TransferLeadership(shutdown_started_);
+}
+
+void route_daemon::CheckShutdown(time_point now) {
+  const duration elapsed = now - shutdown_started_;
+  const duration grace = config_.shutdown_grace;
+  const duration open_time =
+      gateway_ == nullptr
+          ? kControlShutdown
+          : std::max(grace - kIdleCloseMargin, duration{0});
+  if (elapsed < open_time) return;
+  if (!closing_idle_) {
+    closing_idle_ = true;
+    main_server_.StopAccepting();
+  }
+  if (main_server_.pending() > 0 && elapsed < grace) return;
+  LogEvent(log_level::kInfo, "shutdown_finished",
+           {{"unfinished", main_server_.pending()}});
+  main_server_.Close();
+  if (readiness_server_ != nullptr) readiness_server_->Close();
+  transport_.Close();
+  context_.stop();
+}
+
+}  // namespace bilberrycourse
--- /dev/null
+++ b/app/route_daemon.h
@@ -0,0 +1,100 @@
+#ifndef APP_ROUTE_DAEMON_H_
+#define APP_ROUTE_DAEMON_H_
+
+// One process of the routed interface, either an entry instance or a control
+// instance.
+//
+//   route_daemon process(settings, protocol);
+//   BOOST_LEAF_CHECK(process.Run());   // returns after a graceful shutdown
+//
+// One thread runs everything but the log's disk writes. SIGTERM starts the
+// shutdown: readiness turns off, answers ask callers to close, and idle
+// connections stay open until the end of the grace, because a caller may use
+// one at any moment. SIGHUP reads the settings again.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/leaf/result.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "app/control_client.h"
+#include "app/control_frames.h"
+#include "app/control_service.h"
+#include "app/edge_protocol.h"
+#include "app/http_server.h"
+#include "app/metrics.h"
+#include "app/peer_transport.h"
+#include "app/route_gateway.h"
+#include "app/route_registry.h"
+#include "app/settings.h"
+#include "bilberrycourse/timer_service.h"
+
+namespace bilberrycourse {
+
+class route_daemon : public peer_transport_handler,
+                     public control_client_handler {
+ public:
+  route_daemon(settings config, std::unique_ptr<edge_protocol> protocol);
+  ~route_daemon() override;
+
+  boost::leaf::result<void> Run();
+
+  void OnPeerConnected(const instance_name& peer) override;
+  void OnPeerDisconnected(const instance_name& peer) override;
+  void OnPeerFrame(const instance_name& peer,
+                   const wire::peer_frame& frame) override;
+  void OnPublished(const published_state& state) override;
+  void OnRouteNews(const route_news& news) override;
+  void OnControlGroup(const std::vector<log_member>& group,
+                      std::uint32_t entry_instances) override;
+
+ private:
+  void HandleMain(http_request request, http_responder respond);
+  void HandleReadiness(http_request request, http_responder respond);
+  void HandleMetrics(http_responder respond);
+  bool Ready() const;
+  void AwaitSignal();
+  void Reload();
+  void ArmTimer();
+  void Tick(time_point now);
+  void DialPeers(time_point now);
+  void CountEntryInstances(time_point now);
+  void BeginShutdown();
+  void CheckShutdown(time_point now);
+
+  settings config_;
+  std::unique_ptr<edge_protocol> protocol_;
+  boost::asio::io_context context_;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer timer_;
+  timer_service timers_;
+  timer_subscription tick_;
+  timer_subscription due_;
+  // When timer_ will run; no second wait is started for a later time.
+  std::optional<time_point> armed_;
+  metrics metrics_;
+  peer_transport transport_;
+  std::unique_ptr<control_service> member_;
+  control_client control_;
+  control_frames frames_;
+  std::unique_ptr<route_gateway> gateway_;
+  std::unique_ptr<route_registry> registry_;
+  http_server main_server_;
+  std::unique_ptr<http_server> readiness_server_;
+  // Addresses of the control group by the newest news.
+  std::map<instance_name, std::string> group_;
+  time_point dial_due_{};
+  std::uint32_t entry_instances_ = 0;
+  time_point counted_at_{};
+  bool shutting_down_ = false;
+  bool closing_idle_ = false;
+  time_point shutdown_started_{};
+};
+
+}  // namespace bilberrycourse
+
+#endif  // APP_ROUTE_DAEMON_H_
--- /dev/null
+++ b/app/route_registry.cc
@@ -0,0 +1,126 @@
+#include "app/route_registry.h"
+
+#include <memory>
+#include <utility>
+
+#include "app/daemon_clock.h"
+#include "app/json_log.h"
+
+namespace bilberrycourse {
+namespace {
+
+// Callers turn to another instance when a second passes without an answer.
+constexpr duration kCallWait = std::chrono::milliseconds(850);
+constexpr double kInvalidCallsPerSecond = 5;
+
+http_response Accepted() { return {200, "application/json", "{}"}; }
+
+http_response Unavailable(result_code code) {
+  http_response response = ProblemResponse(code);
+  response.status = 503;
+  return response;
+}
+
+}  // namespace
+
+route_registry::route_registry(const edge_protocol* protocol,
+                               control_service* local, control_client* client)
+    : protocol_(protocol),
+      local_(local),
+      client_(client),
+      log_limiter_(kInvalidCallsPerSecond) {}
+
+void route_registry::Handle(const http_request& request,
+                            http_responder respond) {
+  const registry_call call = protocol_->ReadCall(request);
+  std::visit([&](const auto& each) { Do(each, std::move(respond)); }, call);
+}
+
+void route_registry::Do(const invalid_call& call, http_responder respond) {
+  if (log_limiter_.Allow(Now())) {
+    LogEvent(log_level::kWarning, "call_refused",
+             {{"code", Describe(call.code).number},
+              {"problem", call.problem},
+              {"left_out", log_limiter_.TakeLeftOut()}});
+  }
+  respond(ProblemResponse(call.code, call.problem));
+}
+
+void route_registry::Do(const put_routes_call& call, http_responder respond) {
+  std::string problem;
+  const auto config = protocol_->ReadRoutes(call.document, &problem);
+  result_code code = config.has_value() ? CheckRouteConfig(*config, &problem)
+                                        : result_code::kInvalidDocument;
+  if (code != result_code::kOk) {
+    LogEvent(log_level::kWarning, "routes_refused",
+             {{"version", config.has_value() ? config->version : 0},
+              {"problem", problem}});
+    http_response response = ProblemResponse(code, problem);
+    response.status = 400;
+    return respond(std::move(response));
+  }
+  const std::uint64_t version = config->version;
+  client_->Propose(
+      EncodeCommand(route_document{version, call.document}),
+      Now() + kCallWait, [version, respond](const control_reply& reply) {
+        LogEvent(log_level::kInfo, "routes_proposed",
+                 {{"version", version},
+                  {"code", Describe(reply.code).number},
+                  {"reason", Describe(reply.code).name}});
+        respond(reply.code == result_code::kOk ? Accepted()
+                                               : Unavailable(reply.code));
+      });
+}
+
+void route_registry::Do(const get_routes_call&, http_responder respond) {
+  client_->Read("routes", "", Now() + kCallWait,
+                [respond](const control_reply& reply) {
+                  if (reply.code != result_code::kOk || reply.body.empty()) {
+                    return respond(Unavailable(result_code::kNoQuorum));
+                  }
+                  respond({200, "application/json", reply.body});
+                });
+}
+
+// What is known to be committed needs no other entry. An unknown id is no
+// renewal: this member may be behind.
+bool route_registry::IsRenewal(const searcher_report& report) const {
+  const searcher_directory& directory = local_->state().searchers();
+  const searcher_record* known = directory.Find(report.id);
+  if (known == nullptr || directory.IsNews(report)) return false;
+  return known->report.state >= report.state;
+}
+
+void route_registry::Do(const searcher_call& call, http_responder respond) {
+  if (IsRenewal(call.report)) return respond(Accepted());
+  pending_.push_back({call.report, std::move(respond)});
+}
+
+void route_registry::Tick(time_point now) {
+  if (pending_.empty()) return;
+  const auto batch =
+      std::make_shared<std::vector<pending_report>>(std::move(pending_));
+  pending_.clear();
+  searcher_reports command;
+  for (const pending_report& each : *batch) {
+    command.reports.push_back(each.report);
+  }
+  client_->Propose(
+      EncodeCommand(command), now + kCallWait,
+      [batch](const control_reply& reply) {
+        for (const pending_report& each : *batch) {
+          LogEvent(log_level::kInfo, "searcher_reported",
+                   {{"searcher", each.report.id},
+                    {"service", each.report.service},
+                    {"state", ToString(each.report.state)},
+                    {"started_at_ms", each.report.started_at_ms},
+                    {"sequence", each.report.sequence},
+                    {"code", Describe(reply.code).number}});
+          each.respond(reply.code == result_code::kOk
+                           ? Accepted()
+                           : Unavailable(reply.code));
+        }
+      });
+}
+
+}  // namespace bilberrycourse
--- /dev/null
+++ b/app/route_registry.h
@@ -0,0 +1,55 @@
+#ifndef APP_ROUTE_REGISTRY_H_
+#define APP_ROUTE_REGISTRY_H_
+
+// The control part of the routed interface: takes configurations of operators
+// and reports of searchers, and serves reads.
+//
+//   route_registry registry(protocol, local_member, &client);
+//   registry.Handle(request, respond);
+//   registry.Tick(now);                    // every 10 ms
+//
+// A configuration and every change of a searcher is acknowledged once the
+// control group has committed it. Changes that arrive within one tick travel
+// in one log entry. A renewal that changes nothing is acknowledged at once.
+
+#include <string>
+#include <vector>
+
+#include "app/control_client.h"
+#include "app/control_service.h"
+#include "app/edge_protocol.h"
+#include "app/http_server.h"
+#include "app/log_limiter.h"
+
+namespace bilberrycourse {
+
+class route_registry {
+ public:
+  route_registry(const edge_protocol* protocol, control_service* local,
+                 control_client* client);
+
+  void Handle(const http_request& request, http_responder respond);
+  void Tick(time_point now);
+
+ private:
+  struct pending_report {
+    searcher_report report;
+    http_responder respond;
+  };
+
+  void Do(const put_routes_call& call, http_responder respond);
+  void Do(const get_routes_call& call, http_responder respond);
+  void Do(const searcher_call& call, http_responder respond);
+  void Do(const invalid_call& call, http_responder respond);
+  bool IsRenewal(const searcher_report& report) const;
+
+  const edge_protocol* protocol_;
+  control_service* local_;
+  control_client* client_;
+  std::vector<pending_report> pending_;
+  log_limiter log_limiter_;
+};
+
+}  // namespace bilberrycourse
+
+#endif  // APP_ROUTE_REGISTRY_H_
--- a/app/serve.cc
+++ b/app/serve.cc
@@ -9,8 +9,10 @@
 
 #include "app/daemon.h"
 #include "app/json_log.h"
+#include "app/route_daemon.h"
 #include "app/settings.h"
 #include "bilberrycourse/result_code.h"
+#include "platform/platform_protocol.h"
 
 namespace bilberrycourse {
 namespace {
@@ -80,6 +82,11 @@
   }
   return WithSettings(file, [](settings config) -> leaf::result<int> {
     ConfigureLog({config.name, config.level, config.decision_rate});
+    if (config.interface == serving_interface::kRoutes) {
+      route_daemon process(std::move(config), MakePlatformProtocol());
+      BOOST_LEAF_CHECK(process.Run());
+      return 0;
+    }
     daemon_process process(std::move(config));
     BOOST_LEAF_CHECK(process.Run());
     return 0;
--- a/app/settings.cc
+++ b/app/settings.cc
@@ -24,10 +24,12 @@
 using problem_text = std::string;  // Empty if the value is accepted.
 using parse_function = problem_text (*)(const std::string&, settings*);
 
+enum class setting_need : std::uint8_t { kOptional, kAlways, kForQuery };
+
 struct setting_row {
   std::string_view section;
   std::string_view key;
-  bool required;
+  setting_need need;
   std::string_view allowed;
   parse_function parse;
 };
@@ -88,6 +90,15 @@
   return {};
 }
 
+template <std::string settings::*Member>
+problem_text ParseSecretText(const std::string& text, settings* out) {
+  if (text.size() < kMinSecretBytes || text.size() > kMaxSecretBytes) {
+    return "holds a secret of " + std::to_string(text.size()) + " bytes";
+  }
+  out->*Member = text;
+  return {};
+}
+
 problem_text ParseRole(const std::string& text, settings* out) {
   for (const std::string& role : SplitList(text)) {
     if (role == "entry") {
@@ -142,13 +153,38 @@
   return ParseLogLevel(text, &out->level) ? "" : "unknown level";
 }
 
-problem_text ParseRate(const std::string& text, settings* out) {
+template <double settings::*Member>
+problem_text ParseRatio(const std::string& text, settings* out) {
   double value = 0;
   const char* end = text.data() + text.size();
   const auto [last, error] = std::from_chars(text.data(), end, value);
   if (error != std::errc() || last != end) return "not a number";
   if (!(value >= 0 && value <= 1)) return "out of range";
-  out->decision_rate = value;
+  out->*Member = value;
+  return {};
+}
+
+problem_text ParseInterface(const std::string& text, settings* out) {
+  if (text != "query" && text != "routes") return "unknown interface";
+  out->interface =
+      text == "query" ? serving_interface::kQuery : serving_interface::kRoutes;
+  return {};
+}
+
+problem_text ParseBootstrap(const std::string& text, settings* out) {
+  if (text != "true" && text != "false") return "neither true nor false";
+  out->bootstrap = text == "true";
+  return {};
+}
+
+// A group of 2n + 1 members bears the loss of n.
+problem_text ParseToleratedLosses(const std::string& text, settings* out) {
+  std::uint64_t losses = 0;
+  const char* end = text.data() + text.size();
+  const auto [last, error] = std::from_chars(text.data(), end, losses);
+  if (error != std::errc() || last != end) return "not a whole number";
+  if (losses > 3) return "out of range";
+  out->voters = 2 * losses + 1;
   return {};
 }
 
@@ -160,34 +196,58 @@
     "a readable file with a secret of 16 to 4096 bytes";
 
 constexpr setting_row kRows[] = {
-    {"instance", "name", true, kNameAllowed, ParseName<&settings::name>},
-    {"instance", "availability_zone", true, kNameAllowed,
+    {"instance", "name", setting_need::kAlways, kNameAllowed, ParseName<&settings::name>},
+    {"instance", "availability_zone", setting_need::kAlways, kNameAllowed,
      ParseName<&settings::zone>},
-    {"instance", "role", true, "entry, control, or entry,control", ParseRole},
-    {"listen", "caller", true, kAddressAllowed,
+    {"instance", "interface", setting_need::kOptional, "query or routes",
+     ParseInterface},
+    {"instance", "role", setting_need::kAlways, "entry, control, or entry,control", ParseRole},
+    {"listen", "caller", setting_need::kAlways, kAddressAllowed,
      ParseAddress<&settings::caller_listen>},
-    {"listen", "peer", true, kAddressAllowed,
+    {"listen", "peer", setting_need::kAlways, kAddressAllowed,
      ParseAddress<&settings::peer_listen>},
-    {"peers", "seeds", true, "a list of addresses, separated by commas",
+    {"listen", "readiness", setting_need::kOptional, kAddressAllowed,
+     ParseAddress<&settings::readiness_listen>},
+    {"peers", "seeds", setting_need::kAlways, "a list of addresses, separated by commas",
      ParseSeeds},
-    {"peers", "shared_key_file", true, kSecretAllowed,
+    {"peers", "shared_key_file", setting_need::kForQuery, kSecretAllowed,
      ParseSecretFile<&settings::shared_key>},
-    {"control", "group", true, kNameAllowed, ParseName<&settings::group>},
-    {"control", "initial_members", true, "1, 3, 5 or 7 instance names",
+    {"peers", "shared_key", setting_need::kOptional,
+     "a text of 16 to 4096 bytes", ParseSecretText<&settings::shared_key>},
+    {"peers", "seed_port", setting_need::kOptional, "1 to 65535",
+     ParseNumber<&settings::seed_port, 1, 65535>},
+    {"control", "group", setting_need::kAlways, kNameAllowed, ParseName<&settings::group>},
+    {"control", "initial_members", setting_need::kForQuery, "1, 3, 5 or 7 instance names",
      ParseMembers},
-    {"control", "spares", false, "a list of instance names", ParseSpares},
-    {"control", "data_dir", false, "a folder on a disk", ParseDataDir},
-    {"operator", "token_file", true, kSecretAllowed,
+    {"control", "spares", setting_need::kOptional, "a list of instance names", ParseSpares},
+    {"control", "data_dir", setting_need::kOptional, "a folder on a disk", ParseDataDir},
+    {"control", "voters", setting_need::kOptional, "1 to 7 members",
+     ParseNumber<&settings::voters, 1, 7>},
+    {"control", "tolerated_losses", setting_need::kOptional,
+     "0 to 3 instances", ParseToleratedLosses},
+    {"control", "bootstrap", setting_need::kOptional, "true or false",
+     ParseBootstrap},
+    {"routes", "retry_ratio", setting_need::kOptional, "0 to 1",
+     ParseRatio<&settings::retry_ratio>},
+    {"routes", "retry_allowance", setting_need::kOptional,
+     "0 to 1000000 repeats",
+     ParseNumber<&settings::retry_allowance, 0, 1000000>},
+    {"routes", "retry_window_s", setting_need::kOptional, "1 to 600 seconds",
+     ParseNumber<&settings::retry_window, 1, 600>},
+    {"routes", "caller_one_way_ms", setting_need::kOptional,
+     "0 to 1000 milliseconds",
+     ParseNumber<&settings::caller_one_way, 0, 1000>},
+    {"operator", "token_file", setting_need::kForQuery, kSecretAllowed,
      ParseSecretFile<&settings::operator_token>},
-    {"log", "level", false, "debug, info, warning or error", ParseLevel},
-    {"log", "decision_rate", false, "0 to 1", ParseRate},
-    {"limits", "max_request_bytes", false, "1024 to 16777216 bytes",
+    {"log", "level", setting_need::kOptional, "debug, info, warning or error", ParseLevel},
+    {"log", "decision_rate", setting_need::kOptional, "0 to 1", ParseRatio<&settings::decision_rate>},
+    {"limits", "max_request_bytes", setting_need::kOptional, "1024 to 16777216 bytes",
      ParseNumber<&settings::max_request_bytes, 1024, 16777216>},
-    {"limits", "max_connections", false, "10 to 100000 connections",
+    {"limits", "max_connections", setting_need::kOptional, "10 to 100000 connections",
      ParseNumber<&settings::max_connections, 10, 100000>},
-    {"limits", "read_timeout_ms", false, "100 to 600000 milliseconds",
+    {"limits", "read_timeout_ms", setting_need::kOptional, "100 to 600000 milliseconds",
      ParseNumber<&settings::read_timeout, 100, 600000>},
-    {"limits", "shutdown_grace_ms", false, "0 to 600000 milliseconds",
+    {"limits", "shutdown_grace_ms", setting_need::kOptional, "0 to 600000 milliseconds",
      ParseNumber<&settings::shutdown_grace, 0, 600000>},
 };
 
@@ -232,6 +292,38 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
+// The control instances of the routed interface are named by the IP numbers of
+// the seeds, because nobody tells their names.
+void NameMembersBySeeds(settings* s) {
+  for (socket_address& seed : s->seeds) {
+    if (s->seed_port != 0) seed.port = s->seed_port;
+    if (!Contains(s->initial_members, seed.ip)) {
+      s->initial_members.push_back(seed.ip);
+    }
+  }
+}
+
+void CheckRoutesContradictions(const settings& s,
+                               std::vector<settings_error>* errors) {
+  if (s.shared_key.empty()) {
+    errors->push_back({"peers", "shared_key", "is missing",
+                       "shared_key or shared_key_file"});
+  }
+  if (s.seeds.empty()) {
+    errors->push_back({"peers", "seeds", "names no control instance",
+                       "the addresses of one or more control instances"});
+  }
+  if (s.control && s.name != s.peer_listen.ip) {
+    errors->push_back({"instance", "name", "is not the own IP number",
+                       "with interface routes and role control, the IP number "
+                       "of [listen] peer"});
+  }
+  if (s.control && s.entry) {
+    errors->push_back({"instance", "role", "has both roles",
+                       "entry or control with interface routes"});
+  }
+}
+
 void CheckContradictions(const settings& s,
                          std::vector<settings_error>* errors) {
   if (s.control && s.data_dir.empty()) {
@@ -242,6 +334,9 @@
     errors->push_back({"control", "data_dir", "is set without role control",
                        "no data_dir unless the role includes control"});
   }
+  if (s.interface == serving_interface::kRoutes) {
+    return CheckRoutesContradictions(s, errors);
+  }
   const bool listed =
       Contains(s.initial_members, s.name) || Contains(s.spares, s.name);
   if (s.control != listed) {
@@ -298,7 +393,7 @@
     const setting_row* row = FindRow(name);
     if (row == nullptr) {
       errors.push_back(
-          {section, key, "is unknown", "the keys of docs/operators.md"});
+          {section, key, "is unknown", "the keys of docs/OPERATIONS.md"});
       continue;
     }
     const std::string problem = row->parse(value, &parsed);
@@ -309,11 +404,18 @@
   for (const setting_row& row : kRows) {
     const std::string name =
         std::string(row.section) + "." + std::string(row.key);
-    if (row.required && !pairs.contains(name)) {
+    const bool required =
+        row.need == setting_need::kAlways ||
+        (row.need == setting_need::kForQuery &&
+         parsed.interface == serving_interface::kQuery);
+    if (required && !pairs.contains(name)) {
       errors.push_back({std::string(row.section), std::string(row.key),
                         "is missing", std::string(row.allowed)});
     }
   }
+  if (parsed.interface == serving_interface::kRoutes) {
+    NameMembersBySeeds(&parsed);
+  }
   if (errors.empty()) CheckContradictions(parsed, &errors);
   if (!errors.empty()) {
     return boost::leaf::new_error(result_code::kInvalidSettings,
--- a/app/settings.h
+++ b/app/settings.h
@@ -36,9 +36,18 @@
 // Parses "127.0.0.1:8001" or "[::1]:8001"; host names are refused.
 bool ParseSocketAddress(const std::string& text, socket_address* address);
 
+// What the instance offers to callers.
+enum class serving_interface : std::uint8_t {
+  // POST /query over services that announce index versions.
+  kQuery = 0,
+  // Requests of any form, forwarded by a configuration of routes.
+  kRoutes = 1,
+};
+
 struct settings {
   std::string file;
   // [instance]
+  serving_interface interface = serving_interface::kQuery;
   instance_name name;
   availability_zone zone;
   bool entry = false;
@@ -46,8 +55,12 @@
   // [listen]
   socket_address caller_listen;
   socket_address peer_listen;
+  // Where the balancer asks for readiness and metrics are read; routes only.
+  socket_address readiness_listen;
   // [peers]
   std::vector<socket_address> seeds;
+  // If not 0, the port of the peer links of every seed.
+  std::uint16_t seed_port = 0;
   std::string shared_key;
   // [control]
   std::string group;
@@ -55,6 +68,20 @@
   // Control instances that replace lost members.
   std::vector<instance_name> spares;
   std::string data_dir;
+  // Members that the group grows to; 0: the number of initial members.
+  std::uint64_t voters = 0;
+  // False once the deployment has run before: an empty folder then joins a
+  // group and never forms one.
+  bool bootstrap = true;
+  // [routes]
+  // Repeats of a service within retry_window: this share of its requests plus
+  // retry_allowance, over all entry instances together.
+  double retry_ratio = 0.2;
+  std::uint64_t retry_allowance = 0;
+  std::chrono::seconds retry_window{10};
+  // One way between callers and entry instances. Objectives count from the
+  // caller's sending on.
+  std::chrono::milliseconds caller_one_way{3};
   // [operator]
   std::string operator_token;
   // [log]
--- a/bilberrycourse/consensus_member.h
+++ b/bilberrycourse/consensus_member.h
@@ -32,7 +32,9 @@
 // when every configured control instance, spares included, has just answered
 // that it belongs to no group. A member that hears of an existing group never
 // forms one; it waits as a spare until the leader adds it as a learner. A
-// wiped member therefore rejoins as a spare under its new id.
+// wiped member therefore rejoins as a spare under its new id. A formed member
+// answers with the whole group, so that a newcomer finds the leader even if the
+// instances that it was configured with are no longer members.
 
 #include <deque>
 #include <map>
@@ -77,6 +79,9 @@
   std::string address;
   // All control instances, this one included; equal on all of them.
   std::vector<control_instance> instances;
+  // False for an instance that is started into a deployment which has run
+  // before: with an empty folder it only joins a group that exists.
+  bool may_form_group = true;
   // Seeds the election timeouts and the offset of the clock that followers
   // send; must differ between members and between starts.
   std::uint64_t seed = 0;
@@ -242,6 +247,9 @@
   log_index last_index() const { return base_index_ + log_.size(); }
   log_index snapshot_index() const { return snapshot_.index; }
   const group_membership& membership() const;
+  // Members of the group by hearsay of a formed member, while this member
+  // itself belongs to none.
+  const std::vector<log_member>& known_group() const { return known_group_; }
   bool membership_change_pending() const;
   // The formation this member belongs to; 0 if none.
   std::uint64_t formation() const { return state_.formation; }
@@ -367,6 +375,8 @@
 
   void Discover(time_point now, consensus_effects* out);
   void TryFormGroup(time_point now, consensus_effects* out);
+  std::vector<log_member> DiscoverTargets() const;
+  void LearnGroup(const consensus_message& message);
   bool IsCoordinator(const instance_name& instance) const;
   void AbandonFormation(consensus_effects* out);
 
@@ -451,6 +461,7 @@
   // can hold its first entry.
   bool formation_unsent_ = false;
   std::map<instance_name, discovered> discovered_;
+  std::vector<log_member> known_group_;
 
   // Added to the clock in follower_us, so that an echo of an earlier process
   // with another clock is recognized.
--- a/bilberrycourse/consensus_member_formation.cc
+++ b/bilberrycourse/consensus_member_formation.cc
@@ -27,28 +27,56 @@
 
 void consensus_member::Discover(time_point now, consensus_effects* out) {
   discover_due_ = now + settings_.discover_interval;
-  if (!formed() && IsCoordinator(identity_.instance) && !KnowsFormedPeer(now) &&
+  if (!formed() && settings_.may_form_group &&
+      IsCoordinator(identity_.instance) && !KnowsFormedPeer(now) &&
       state_.formation == 0) {
     state_.formation = static_cast<std::uint64_t>(identity_.id);
     PersistState(out);
   }
-  for (const control_instance& configured : settings_.instances) {
-    if (configured.instance == identity_.instance) continue;
+  for (const log_member& target : DiscoverTargets()) {
     consensus_message message;
     message.kind = message_kind::kDiscover;
     message.formed = formed();
     message.members = {Self()};
-    SendTo(configured.instance, configured.address, std::move(message), out);
+    SendTo(target.instance, target.address, std::move(message), out);
   }
   TryFormGroup(now, out);
 }
 
+// The configured instances and the group as far as it is known, each once.
+std::vector<log_member> consensus_member::DiscoverTargets() const {
+  std::vector<log_member> targets;
+  const auto add = [&](const log_member& target) {
+    if (target.instance == identity_.instance) return;
+    const bool known = std::any_of(
+        targets.begin(), targets.end(), [&](const log_member& other) {
+          return other.instance == target.instance;
+        });
+    if (!known) targets.push_back(target);
+  };
+  for (const control_instance& configured : settings_.instances) {
+    add({kNoMember, configured.instance, configured.address,
+         member_role::kLearner});
+  }
+  for (const log_member& member : membership().members) add(member);
+  for (const log_member& member : known_group_) add(member);
+  return targets;
+}
+
+// The sender of a discovery message comes first, then the group that it is a
+// member of.
+void consensus_member::LearnGroup(const consensus_message& message) {
+  if (!message.formed || message.members.size() < 2) return;
+  known_group_.assign(message.members.begin() + 1, message.members.end());
+}
+
 void consensus_member::OnDiscover(const consensus_message& message,
                                   time_point now, consensus_effects* out) {
-  if (message.members.size() != 1 ||
+  if (message.members.empty() ||
       message.members.front().id != message.from) {
     return;
   }
+  LearnGroup(message);
   const log_member& sender = message.members.front();
   if (sender.instance == identity_.instance) return;
   if (discovered_.size() >= kMaxDiscovered &&
@@ -86,6 +114,9 @@
     reply.to = message.from;
     reply.formed = formed();
     reply.members = {Self()};
+    for (const log_member& member : membership().members) {
+      reply.members.push_back(member);
+    }
     SendTo(sender.instance, sender.address, std::move(reply), out);
   }
   TryFormGroup(now, out);
--- a/bilberrycourse/control_codec.cc
+++ b/bilberrycourse/control_codec.cc
@@ -90,4 +90,49 @@
           wire.shard_count};
 }
 
+wire::route_documentT ToWire(const route_document& document) {
+  wire::route_documentT result;
+  result.version = document.version;
+  result.document = document.document;
+  return result;
+}
+
+route_document FromWire(const wire::route_documentT& wire) {
+  return {wire.version, wire.document};
+}
+
+std::unique_ptr<wire::searcher_reportT> ToWire(const searcher_record& record) {
+  auto result = std::make_unique<wire::searcher_reportT>();
+  const searcher_report& report = record.report;
+  result->id = report.id;
+  result->service = report.service;
+  result->address = report.address;
+  result->zone = report.zone;
+  result->slots = report.slots;
+  result->state = static_cast<std::uint8_t>(report.state);
+  result->started_at_ms = report.started_at_ms;
+  result->sequence = report.sequence;
+  result->warmup_ms = report.warmup_ms;
+  result->revision = record.revision;
+  return result;
+}
+
+bool FromWire(const wire::searcher_reportT& wire, searcher_record* record) {
+  if (wire.state > static_cast<std::uint8_t>(searcher_state::kGone)) {
+    return false;
+  }
+  searcher_report& report = record->report;
+  report.id = wire.id;
+  report.service = wire.service;
+  report.address = wire.address;
+  report.zone = wire.zone;
+  report.slots = wire.slots;
+  report.state = static_cast<searcher_state>(wire.state);
+  report.started_at_ms = wire.started_at_ms;
+  report.sequence = wire.sequence;
+  report.warmup_ms = wire.warmup_ms;
+  record->revision = wire.revision;
+  return true;
+}
+
 }  // namespace bilberrycourse
--- a/bilberrycourse/control_codec.h
+++ b/bilberrycourse/control_codec.h
@@ -35,6 +35,15 @@
 control_wire::shard_setT ToWire(const shard_set_record& record);
 shard_set_record FromWire(const control_wire::shard_setT& wire);
 
+control_wire::route_documentT ToWire(const route_document& document);
+route_document FromWire(const control_wire::route_documentT& wire);
+
+std::unique_ptr<control_wire::searcher_reportT> ToWire(
+    const searcher_record& record);
+// Returns false for a state that no encoder writes.
+bool FromWire(const control_wire::searcher_reportT& wire,
+              searcher_record* record);
+
 // Returns false for numbers that are not in the table of result codes.
 bool CodeFromWire(std::uint16_t number, result_code* code);
 
--- a/bilberrycourse/control_command.cc
+++ b/bilberrycourse/control_command.cc
@@ -96,6 +96,18 @@
   body->Set(std::move(out));
 }
 
+void Encode(const route_document& command, wire::command_bodyUnion* body) {
+  body->Set(ToWire(command));
+}
+
+void Encode(const searcher_reports& command, wire::command_bodyUnion* body) {
+  wire::searcher_reportsT out;
+  for (const searcher_report& report : command.reports) {
+    out.reports.push_back(ToWire(searcher_record{report, 0}));
+  }
+  body->Set(std::move(out));
+}
+
 std::optional<control_command> Decode(const wire::config_changeT& in) {
   return config_change{in.change_id, in.base_version, in.author, in.reason,
                        in.document};
@@ -159,6 +171,20 @@
   return out;
 }
 
+std::optional<control_command> Decode(const wire::route_documentT& in) {
+  return FromWire(in);
+}
+
+std::optional<control_command> Decode(const wire::searcher_reportsT& in) {
+  searcher_reports out;
+  for (const auto& row : in.reports) {
+    searcher_record record;
+    if (!FromWire(*row, &record)) return std::nullopt;
+    out.reports.push_back(std::move(record.report));
+  }
+  return out;
+}
+
 template <typename Wire>
 std::optional<control_command> DecodeBody(const void* value) {
   return Decode(*static_cast<const Wire*>(value));
@@ -194,6 +220,10 @@
       return DecodeBody<wire::request_finishT>(body.value);
     case wire::command_body::request_abandon:
       return DecodeBody<wire::request_abandonT>(body.value);
+    case wire::command_body::route_document:
+      return DecodeBody<wire::route_documentT>(body.value);
+    case wire::command_body::searcher_reports:
+      return DecodeBody<wire::searcher_reportsT>(body.value);
     case wire::command_body::NONE:
       break;
   }
--- a/bilberrycourse/control_command.h
+++ b/bilberrycourse/control_command.h
@@ -13,9 +13,11 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "bilberrycourse/config_document.h"
 #include "bilberrycourse/result_code.h"
+#include "bilberrycourse/searcher_directory.h"
 #include "bilberrycourse/types.h"
 
 namespace bilberrycourse {
@@ -97,10 +99,24 @@
   request_run run;
 };
 
+// Configuration of the routed interface. It is kept as the operator sent it;
+// whoever proposes it has checked it. A version that is not higher than the
+// newest one changes nothing and is accepted.
+struct route_document {
+  std::uint64_t version = 0;
+  std::string document;
+  bool operator==(const route_document&) const = default;
+};
+
+// Changes of searchers, in the order in which they were received.
+struct searcher_reports {
+  std::vector<searcher_report> reports;
+};
+
 using control_command =
     std::variant<config_change, exception_add, exception_remove,
                  shard_set_record, request_begin, request_finish,
-                 request_abandon>;
+                 request_abandon, route_document, searcher_reports>;
 
 // What the origin of a request must do after request_begin.
 enum class request_decision : std::uint8_t {
--- a/bilberrycourse/control_state.cc
+++ b/bilberrycourse/control_state.cc
@@ -311,6 +311,20 @@
   return {};
 }
 
+control_outcome control_state::Run(const route_document& command) {
+  control_outcome outcome;
+  if (command.version > routes_.version) routes_ = command;
+  outcome.version = routes_.version;
+  return outcome;
+}
+
+control_outcome control_state::Run(const searcher_reports& command) {
+  for (const searcher_report& report : command.reports) {
+    searchers_.Apply(report, applied_index_);
+  }
+  return {};
+}
+
 control_outcome control_state::Run(const request_begin& command) {
   if (!Fits(command.caller, kMaxCallerBytes) ||
       !Fits(command.key, kMaxKeyBytes) ||
--- a/bilberrycourse/control_state.h
+++ b/bilberrycourse/control_state.h
@@ -28,6 +28,7 @@
 #include "bilberrycourse/config_document.h"
 #include "bilberrycourse/control_command.h"
 #include "bilberrycourse/result_code.h"
+#include "bilberrycourse/searcher_directory.h"
 #include "bilberrycourse/types.h"
 
 namespace bilberrycourse {
@@ -144,6 +145,14 @@
   // What entry instances need of the state, for control_news.state.
   std::string SavePublished() const;
 
+  // Configuration of the routed interface; version 0 before the first.
+  const route_document& routes() const { return routes_; }
+  const searcher_directory& searchers() const { return searchers_; }
+  // What an entry instance that knows these versions must learn, as bytes for
+  // LoadRouteNews(); empty if it is up to date.
+  std::string SaveRouteNews(std::uint64_t known_version,
+                            std::uint64_t known_revision) const;
+
   // JSON views for reads; docs/api.md describes the fields.
   std::string ConfigView() const;
   std::string HistoryView(std::size_t newest) const;
@@ -172,6 +181,8 @@
   control_outcome Run(const request_begin& command);
   control_outcome Run(const request_finish& command);
   control_outcome Run(const request_abandon& command);
+  control_outcome Run(const route_document& command);
+  control_outcome Run(const searcher_reports& command);
 
   control_outcome ApplyChange(const document_proposal& proposal);
   control_outcome DecideChange(const document_proposal& proposal);
@@ -199,8 +210,22 @@
   // Requests ordered by the time from which their retention counts.
   std::set<std::pair<wall_time_ms, request_key>> request_order_;
   std::size_t answer_bytes_ = 0;
+  route_document routes_;
+  searcher_directory searchers_;
+};
+
+struct route_news {
+  // Version 0 if the asker has the newest configuration.
+  route_document routes;
+  // Changes since this revision; 0: the whole directory.
+  std::uint64_t base_revision = 0;
+  std::uint64_t revision = 0;
+  std::vector<searcher_record> searchers;
 };
 
+// Returns nullopt if the bytes are damaged.
+std::optional<route_news> LoadRouteNews(std::string_view bytes);
+
 // The part of the control state that entry instances hold.
 struct published_state {
   std::uint64_t config_version = 0;
--- a/bilberrycourse/control_state_generated.h
+++ b/bilberrycourse/control_state_generated.h
@@ -52,6 +52,18 @@
 struct request_abandonBuilder;
 struct request_abandonT;
 
+struct route_document;
+struct route_documentBuilder;
+struct route_documentT;
+
+struct searcher_report;
+struct searcher_reportBuilder;
+struct searcher_reportT;
+
+struct searcher_reports;
+struct searcher_reportsBuilder;
+struct searcher_reportsT;
+
 struct command;
 struct commandBuilder;
 struct commandT;
@@ -76,6 +88,10 @@
 struct snapshotBuilder;
 struct snapshotT;
 
+struct route_news;
+struct route_newsBuilder;
+struct route_newsT;
+
 struct published;
 struct publishedBuilder;
 struct publishedT;
@@ -93,11 +109,13 @@
   request_begin = 5,
   request_finish = 6,
   request_abandon = 7,
+  route_document = 8,
+  searcher_reports = 9,
   MIN = NONE,
-  MAX = request_abandon
+  MAX = searcher_reports
 };
 
-inline const command_body (&EnumValuescommand_body())[8] {
+inline const command_body (&EnumValuescommand_body())[10] {
   static const command_body values[] = {
     command_body::NONE,
     command_body::config_change,
@@ -106,13 +124,15 @@
     command_body::shard_set,
     command_body::request_begin,
     command_body::request_finish,
-    command_body::request_abandon
+    command_body::request_abandon,
+    command_body::route_document,
+    command_body::searcher_reports
   };
   return values;
 }
 
 inline const char * const *EnumNamescommand_body() {
-  static const char * const names[9] = {
+  static const char * const names[11] = {
     "NONE",
     "config_change",
     "exception_add",
@@ -121,13 +141,15 @@
     "request_begin",
     "request_finish",
     "request_abandon",
+    "route_document",
+    "searcher_reports",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamecommand_body(command_body e) {
-  if (flatbuffers::IsOutRange(e, command_body::NONE, command_body::request_abandon)) return "";
+  if (flatbuffers::IsOutRange(e, command_body::NONE, command_body::searcher_reports)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamescommand_body()[index];
 }
@@ -164,6 +186,14 @@
   static const command_body enum_value = command_body::request_abandon;
 };
 
+template<> struct command_bodyTraits<bilberrycourse::control_wire::route_document> {
+  static const command_body enum_value = command_body::route_document;
+};
+
+template<> struct command_bodyTraits<bilberrycourse::control_wire::searcher_reports> {
+  static const command_body enum_value = command_body::searcher_reports;
+};
+
 template<typename T> struct command_bodyUnionTraits {
   static const command_body enum_value = command_body::NONE;
 };
@@ -196,6 +226,14 @@
   static const command_body enum_value = command_body::request_abandon;
 };
 
+template<> struct command_bodyUnionTraits<bilberrycourse::control_wire::route_documentT> {
+  static const command_body enum_value = command_body::route_document;
+};
+
+template<> struct command_bodyUnionTraits<bilberrycourse::control_wire::searcher_reportsT> {
+  static const command_body enum_value = command_body::searcher_reports;
+};
+
 struct command_bodyUnion {
   command_body type;
   void *value;
@@ -282,6 +320,22 @@
     return type == command_body::request_abandon ?
       reinterpret_cast<const bilberrycourse::control_wire::request_abandonT *>(value) : nullptr;
   }
+  bilberrycourse::control_wire::route_documentT *Asroute_document() {
+    return type == command_body::route_document ?
+      reinterpret_cast<bilberrycourse::control_wire::route_documentT *>(value) : nullptr;
+  }
+  const bilberrycourse::control_wire::route_documentT *Asroute_document() const {
+    return type == command_body::route_document ?
+      reinterpret_cast<const bilberrycourse::control_wire::route_documentT *>(value) : nullptr;
+  }
+  bilberrycourse::control_wire::searcher_reportsT *Assearcher_reports() {
+    return type == command_body::searcher_reports ?
+      reinterpret_cast<bilberrycourse::control_wire::searcher_reportsT *>(value) : nullptr;
+  }
+  const bilberrycourse::control_wire::searcher_reportsT *Assearcher_reports() const {
+    return type == command_body::searcher_reports ?
+      reinterpret_cast<const bilberrycourse::control_wire::searcher_reportsT *>(value) : nullptr;
+  }
 };
 
 bool Verifycommand_body(flatbuffers::Verifier &verifier, const void *obj, command_body type);
@@ -293,35 +347,38 @@
   outcome = 2,
   snapshot = 3,
   published = 4,
+  route_news = 5,
   MIN = NONE,
-  MAX = published
+  MAX = route_news
 };
 
-inline const root_body (&EnumValuesroot_body())[5] {
+inline const root_body (&EnumValuesroot_body())[6] {
   static const root_body values[] = {
     root_body::NONE,
     root_body::command,
     root_body::outcome,
     root_body::snapshot,
-    root_body::published
+    root_body::published,
+    root_body::route_news
   };
   return values;
 }
 
 inline const char * const *EnumNamesroot_body() {
-  static const char * const names[6] = {
+  static const char * const names[7] = {
     "NONE",
     "command",
     "outcome",
     "snapshot",
     "published",
+    "route_news",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameroot_body(root_body e) {
-  if (flatbuffers::IsOutRange(e, root_body::NONE, root_body::published)) return "";
+  if (flatbuffers::IsOutRange(e, root_body::NONE, root_body::route_news)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesroot_body()[index];
 }
@@ -346,6 +403,10 @@
   static const root_body enum_value = root_body::published;
 };
 
+template<> struct root_bodyTraits<bilberrycourse::control_wire::route_news> {
+  static const root_body enum_value = root_body::route_news;
+};
+
 template<typename T> struct root_bodyUnionTraits {
   static const root_body enum_value = root_body::NONE;
 };
@@ -366,6 +427,10 @@
   static const root_body enum_value = root_body::published;
 };
 
+template<> struct root_bodyUnionTraits<bilberrycourse::control_wire::route_newsT> {
+  static const root_body enum_value = root_body::route_news;
+};
+
 struct root_bodyUnion {
   root_body type;
   void *value;
@@ -428,6 +493,14 @@
     return type == root_body::published ?
       reinterpret_cast<const bilberrycourse::control_wire::publishedT *>(value) : nullptr;
   }
+  bilberrycourse::control_wire::route_newsT *Asroute_news() {
+    return type == root_body::route_news ?
+      reinterpret_cast<bilberrycourse::control_wire::route_newsT *>(value) : nullptr;
+  }
+  const bilberrycourse::control_wire::route_newsT *Asroute_news() const {
+    return type == root_body::route_news ?
+      reinterpret_cast<const bilberrycourse::control_wire::route_newsT *>(value) : nullptr;
+  }
 };
 
 bool Verifyroot_body(flatbuffers::Verifier &verifier, const void *obj, root_body type);
@@ -1468,6 +1541,333 @@
 
 flatbuffers::Offset<request_abandon> Createrequest_abandon(flatbuffers::FlatBufferBuilder &_fbb, const request_abandonT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct route_documentT : public flatbuffers::NativeTable {
+  typedef route_document TableType;
+  uint64_t version = 0;
+  std::string document{};
+};
+
+struct route_document FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef route_documentT NativeTableType;
+  typedef route_documentBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4,
+    VT_DOCUMENT = 6
+  };
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  const flatbuffers::String *document() const {
+    return GetPointer<const flatbuffers::String *>(VT_DOCUMENT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_DOCUMENT) &&
+           verifier.VerifyString(document()) &&
+           verifier.EndTable();
+  }
+  route_documentT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(route_documentT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<route_document> Pack(flatbuffers::FlatBufferBuilder &_fbb, const route_documentT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct route_documentBuilder {
+  typedef route_document Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(route_document::VT_VERSION, version, 0);
+  }
+  void add_document(flatbuffers::Offset<flatbuffers::String> document) {
+    fbb_.AddOffset(route_document::VT_DOCUMENT, document);
+  }
+  explicit route_documentBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<route_document> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<route_document>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<route_document> Createroute_document(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::String> document = 0) {
+  route_documentBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_document(document);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<route_document> Createroute_documentDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    const char *document = nullptr) {
+  auto document__ = document ? _fbb.CreateString(document) : 0;
+  return bilberrycourse::control_wire::Createroute_document(
+      _fbb,
+      version,
+      document__);
+}
+
+flatbuffers::Offset<route_document> Createroute_document(flatbuffers::FlatBufferBuilder &_fbb, const route_documentT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct searcher_reportT : public flatbuffers::NativeTable {
+  typedef searcher_report TableType;
+  std::string id{};
+  std::string service{};
+  std::string address{};
+  std::string zone{};
+  uint32_t slots = 0;
+  uint8_t state = 0;
+  int64_t started_at_ms = 0;
+  uint64_t sequence = 0;
+  uint32_t warmup_ms = 0;
+  uint64_t revision = 0;
+};
+
+struct searcher_report FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef searcher_reportT NativeTableType;
+  typedef searcher_reportBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_SERVICE = 6,
+    VT_ADDRESS = 8,
+    VT_ZONE = 10,
+    VT_SLOTS = 12,
+    VT_STATE = 14,
+    VT_STARTED_AT_MS = 16,
+    VT_SEQUENCE = 18,
+    VT_WARMUP_MS = 20,
+    VT_REVISION = 22
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  uint32_t slots() const {
+    return GetField<uint32_t>(VT_SLOTS, 0);
+  }
+  uint8_t state() const {
+    return GetField<uint8_t>(VT_STATE, 0);
+  }
+  int64_t started_at_ms() const {
+    return GetField<int64_t>(VT_STARTED_AT_MS, 0);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  uint32_t warmup_ms() const {
+    return GetField<uint32_t>(VT_WARMUP_MS, 0);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint32_t>(verifier, VT_WARMUP_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           verifier.EndTable();
+  }
+  searcher_reportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(searcher_reportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<searcher_report> Pack(flatbuffers::FlatBufferBuilder &_fbb, const searcher_reportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct searcher_reportBuilder {
+  typedef searcher_report Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(searcher_report::VT_ID, id);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(searcher_report::VT_SERVICE, service);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(searcher_report::VT_ADDRESS, address);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(searcher_report::VT_ZONE, zone);
+  }
+  void add_slots(uint32_t slots) {
+    fbb_.AddElement<uint32_t>(searcher_report::VT_SLOTS, slots, 0);
+  }
+  void add_state(uint8_t state) {
+    fbb_.AddElement<uint8_t>(searcher_report::VT_STATE, state, 0);
+  }
+  void add_started_at_ms(int64_t started_at_ms) {
+    fbb_.AddElement<int64_t>(searcher_report::VT_STARTED_AT_MS, started_at_ms, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(searcher_report::VT_SEQUENCE, sequence, 0);
+  }
+  void add_warmup_ms(uint32_t warmup_ms) {
+    fbb_.AddElement<uint32_t>(searcher_report::VT_WARMUP_MS, warmup_ms, 0);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(searcher_report::VT_REVISION, revision, 0);
+  }
+  explicit searcher_reportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<searcher_report> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<searcher_report>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<searcher_report> Createsearcher_report(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    uint32_t slots = 0,
+    uint8_t state = 0,
+    int64_t started_at_ms = 0,
+    uint64_t sequence = 0,
+    uint32_t warmup_ms = 0,
+    uint64_t revision = 0) {
+  searcher_reportBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_sequence(sequence);
+  builder_.add_started_at_ms(started_at_ms);
+  builder_.add_warmup_ms(warmup_ms);
+  builder_.add_slots(slots);
+  builder_.add_zone(zone);
+  builder_.add_address(address);
+  builder_.add_service(service);
+  builder_.add_id(id);
+  builder_.add_state(state);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<searcher_report> Createsearcher_reportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    const char *service = nullptr,
+    const char *address = nullptr,
+    const char *zone = nullptr,
+    uint32_t slots = 0,
+    uint8_t state = 0,
+    int64_t started_at_ms = 0,
+    uint64_t sequence = 0,
+    uint32_t warmup_ms = 0,
+    uint64_t revision = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  return bilberrycourse::control_wire::Createsearcher_report(
+      _fbb,
+      id__,
+      service__,
+      address__,
+      zone__,
+      slots,
+      state,
+      started_at_ms,
+      sequence,
+      warmup_ms,
+      revision);
+}
+
+flatbuffers::Offset<searcher_report> Createsearcher_report(flatbuffers::FlatBufferBuilder &_fbb, const searcher_reportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct searcher_reportsT : public flatbuffers::NativeTable {
+  typedef searcher_reports TableType;
+  std::vector<std::unique_ptr<bilberrycourse::control_wire::searcher_reportT>> reports{};
+  searcher_reportsT() = default;
+  searcher_reportsT(const searcher_reportsT &o);
+  searcher_reportsT(searcher_reportsT&&) FLATBUFFERS_NOEXCEPT = default;
+  searcher_reportsT &operator=(searcher_reportsT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct searcher_reports FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef searcher_reportsT NativeTableType;
+  typedef searcher_reportsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REPORTS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>> *reports() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>> *>(VT_REPORTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_REPORTS) &&
+           verifier.VerifyVector(reports()) &&
+           verifier.VerifyVectorOfTables(reports()) &&
+           verifier.EndTable();
+  }
+  searcher_reportsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(searcher_reportsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<searcher_reports> Pack(flatbuffers::FlatBufferBuilder &_fbb, const searcher_reportsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct searcher_reportsBuilder {
+  typedef searcher_reports Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_reports(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>>> reports) {
+    fbb_.AddOffset(searcher_reports::VT_REPORTS, reports);
+  }
+  explicit searcher_reportsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<searcher_reports> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<searcher_reports>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<searcher_reports> Createsearcher_reports(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>>> reports = 0) {
+  searcher_reportsBuilder builder_(_fbb);
+  builder_.add_reports(reports);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<searcher_reports> Createsearcher_reportsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>> *reports = nullptr) {
+  auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>>(*reports) : 0;
+  return bilberrycourse::control_wire::Createsearcher_reports(
+      _fbb,
+      reports__);
+}
+
+flatbuffers::Offset<searcher_reports> Createsearcher_reports(flatbuffers::FlatBufferBuilder &_fbb, const searcher_reportsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct commandT : public flatbuffers::NativeTable {
   typedef command TableType;
   bilberrycourse::control_wire::command_bodyUnion body{};
@@ -1508,6 +1908,12 @@
   const bilberrycourse::control_wire::request_abandon *body_as_request_abandon() const {
     return body_type() == bilberrycourse::control_wire::command_body::request_abandon ? static_cast<const bilberrycourse::control_wire::request_abandon *>(body()) : nullptr;
   }
+  const bilberrycourse::control_wire::route_document *body_as_route_document() const {
+    return body_type() == bilberrycourse::control_wire::command_body::route_document ? static_cast<const bilberrycourse::control_wire::route_document *>(body()) : nullptr;
+  }
+  const bilberrycourse::control_wire::searcher_reports *body_as_searcher_reports() const {
+    return body_type() == bilberrycourse::control_wire::command_body::searcher_reports ? static_cast<const bilberrycourse::control_wire::searcher_reports *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1548,6 +1954,14 @@
   return body_as_request_abandon();
 }
 
+template<> inline const bilberrycourse::control_wire::route_document *command::body_as<bilberrycourse::control_wire::route_document>() const {
+  return body_as_route_document();
+}
+
+template<> inline const bilberrycourse::control_wire::searcher_reports *command::body_as<bilberrycourse::control_wire::searcher_reports>() const {
+  return body_as_searcher_reports();
+}
+
 struct commandBuilder {
   typedef command Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2258,6 +2672,10 @@
   std::vector<std::unique_ptr<bilberrycourse::control_wire::change_recordT>> changes{};
   std::vector<std::unique_ptr<bilberrycourse::control_wire::shard_setT>> shard_sets{};
   std::vector<std::unique_ptr<bilberrycourse::control_wire::request_recordT>> requests{};
+  std::unique_ptr<bilberrycourse::control_wire::route_documentT> routes{};
+  std::vector<std::unique_ptr<bilberrycourse::control_wire::searcher_reportT>> searchers{};
+  uint64_t searcher_revision = 0;
+  uint64_t searchers_forgotten = 0;
   snapshotT() = default;
   snapshotT(const snapshotT &o);
   snapshotT(snapshotT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2277,7 +2695,11 @@
     VT_HISTORY = 16,
     VT_CHANGES = 18,
     VT_SHARD_SETS = 20,
-    VT_REQUESTS = 22
+    VT_REQUESTS = 22,
+    VT_ROUTES = 24,
+    VT_SEARCHERS = 26,
+    VT_SEARCHER_REVISION = 28,
+    VT_SEARCHERS_FORGOTTEN = 30
   };
   uint32_t format() const {
     return GetField<uint32_t>(VT_FORMAT, 0);
@@ -2309,6 +2731,18 @@
   const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::request_record>> *requests() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::request_record>> *>(VT_REQUESTS);
   }
+  const bilberrycourse::control_wire::route_document *routes() const {
+    return GetPointer<const bilberrycourse::control_wire::route_document *>(VT_ROUTES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>> *searchers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>> *>(VT_SEARCHERS);
+  }
+  uint64_t searcher_revision() const {
+    return GetField<uint64_t>(VT_SEARCHER_REVISION, 0);
+  }
+  uint64_t searchers_forgotten() const {
+    return GetField<uint64_t>(VT_SEARCHERS_FORGOTTEN, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_FORMAT, 4) &&
@@ -2330,6 +2764,13 @@
            VerifyOffset(verifier, VT_REQUESTS) &&
            verifier.VerifyVector(requests()) &&
            verifier.VerifyVectorOfTables(requests()) &&
+           VerifyOffset(verifier, VT_ROUTES) &&
+           verifier.VerifyTable(routes()) &&
+           VerifyOffset(verifier, VT_SEARCHERS) &&
+           verifier.VerifyVector(searchers()) &&
+           verifier.VerifyVectorOfTables(searchers()) &&
+           VerifyField<uint64_t>(verifier, VT_SEARCHER_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEARCHERS_FORGOTTEN, 8) &&
            verifier.EndTable();
   }
   snapshotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2371,6 +2812,18 @@
   void add_requests(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::request_record>>> requests) {
     fbb_.AddOffset(snapshot::VT_REQUESTS, requests);
   }
+  void add_routes(flatbuffers::Offset<bilberrycourse::control_wire::route_document> routes) {
+    fbb_.AddOffset(snapshot::VT_ROUTES, routes);
+  }
+  void add_searchers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>>> searchers) {
+    fbb_.AddOffset(snapshot::VT_SEARCHERS, searchers);
+  }
+  void add_searcher_revision(uint64_t searcher_revision) {
+    fbb_.AddElement<uint64_t>(snapshot::VT_SEARCHER_REVISION, searcher_revision, 0);
+  }
+  void add_searchers_forgotten(uint64_t searchers_forgotten) {
+    fbb_.AddElement<uint64_t>(snapshot::VT_SEARCHERS_FORGOTTEN, searchers_forgotten, 0);
+  }
   explicit snapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2393,12 +2846,20 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::history_entry>>> history = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::change_record>>> changes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::shard_set>>> shard_sets = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::request_record>>> requests = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::request_record>>> requests = 0,
+    flatbuffers::Offset<bilberrycourse::control_wire::route_document> routes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>>> searchers = 0,
+    uint64_t searcher_revision = 0,
+    uint64_t searchers_forgotten = 0) {
   snapshotBuilder builder_(_fbb);
+  builder_.add_searchers_forgotten(searchers_forgotten);
+  builder_.add_searcher_revision(searcher_revision);
   builder_.add_published_version(published_version);
   builder_.add_config_version(config_version);
   builder_.add_now_ms(now_ms);
   builder_.add_applied_index(applied_index);
+  builder_.add_searchers(searchers);
+  builder_.add_routes(routes);
   builder_.add_requests(requests);
   builder_.add_shard_sets(shard_sets);
   builder_.add_changes(changes);
@@ -2419,12 +2880,17 @@
     const std::vector<flatbuffers::Offset<bilberrycourse::control_wire::history_entry>> *history = nullptr,
     const std::vector<flatbuffers::Offset<bilberrycourse::control_wire::change_record>> *changes = nullptr,
     const std::vector<flatbuffers::Offset<bilberrycourse::control_wire::shard_set>> *shard_sets = nullptr,
-    const std::vector<flatbuffers::Offset<bilberrycourse::control_wire::request_record>> *requests = nullptr) {
+    const std::vector<flatbuffers::Offset<bilberrycourse::control_wire::request_record>> *requests = nullptr,
+    flatbuffers::Offset<bilberrycourse::control_wire::route_document> routes = 0,
+    const std::vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>> *searchers = nullptr,
+    uint64_t searcher_revision = 0,
+    uint64_t searchers_forgotten = 0) {
   auto document__ = document ? _fbb.CreateString(document) : 0;
   auto history__ = history ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::control_wire::history_entry>>(*history) : 0;
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::control_wire::change_record>>(*changes) : 0;
   auto shard_sets__ = shard_sets ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::control_wire::shard_set>>(*shard_sets) : 0;
   auto requests__ = requests ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::control_wire::request_record>>(*requests) : 0;
+  auto searchers__ = searchers ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>>(*searchers) : 0;
   return bilberrycourse::control_wire::Createsnapshot(
       _fbb,
       format,
@@ -2436,11 +2902,122 @@
       history__,
       changes__,
       shard_sets__,
-      requests__);
+      requests__,
+      routes,
+      searchers__,
+      searcher_revision,
+      searchers_forgotten);
 }
 
 flatbuffers::Offset<snapshot> Createsnapshot(flatbuffers::FlatBufferBuilder &_fbb, const snapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct route_newsT : public flatbuffers::NativeTable {
+  typedef route_news TableType;
+  std::unique_ptr<bilberrycourse::control_wire::route_documentT> routes{};
+  uint64_t base_revision = 0;
+  uint64_t revision = 0;
+  std::vector<std::unique_ptr<bilberrycourse::control_wire::searcher_reportT>> searchers{};
+  route_newsT() = default;
+  route_newsT(const route_newsT &o);
+  route_newsT(route_newsT&&) FLATBUFFERS_NOEXCEPT = default;
+  route_newsT &operator=(route_newsT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct route_news FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef route_newsT NativeTableType;
+  typedef route_newsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUTES = 4,
+    VT_BASE_REVISION = 6,
+    VT_REVISION = 8,
+    VT_SEARCHERS = 10
+  };
+  const bilberrycourse::control_wire::route_document *routes() const {
+    return GetPointer<const bilberrycourse::control_wire::route_document *>(VT_ROUTES);
+  }
+  uint64_t base_revision() const {
+    return GetField<uint64_t>(VT_BASE_REVISION, 0);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>> *searchers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>> *>(VT_SEARCHERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ROUTES) &&
+           verifier.VerifyTable(routes()) &&
+           VerifyField<uint64_t>(verifier, VT_BASE_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyOffset(verifier, VT_SEARCHERS) &&
+           verifier.VerifyVector(searchers()) &&
+           verifier.VerifyVectorOfTables(searchers()) &&
+           verifier.EndTable();
+  }
+  route_newsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(route_newsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<route_news> Pack(flatbuffers::FlatBufferBuilder &_fbb, const route_newsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct route_newsBuilder {
+  typedef route_news Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_routes(flatbuffers::Offset<bilberrycourse::control_wire::route_document> routes) {
+    fbb_.AddOffset(route_news::VT_ROUTES, routes);
+  }
+  void add_base_revision(uint64_t base_revision) {
+    fbb_.AddElement<uint64_t>(route_news::VT_BASE_REVISION, base_revision, 0);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(route_news::VT_REVISION, revision, 0);
+  }
+  void add_searchers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>>> searchers) {
+    fbb_.AddOffset(route_news::VT_SEARCHERS, searchers);
+  }
+  explicit route_newsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<route_news> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<route_news>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<route_news> Createroute_news(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<bilberrycourse::control_wire::route_document> routes = 0,
+    uint64_t base_revision = 0,
+    uint64_t revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>>> searchers = 0) {
+  route_newsBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_base_revision(base_revision);
+  builder_.add_searchers(searchers);
+  builder_.add_routes(routes);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<route_news> Createroute_newsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<bilberrycourse::control_wire::route_document> routes = 0,
+    uint64_t base_revision = 0,
+    uint64_t revision = 0,
+    const std::vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>> *searchers = nullptr) {
+  auto searchers__ = searchers ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>>(*searchers) : 0;
+  return bilberrycourse::control_wire::Createroute_news(
+      _fbb,
+      routes,
+      base_revision,
+      revision,
+      searchers__);
+}
+
+flatbuffers::Offset<route_news> Createroute_news(flatbuffers::FlatBufferBuilder &_fbb, const route_newsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct publishedT : public flatbuffers::NativeTable {
   typedef published TableType;
   uint64_t config_version = 0;
@@ -2580,6 +3157,9 @@
   const bilberrycourse::control_wire::published *body_as_published() const {
     return body_type() == bilberrycourse::control_wire::root_body::published ? static_cast<const bilberrycourse::control_wire::published *>(body()) : nullptr;
   }
+  const bilberrycourse::control_wire::route_news *body_as_route_news() const {
+    return body_type() == bilberrycourse::control_wire::root_body::route_news ? static_cast<const bilberrycourse::control_wire::route_news *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -2608,6 +3188,10 @@
   return body_as_published();
 }
 
+template<> inline const bilberrycourse::control_wire::route_news *control_root::body_as<bilberrycourse::control_wire::route_news>() const {
+  return body_as_route_news();
+}
+
 struct control_rootBuilder {
   typedef control_root Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3042,6 +3626,124 @@
       _run);
 }
 
+inline route_documentT *route_document::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<route_documentT>(new route_documentT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void route_document::UnPackTo(route_documentT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = document(); if (_e) _o->document = _e->str(); }
+}
+
+inline flatbuffers::Offset<route_document> route_document::Pack(flatbuffers::FlatBufferBuilder &_fbb, const route_documentT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createroute_document(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<route_document> Createroute_document(flatbuffers::FlatBufferBuilder &_fbb, const route_documentT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const route_documentT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _version = _o->version;
+  auto _document = _o->document.empty() ? 0 : _fbb.CreateString(_o->document);
+  return bilberrycourse::control_wire::Createroute_document(
+      _fbb,
+      _version,
+      _document);
+}
+
+inline searcher_reportT *searcher_report::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<searcher_reportT>(new searcher_reportT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void searcher_report::UnPackTo(searcher_reportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = slots(); _o->slots = _e; }
+  { auto _e = state(); _o->state = _e; }
+  { auto _e = started_at_ms(); _o->started_at_ms = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = warmup_ms(); _o->warmup_ms = _e; }
+  { auto _e = revision(); _o->revision = _e; }
+}
+
+inline flatbuffers::Offset<searcher_report> searcher_report::Pack(flatbuffers::FlatBufferBuilder &_fbb, const searcher_reportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createsearcher_report(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<searcher_report> Createsearcher_report(flatbuffers::FlatBufferBuilder &_fbb, const searcher_reportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const searcher_reportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _slots = _o->slots;
+  auto _state = _o->state;
+  auto _started_at_ms = _o->started_at_ms;
+  auto _sequence = _o->sequence;
+  auto _warmup_ms = _o->warmup_ms;
+  auto _revision = _o->revision;
+  return bilberrycourse::control_wire::Createsearcher_report(
+      _fbb,
+      _id,
+      _service,
+      _address,
+      _zone,
+      _slots,
+      _state,
+      _started_at_ms,
+      _sequence,
+      _warmup_ms,
+      _revision);
+}
+
+inline searcher_reportsT::searcher_reportsT(const searcher_reportsT &o) {
+  reports.reserve(o.reports.size());
+  for (const auto &reports_ : o.reports) { reports.emplace_back((reports_) ? new bilberrycourse::control_wire::searcher_reportT(*reports_) : nullptr); }
+}
+
+inline searcher_reportsT &searcher_reportsT::operator=(searcher_reportsT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(reports, o.reports);
+  return *this;
+}
+
+inline searcher_reportsT *searcher_reports::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<searcher_reportsT>(new searcher_reportsT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void searcher_reports::UnPackTo(searcher_reportsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = reports(); if (_e) { _o->reports.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->reports[_i] = std::unique_ptr<bilberrycourse::control_wire::searcher_reportT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<searcher_reports> searcher_reports::Pack(flatbuffers::FlatBufferBuilder &_fbb, const searcher_reportsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createsearcher_reports(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<searcher_reports> Createsearcher_reports(flatbuffers::FlatBufferBuilder &_fbb, const searcher_reportsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const searcher_reportsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _reports = _o->reports.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>> (_o->reports.size(), [](size_t i, _VectorArgs *__va) { return Createsearcher_report(*__va->__fbb, __va->__o->reports[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return bilberrycourse::control_wire::Createsearcher_reports(
+      _fbb,
+      _reports);
+}
+
 inline commandT *command::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<commandT>(new commandT());
   UnPackTo(_o.get(), _resolver);
@@ -3328,7 +4030,10 @@
         now_ms(o.now_ms),
         config_version(o.config_version),
         published_version(o.published_version),
-        document(o.document) {
+        document(o.document),
+        routes((o.routes) ? new bilberrycourse::control_wire::route_documentT(*o.routes) : nullptr),
+        searcher_revision(o.searcher_revision),
+        searchers_forgotten(o.searchers_forgotten) {
   history.reserve(o.history.size());
   for (const auto &history_ : o.history) { history.emplace_back((history_) ? new bilberrycourse::control_wire::history_entryT(*history_) : nullptr); }
   changes.reserve(o.changes.size());
@@ -3337,6 +4042,8 @@
   for (const auto &shard_sets_ : o.shard_sets) { shard_sets.emplace_back((shard_sets_) ? new bilberrycourse::control_wire::shard_setT(*shard_sets_) : nullptr); }
   requests.reserve(o.requests.size());
   for (const auto &requests_ : o.requests) { requests.emplace_back((requests_) ? new bilberrycourse::control_wire::request_recordT(*requests_) : nullptr); }
+  searchers.reserve(o.searchers.size());
+  for (const auto &searchers_ : o.searchers) { searchers.emplace_back((searchers_) ? new bilberrycourse::control_wire::searcher_reportT(*searchers_) : nullptr); }
 }
 
 inline snapshotT &snapshotT::operator=(snapshotT o) FLATBUFFERS_NOEXCEPT {
@@ -3350,6 +4057,10 @@
   std::swap(changes, o.changes);
   std::swap(shard_sets, o.shard_sets);
   std::swap(requests, o.requests);
+  std::swap(routes, o.routes);
+  std::swap(searchers, o.searchers);
+  std::swap(searcher_revision, o.searcher_revision);
+  std::swap(searchers_forgotten, o.searchers_forgotten);
   return *this;
 }
 
@@ -3372,6 +4083,10 @@
   { auto _e = changes(); if (_e) { _o->changes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->changes[_i] = std::unique_ptr<bilberrycourse::control_wire::change_recordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = shard_sets(); if (_e) { _o->shard_sets.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shard_sets[_i] = std::unique_ptr<bilberrycourse::control_wire::shard_setT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = requests(); if (_e) { _o->requests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->requests[_i] = std::unique_ptr<bilberrycourse::control_wire::request_recordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = routes(); if (_e) _o->routes = std::unique_ptr<bilberrycourse::control_wire::route_documentT>(_e->UnPack(_resolver)); }
+  { auto _e = searchers(); if (_e) { _o->searchers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->searchers[_i] = std::unique_ptr<bilberrycourse::control_wire::searcher_reportT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = searcher_revision(); _o->searcher_revision = _e; }
+  { auto _e = searchers_forgotten(); _o->searchers_forgotten = _e; }
 }
 
 inline flatbuffers::Offset<snapshot> snapshot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const snapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3392,6 +4107,10 @@
   auto _changes = _o->changes.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::control_wire::change_record>> (_o->changes.size(), [](size_t i, _VectorArgs *__va) { return Createchange_record(*__va->__fbb, __va->__o->changes[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _shard_sets = _o->shard_sets.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::control_wire::shard_set>> (_o->shard_sets.size(), [](size_t i, _VectorArgs *__va) { return Createshard_set(*__va->__fbb, __va->__o->shard_sets[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _requests = _o->requests.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::control_wire::request_record>> (_o->requests.size(), [](size_t i, _VectorArgs *__va) { return Createrequest_record(*__va->__fbb, __va->__o->requests[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _routes = _o->routes ? Createroute_document(_fbb, _o->routes.get(), _rehasher) : 0;
+  auto _searchers = _o->searchers.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>> (_o->searchers.size(), [](size_t i, _VectorArgs *__va) { return Createsearcher_report(*__va->__fbb, __va->__o->searchers[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _searcher_revision = _o->searcher_revision;
+  auto _searchers_forgotten = _o->searchers_forgotten;
   return bilberrycourse::control_wire::Createsnapshot(
       _fbb,
       _format,
@@ -3403,7 +4122,62 @@
       _history,
       _changes,
       _shard_sets,
-      _requests);
+      _requests,
+      _routes,
+      _searchers,
+      _searcher_revision,
+      _searchers_forgotten);
+}
+
+inline route_newsT::route_newsT(const route_newsT &o)
+      : routes((o.routes) ? new bilberrycourse::control_wire::route_documentT(*o.routes) : nullptr),
+        base_revision(o.base_revision),
+        revision(o.revision) {
+  searchers.reserve(o.searchers.size());
+  for (const auto &searchers_ : o.searchers) { searchers.emplace_back((searchers_) ? new bilberrycourse::control_wire::searcher_reportT(*searchers_) : nullptr); }
+}
+
+inline route_newsT &route_newsT::operator=(route_newsT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(routes, o.routes);
+  std::swap(base_revision, o.base_revision);
+  std::swap(revision, o.revision);
+  std::swap(searchers, o.searchers);
+  return *this;
+}
+
+inline route_newsT *route_news::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<route_newsT>(new route_newsT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void route_news::UnPackTo(route_newsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = routes(); if (_e) _o->routes = std::unique_ptr<bilberrycourse::control_wire::route_documentT>(_e->UnPack(_resolver)); }
+  { auto _e = base_revision(); _o->base_revision = _e; }
+  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = searchers(); if (_e) { _o->searchers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->searchers[_i] = std::unique_ptr<bilberrycourse::control_wire::searcher_reportT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<route_news> route_news::Pack(flatbuffers::FlatBufferBuilder &_fbb, const route_newsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createroute_news(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<route_news> Createroute_news(flatbuffers::FlatBufferBuilder &_fbb, const route_newsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const route_newsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _routes = _o->routes ? Createroute_document(_fbb, _o->routes.get(), _rehasher) : 0;
+  auto _base_revision = _o->base_revision;
+  auto _revision = _o->revision;
+  auto _searchers = _o->searchers.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>> (_o->searchers.size(), [](size_t i, _VectorArgs *__va) { return Createsearcher_report(*__va->__fbb, __va->__o->searchers[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return bilberrycourse::control_wire::Createroute_news(
+      _fbb,
+      _routes,
+      _base_revision,
+      _revision,
+      _searchers);
 }
 
 inline publishedT::publishedT(const publishedT &o)
@@ -3519,6 +4293,14 @@
       auto ptr = reinterpret_cast<const bilberrycourse::control_wire::request_abandon *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case command_body::route_document: {
+      auto ptr = reinterpret_cast<const bilberrycourse::control_wire::route_document *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case command_body::searcher_reports: {
+      auto ptr = reinterpret_cast<const bilberrycourse::control_wire::searcher_reports *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -3566,6 +4348,14 @@
       auto ptr = reinterpret_cast<const bilberrycourse::control_wire::request_abandon *>(obj);
       return ptr->UnPack(resolver);
     }
+    case command_body::route_document: {
+      auto ptr = reinterpret_cast<const bilberrycourse::control_wire::route_document *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case command_body::searcher_reports: {
+      auto ptr = reinterpret_cast<const bilberrycourse::control_wire::searcher_reports *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -3601,6 +4391,14 @@
       auto ptr = reinterpret_cast<const bilberrycourse::control_wire::request_abandonT *>(value);
       return Createrequest_abandon(_fbb, ptr, _rehasher).Union();
     }
+    case command_body::route_document: {
+      auto ptr = reinterpret_cast<const bilberrycourse::control_wire::route_documentT *>(value);
+      return Createroute_document(_fbb, ptr, _rehasher).Union();
+    }
+    case command_body::searcher_reports: {
+      auto ptr = reinterpret_cast<const bilberrycourse::control_wire::searcher_reportsT *>(value);
+      return Createsearcher_reports(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -3635,6 +4433,14 @@
       value = new bilberrycourse::control_wire::request_abandonT(*reinterpret_cast<bilberrycourse::control_wire::request_abandonT *>(u.value));
       break;
     }
+    case command_body::route_document: {
+      value = new bilberrycourse::control_wire::route_documentT(*reinterpret_cast<bilberrycourse::control_wire::route_documentT *>(u.value));
+      break;
+    }
+    case command_body::searcher_reports: {
+      value = new bilberrycourse::control_wire::searcher_reportsT(*reinterpret_cast<bilberrycourse::control_wire::searcher_reportsT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -3677,6 +4483,16 @@
       delete ptr;
       break;
     }
+    case command_body::route_document: {
+      auto ptr = reinterpret_cast<bilberrycourse::control_wire::route_documentT *>(value);
+      delete ptr;
+      break;
+    }
+    case command_body::searcher_reports: {
+      auto ptr = reinterpret_cast<bilberrycourse::control_wire::searcher_reportsT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
@@ -3704,6 +4520,10 @@
       auto ptr = reinterpret_cast<const bilberrycourse::control_wire::published *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case root_body::route_news: {
+      auto ptr = reinterpret_cast<const bilberrycourse::control_wire::route_news *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -3739,6 +4559,10 @@
       auto ptr = reinterpret_cast<const bilberrycourse::control_wire::published *>(obj);
       return ptr->UnPack(resolver);
     }
+    case root_body::route_news: {
+      auto ptr = reinterpret_cast<const bilberrycourse::control_wire::route_news *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -3762,6 +4586,10 @@
       auto ptr = reinterpret_cast<const bilberrycourse::control_wire::publishedT *>(value);
       return Createpublished(_fbb, ptr, _rehasher).Union();
     }
+    case root_body::route_news: {
+      auto ptr = reinterpret_cast<const bilberrycourse::control_wire::route_newsT *>(value);
+      return Createroute_news(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -3784,6 +4612,10 @@
       value = new bilberrycourse::control_wire::publishedT(*reinterpret_cast<bilberrycourse::control_wire::publishedT *>(u.value));
       break;
     }
+    case root_body::route_news: {
+      value = new bilberrycourse::control_wire::route_newsT(*reinterpret_cast<bilberrycourse::control_wire::route_newsT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -3811,6 +4643,11 @@
       delete ptr;
       break;
     }
+    case root_body::route_news: {
+      auto ptr = reinterpret_cast<bilberrycourse::control_wire::route_newsT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/bilberrycourse/control_state_snapshot.cc
+++ b/bilberrycourse/control_state_snapshot.cc
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cstring>
 #include <memory>
 #include <utility>
@@ -132,6 +133,12 @@
   for (const auto& [key, record] : requests_) {
     out.requests.push_back(RequestToWire(key.first, key.second, record));
   }
+  out.routes = std::make_unique<wire::route_documentT>(ToWire(routes_));
+  for (const searcher_record& record : searchers_.Records()) {
+    out.searchers.push_back(ToWire(record));
+  }
+  out.searcher_revision = searchers_.revision();
+  out.searchers_forgotten = searchers_.forgotten();
   wire::control_rootT root;
   root.body.Set(std::move(out));
   return WithHash(PackRoot(root));
@@ -190,6 +197,14 @@
     loaded.request_order_.emplace(record.retain_from_ms, key);
     if (!loaded.requests_.emplace(key, std::move(record)).second) return false;
   }
+  // A snapshot of a version without routes has no such field.
+  if (in.routes != nullptr) loaded.routes_ = FromWire(*in.routes);
+  std::vector<searcher_record> searchers;
+  for (const auto& row : in.searchers) {
+    if (!FromWire(*row, &searchers.emplace_back())) return false;
+  }
+  loaded.searchers_.Restore(std::move(searchers), in.searcher_revision,
+                            in.searchers_forgotten);
   *this = std::move(loaded);
   return true;
 }
@@ -208,6 +223,45 @@
   return WithHash(PackRoot(root));
 }
 
+std::string control_state::SaveRouteNews(std::uint64_t known_version,
+                                         std::uint64_t known_revision) const {
+  const bool newer_routes = routes_.version > known_version;
+  const bool whole = !searchers_.Remembers(known_revision);
+  // A member that is behind the asker has no searchers to tell.
+  if (!newer_routes && !whole && searchers_.revision() <= known_revision) {
+    return {};
+  }
+  wire::route_newsT out;
+  if (newer_routes) {
+    out.routes = std::make_unique<wire::route_documentT>(ToWire(routes_));
+  }
+  out.base_revision = whole ? 0 : known_revision;
+  out.revision = std::max(searchers_.revision(), out.base_revision);
+  for (const searcher_record& record :
+       searchers_.ChangesSince(out.base_revision)) {
+    out.searchers.push_back(ToWire(record));
+  }
+  wire::control_rootT root;
+  root.body.Set(std::move(out));
+  return WithHash(PackRoot(root));
+}
+
+std::optional<route_news> LoadRouteNews(std::string_view bytes) {
+  const auto content = WithoutHash(bytes);
+  if (!content) return std::nullopt;
+  const auto root = UnpackRoot(*content, wire::root_body::route_news);
+  if (root == nullptr) return std::nullopt;
+  const wire::route_newsT& in = *root->body.Asroute_news();
+  route_news result;
+  if (in.routes != nullptr) result.routes = FromWire(*in.routes);
+  result.base_revision = in.base_revision;
+  result.revision = in.revision;
+  for (const auto& row : in.searchers) {
+    if (!FromWire(*row, &result.searchers.emplace_back())) return std::nullopt;
+  }
+  return result;
+}
+
 std::optional<published_state> LoadPublished(std::string_view bytes,
                                              const config_limits& limits) {
   const auto content = WithoutHash(bytes);
--- /dev/null
+++ b/bilberrycourse/route_effects.h
@@ -0,0 +1,111 @@
+#ifndef BILBERRYCOURSE_ROUTE_EFFECTS_H_
+#define BILBERRYCOURSE_ROUTE_EFFECTS_H_
+
+// What a route_engine asks its owner to do, in the order in which it must be
+// done, and what it is told of searchers' replies.
+//
+//   for (route_effect& effect : effects) {
+//     std::visit([&](auto& e) { adapter.Do(e); }, effect);
+//   }
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "bilberrycourse/result_code.h"
+#include "bilberrycourse/types.h"
+
+namespace bilberrycourse {
+
+// One request of a caller, unique within the entry instance.
+enum class route_request_id : std::uint64_t {};
+
+// A complete, well-formed reply of a searcher.
+struct searcher_reply {
+  unsigned status = 0;
+  // The searcher states that it did not run the request.
+  bool not_executed = false;
+  // Another searcher has the address; implies that nothing ran.
+  bool misdirected = false;
+  // Signature of the searcher, which callers check; empty if there was none.
+  std::string stamp;
+  // End-to-end headers, for forwarding.
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+};
+using searcher_reply_pointer = std::shared_ptr<const searcher_reply>;
+
+// Why a request was sent to a searcher.
+enum class send_reason : std::uint8_t {
+  kFirst = 0,
+  // The earlier attempt takes longer than usual.
+  kHedge = 1,
+  // The searcher refused before running.
+  kNotExecuted = 2,
+  // The earlier attempt failed.
+  kFailed = 3,
+};
+std::string_view ToString(send_reason reason);
+
+struct open_searcher_connection {
+  connection_id connection{};
+  std::string address;
+};
+
+struct close_searcher_connection {
+  connection_id connection{};
+};
+
+// Send the request on this idle connection.
+struct send_to_searcher {
+  connection_id connection{};
+  route_request_id request{};
+  std::string searcher;
+  // Time left for the searcher.
+  duration remaining{0};
+  send_reason reason = send_reason::kFirst;
+  // Inputs of the choice: expected service time and the searcher's own
+  // requests in flight here.
+  duration expected{0};
+  std::uint32_t in_flight = 0;
+};
+
+// A shard that the answer does not contain.
+struct missing_part {
+  std::string service;
+  result_code code = result_code::kOk;
+};
+
+// The answer to a request. With code kOk, `reply` is forwarded unchanged, or,
+// if `merged`, the records of all replies make up the answer. Any other code is
+// a refusal or failure of the tier; if `reply` is set nevertheless, it is a
+// failure of the searcher, to be forwarded unchanged.
+struct finish_route_request {
+  route_request_id request{};
+  result_code code = result_code::kOk;
+  bool merged = false;
+  searcher_reply_pointer reply;
+  std::vector<std::string> stamps;
+  std::string body;
+  std::vector<missing_part> missing;
+  // Refusals: when the caller may come back.
+  duration retry_after{0};
+  // Summary for logs and metrics.
+  std::uint32_t attempts = 0;
+  std::uint32_t hedges = 0;
+  duration elapsed{0};
+};
+
+using route_effect =
+    std::variant<open_searcher_connection, close_searcher_connection,
+                 send_to_searcher, finish_route_request>;
+using route_effects = std::vector<route_effect>;
+
+}  // namespace bilberrycourse
+
+#endif  // BILBERRYCOURSE_ROUTE_EFFECTS_H_
--- /dev/null
+++ b/bilberrycourse/searcher_directory.cc
@@ -0,0 +1,170 @@
+#include "bilberrycourse/searcher_directory.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace bilberrycourse {
+namespace {
+
+constexpr std::array<std::string_view, 3> kStateNames = {"serving", "draining",
+                                                         "gone"};
+
+}  // namespace
+
+std::string_view ToString(searcher_state state) {
+  return kStateNames.at(static_cast<std::size_t>(state));
+}
+
+searcher_directory::searcher_directory(searcher_directory_options options)
+    : options_(options) {}
+
+const searcher_record* searcher_directory::Find(const std::string& id) const {
+  const auto found = records_.find(id);
+  return found == records_.end() ? nullptr : &found->second;
+}
+
+// True if the report is newer than what is known of its id.
+bool searcher_directory::Supersedes(const searcher_report& report) const {
+  const searcher_record* known = Find(report.id);
+  if (known == nullptr) return report.state != searcher_state::kGone;
+  const searcher_report& old = known->report;
+  if (report.state == searcher_state::kGone && report.started_at_ms == 0) {
+    return true;
+  }
+  if (report.started_at_ms != old.started_at_ms) {
+    return report.started_at_ms > old.started_at_ms;
+  }
+  // States only advance within one process. A later leave needs no sequence:
+  // it is the last thing that a process says.
+  if (report.state != old.state) return report.state > old.state;
+  return report.sequence > old.sequence;
+}
+
+bool searcher_directory::IsNews(const searcher_report& report) const {
+  if (!Supersedes(report)) return false;
+  const searcher_record* known = Find(report.id);
+  if (known == nullptr) {
+    if (records_.size() >= options_.max_searchers) return false;
+    const auto holder = addresses_.find(report.address);
+    if (holder == addresses_.end()) return true;
+    return records_.at(holder->second).report.started_at_ms <=
+           report.started_at_ms;
+  }
+  const searcher_report& old = known->report;
+  if (old.state == searcher_state::kGone &&
+      report.state == searcher_state::kGone) {
+    return false;
+  }
+  return old.state != report.state || old.started_at_ms != report.started_at_ms ||
+         old.service != report.service || old.address != report.address ||
+         old.zone != report.zone || old.slots != report.slots;
+}
+
+bool searcher_directory::Apply(const searcher_report& report,
+                               std::uint64_t revision) {
+  if (!IsNews(report)) return false;
+  revision_ = revision;
+  searcher_report changed = report;
+  if (report.state == searcher_state::kGone) {
+    // A leave says little of the searcher; the record keeps the rest.
+    changed = records_.at(report.id).report;
+    changed.state = searcher_state::kGone;
+    changed.started_at_ms =
+        std::max(changed.started_at_ms, report.started_at_ms);
+  }
+  if (changed.state != searcher_state::kGone) {
+    ReleaseAddress(changed, revision);
+  }
+  Put(std::move(changed), revision);
+  ForgetOldest();
+  return true;
+}
+
+// The earlier searcher at the address of `holder` must have ended.
+void searcher_directory::ReleaseAddress(const searcher_report& holder,
+                                        std::uint64_t revision) {
+  const auto found = addresses_.find(holder.address);
+  if (found == addresses_.end() || found->second == holder.id) return;
+  searcher_report ended = records_.at(found->second).report;
+  ended.state = searcher_state::kGone;
+  Put(std::move(ended), revision);
+}
+
+void searcher_directory::Put(searcher_report report, std::uint64_t revision) {
+  const auto known = records_.find(report.id);
+  if (known != records_.end()) {
+    const searcher_record& old = known->second;
+    auto [first, last] = changes_.equal_range(old.revision);
+    changes_.erase(std::find_if(first, last, [&](const auto& change) {
+      return change.second == report.id;
+    }));
+    if (old.report.state == searcher_state::kGone) --gone_;
+    const auto holder = addresses_.find(old.report.address);
+    if (holder != addresses_.end() && holder->second == report.id) {
+      addresses_.erase(holder);
+    }
+  }
+  if (report.state == searcher_state::kGone) {
+    ++gone_;
+  } else {
+    addresses_[report.address] = report.id;
+  }
+  changes_.emplace(revision, report.id);
+  const std::string id = report.id;
+  records_[id] = {std::move(report), revision};
+}
+
+void searcher_directory::ForgetOldest() {
+  for (auto each = changes_.begin();
+       gone_ > options_.max_gone && each != changes_.end();) {
+    const auto record = records_.find(each->second);
+    if (record->second.report.state != searcher_state::kGone) {
+      ++each;
+      continue;
+    }
+    forgotten_ = std::max(forgotten_, each->first);
+    records_.erase(record);
+    each = changes_.erase(each);
+    --gone_;
+  }
+}
+
+bool searcher_directory::Remembers(std::uint64_t revision) const {
+  return revision == 0 || revision >= forgotten_;
+}
+
+std::vector<searcher_record> searcher_directory::ChangesSince(
+    std::uint64_t revision) const {
+  std::vector<searcher_record> result;
+  for (auto each = changes_.upper_bound(revision); each != changes_.end();
+       ++each) {
+    const searcher_record& record = records_.at(each->second);
+    if (revision == 0 && record.report.state == searcher_state::kGone) continue;
+    result.push_back(record);
+  }
+  return result;
+}
+
+std::vector<searcher_record> searcher_directory::Records() const {
+  std::vector<searcher_record> result;
+  result.reserve(records_.size());
+  for (const auto& [id, record] : records_) result.push_back(record);
+  return result;
+}
+
+void searcher_directory::Restore(std::vector<searcher_record> records,
+                                 std::uint64_t revision,
+                                 std::uint64_t forgotten) {
+  records_.clear();
+  changes_.clear();
+  addresses_.clear();
+  gone_ = 0;
+  for (searcher_record& record : records) {
+    Put(std::move(record.report), record.revision);
+  }
+  revision_ = revision;
+  forgotten_ = forgotten;
+}
+
+}  // namespace bilberrycourse
--- /dev/null
+++ b/bilberrycourse/searcher_pool.cc
@@ -0,0 +1,199 @@
+#include "bilberrycourse/searcher_pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <utility>
+
+namespace bilberrycourse {
+namespace {
+
+// An attempt in flight says something about its searcher once it takes this
+// many times the usual time.
+constexpr double kAgeFactor = 2.0;
+constexpr std::uint32_t kMaxDoublings = 6;
+
+bool Contains(const std::vector<std::string>& list, const std::string& item) {
+  return std::find(list.begin(), list.end(), item) != list.end();
+}
+
+}  // namespace
+
+searcher_pool::searcher_pool(searcher_pool_options options,
+                             availability_zone zone)
+    : options_(options), zone_(std::move(zone)) {
+  random_.seed(std::random_device()());
+}
+
+searcher_entry* searcher_pool::Find(const std::string& id) {
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? nullptr : found->second.get();
+}
+
+searcher_entry* searcher_pool::Find(const std::string& id,
+                                    std::uint64_t serial) {
+  searcher_entry* entry = Find(id);
+  return entry != nullptr && entry->serial == serial ? entry : nullptr;
+}
+
+const std::vector<searcher_entry*>& searcher_pool::OfService(
+    std::string_view service) const {
+  static const std::vector<searcher_entry*> kNone;
+  const auto found = services_.find(service);
+  return found == services_.end() ? kNone : found->second;
+}
+
+void searcher_pool::Update(const std::vector<searcher_record>& changes,
+                           bool whole, time_point now,
+                           std::vector<std::string>* stopped,
+                           std::vector<connection_id>* unused) {
+  std::set<std::string> named;
+  for (const searcher_record& change : changes) {
+    const searcher_report& report = change.report;
+    named.insert(report.id);
+    searcher_entry* known = Find(report.id);
+    const bool restarted =
+        known != nullptr &&
+        (known->report.started_at_ms != report.started_at_ms ||
+         known->report.address != report.address ||
+         known->report.service != report.service);
+    if (restarted || report.state == searcher_state::kGone) {
+      Remove(report.id, stopped, unused);
+      known = nullptr;
+    }
+    if (report.state == searcher_state::kGone) continue;
+    if (known == nullptr) {
+      auto entry = std::make_unique<searcher_entry>(report);
+      known = entry.get();
+      known->serial = next_serial_++;
+      known->cold_until = now + std::chrono::milliseconds(report.warmup_ms);
+      services_[report.service].push_back(known);
+      entries_[report.id] = std::move(entry);
+      continue;
+    }
+    if (known->report.state == searcher_state::kServing &&
+        report.state != searcher_state::kServing) {
+      stopped->push_back(report.id);
+    }
+    known->report = report;
+  }
+  if (!whole) return;
+  std::vector<std::string> unnamed;
+  for (const auto& [id, entry] : entries_) {
+    if (!named.contains(id)) unnamed.push_back(id);
+  }
+  for (const std::string& id : unnamed) Remove(id, stopped, unused);
+}
+
+// Connections in use stay with their attempts, which may still be answered.
+void searcher_pool::Remove(const std::string& id,
+                           std::vector<std::string>* stopped,
+                           std::vector<connection_id>* unused) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) return;
+  searcher_entry* entry = found->second.get();
+  auto& row = services_[entry->report.service];
+  row.erase(std::find(row.begin(), row.end(), entry));
+  entry->connections.ForgetUnused(unused);
+  stopped->push_back(id);
+  entries_.erase(found);
+}
+
+double searcher_pool::Faded(double value, double rest,
+                            const searcher_entry& entry,
+                            time_point now) const {
+  const double age = static_cast<double>((now - entry.rated_at).count()) /
+                     static_cast<double>(options_.fade.count());
+  return rest + (value - rest) * std::exp(-std::max(age, 0.0));
+}
+
+double searcher_pool::Score(const searcher_entry& entry, time_point now) const {
+  double score = Faded(entry.slowness, 1.0, entry, now);
+  if (!entry.in_flight.empty() && entry.usual > duration{0}) {
+    const double age =
+        static_cast<double>((now - *entry.in_flight.begin()).count()) /
+        static_cast<double>(entry.usual.count());
+    if (age > kAgeFactor) score = std::max(score, age);
+  }
+  if (now < entry.cold_until) score += options_.cold_cost;
+  score *= 1 + options_.in_flight_cost * static_cast<double>(entry.load());
+  score += options_.failure_cost * Faded(entry.failure_rate, 0.0, entry, now);
+  if (entry.report.zone != zone_) score += options_.other_zone_cost;
+  return score;
+}
+
+searcher_entry* searcher_pool::Choose(std::string_view service,
+                                      const std::vector<std::string>& tried,
+                                      time_point now) {
+  searcher_entry* best = nullptr;
+  double best_score = 0;
+  searcher_entry* trial = nullptr;
+  std::uniform_real_distribution<double> jitter(0, 0.05);
+  for (searcher_entry* entry : OfService(service)) {
+    if (!entry->usable() || Contains(tried, entry->report.id)) continue;
+    if (entry->failures > 0) {
+      // One request at a time tries a searcher that failed.
+      if (now >= entry->suspect_until && entry->load() == 0) trial = entry;
+      continue;
+    }
+    const double score = Score(*entry, now) + jitter(random_);
+    if (best != nullptr && score >= best_score) continue;
+    best = entry;
+    best_score = score;
+  }
+  return best != nullptr ? best : trial;
+}
+
+void searcher_pool::OnSent(searcher_entry* entry, duration usual,
+                           time_point now) {
+  entry->in_flight.insert(now);
+  entry->usual = usual;
+}
+
+void searcher_pool::Rate(searcher_entry* entry, double slowness, double failed,
+                         time_point now) {
+  const double weight = options_.smoothing;
+  entry->slowness = (1 - weight) * Faded(entry->slowness, 1.0, *entry, now) +
+                    weight * slowness;
+  entry->failure_rate =
+      (1 - weight) * Faded(entry->failure_rate, 0.0, *entry, now) +
+      weight * failed;
+  entry->rated_at = now;
+}
+
+void searcher_pool::OnAnswered(searcher_entry* entry, time_point sent_at,
+                               duration usual, bool failed, time_point now) {
+  OnEnded(entry, sent_at);
+  OnReachable(entry);
+  double ratio = 1;
+  if (!failed && usual > duration{0}) {
+    ratio = static_cast<double>((now - sent_at).count()) /
+            static_cast<double>(usual.count());
+  }
+  Rate(entry, ratio, failed ? 1.0 : 0.0, now);
+}
+
+void searcher_pool::OnEnded(searcher_entry* entry, time_point sent_at) {
+  const auto found = entry->in_flight.find(sent_at);
+  if (found != entry->in_flight.end()) entry->in_flight.erase(found);
+}
+
+void searcher_pool::OnUnreachable(searcher_entry* entry, time_point now) {
+  const std::uint32_t doublings = std::min(entry->failures, kMaxDoublings);
+  ++entry->failures;
+  entry->suspect_until =
+      now + std::min(options_.max_pause, options_.min_pause * (1 << doublings));
+}
+
+void searcher_pool::OnReachable(searcher_entry* entry) {
+  entry->failures = 0;
+  entry->suspect_until = time_point::min();
+}
+
+std::uint32_t searcher_pool::ConnectionShare(std::uint32_t limit) const {
+  const double share = options_.connection_share * static_cast<double>(limit) /
+                       std::max<std::uint32_t>(instances_, 1);
+  return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(share));
+}
+
+}  // namespace bilberrycourse
