--- a/app/control_client.cc
+++ b/app/control_client.cc
@@ -14,6 +14,10 @@
 constexpr duration kPollPeriod = std::chrono::milliseconds(200);
 // A poll without an answer for this long goes to another member.
 constexpr duration kPollTimeout = std::chrono::milliseconds(150);
+// A member whose last quorum confirmation is older is cut off or without a
+// leader, and another one is polled. Members confirm with every heartbeat of
+// the leader; an election may take twice the longest election timeout.
+constexpr duration kMaxNewsAge = std::chrono::milliseconds(1200);
 constexpr std::size_t kMaxOutstandingPolls = 16;
 // Wait before a call is sent to another member.
 constexpr duration kCallTimeout = std::chrono::milliseconds(500);
@@ -177,9 +181,10 @@
     lease_.OnApplied(published_.published_version);
   }
   if (!news.confirmed) return;
+  lease_.OnConfirmed(sent_at, news.age, news.published_version);
+  if (news.age > kMaxNewsAge) return;
   poll_answered_ = true;
   poll_due_ = sent_at + kPollPeriod;
-  lease_.OnConfirmed(sent_at, news.age, news.published_version);
 }
 
 void control_client::OnRelayed(const instance_name& from, time_point sent_at,
--- a/app/control_frames.cc
+++ b/app/control_frames.cc
@@ -47,10 +47,9 @@
 
 bool control_frames::Handle(const instance_name& peer,
                             const wire::peer_frame& frame, time_point now) {
-  const auto* found =
-      std::find_if(std::begin(kRows), std::end(kRows), [&](const row& each) {
-        return each.type == frame.payload_type();
-      });
+  const auto* found = std::find_if(
+      std::begin(kRows), std::end(kRows),
+      [&](const row& each) { return each.type == frame.payload_type(); });
   if (found == std::end(kRows)) return false;
   (this->*found->handle)(peer, frame, now);
   return true;
--- a/app/edge_protocol.h
+++ b/app/edge_protocol.h
@@ -50,8 +50,8 @@
   std::string problem;
 };
 
-using registry_call = std::variant<put_routes_call, get_routes_call,
-                                   searcher_call, invalid_call>;
+using registry_call =
+    std::variant<put_routes_call, get_routes_call, searcher_call, invalid_call>;
 
 class edge_protocol {
  public:
@@ -63,8 +63,8 @@
   virtual registry_call ReadCall(const http_request& request) const = 0;
   // Reads a configuration; nullopt with the problem if it can't be read in
   // full. The result has not passed CheckRouteConfig().
-  virtual std::optional<route_config> ReadRoutes(const std::string& document,
-                                                 std::string* problem) const = 0;
+  virtual std::optional<route_config> ReadRoutes(
+      const std::string& document, std::string* problem) const = 0;
 };
 
 }  // namespace bilberrycourse
--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -34,19 +34,23 @@
 
 // Headers that concern one connection or the framing of the body.
 constexpr std::array<http::field, 9> kConnectionFields = {
-    http::field::connection,       http::field::keep_alive,
-    http::field::proxy_connection, http::field::te,
-    http::field::trailer,          http::field::transfer_encoding,
-    http::field::upgrade,          http::field::content_length,
+    http::field::connection,
+    http::field::keep_alive,
+    http::field::proxy_connection,
+    http::field::te,
+    http::field::trailer,
+    http::field::transfer_encoding,
+    http::field::upgrade,
+    http::field::content_length,
     http::field::host};
 
 header_list EndToEndHeaders(const http::request<http::string_body>& message) {
   http::token_list named(message[http::field::connection]);
   header_list headers;
   for (const auto& field : message) {
-    const bool hop = std::find(kConnectionFields.begin(),
-                               kConnectionFields.end(),
-                               field.name()) != kConnectionFields.end();
+    const bool hop =
+        std::find(kConnectionFields.begin(), kConnectionFields.end(),
+                  field.name()) != kConnectionFields.end();
     if (hop || named.exists(field.name_string())) continue;
     headers.emplace_back(field.name_string(), field.value());
   }
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -77,13 +77,13 @@
                      HandleMain(std::move(request), std::move(respond));
                    }) {
   if (config_.entry) {
-    gateway_ = std::make_unique<route_gateway>(
-        context_.get_executor(), config_, protocol_.get(), &metrics_,
-        [this] { ArmTimer(); });
+    gateway_ = std::make_unique<route_gateway>(context_.get_executor(), config_,
+                                               protocol_.get(), &metrics_,
+                                               [this] { ArmTimer(); });
   }
   if (config_.control) {
-    registry_ = std::make_unique<route_registry>(protocol_.get(),
-                                                 member_.get(), &control_);
+    registry_ = std::make_unique<route_registry>(protocol_.get(), member_.get(),
+                                                 &control_);
   }
   if (config_.readiness_listen.port != 0) {
     http_server_options options;
@@ -322,9 +322,8 @@
   const duration elapsed = now - shutdown_started_;
   const duration grace = config_.shutdown_grace;
   const duration open_time =
-      gateway_ == nullptr
-          ? kControlShutdown
-          : std::max(grace - kIdleCloseMargin, duration{0});
+      gateway_ == nullptr ? kControlShutdown
+                          : std::max(grace - kIdleCloseMargin, duration{0});
   if (elapsed < open_time) return;
   if (!closing_idle_) {
     closing_idle_ = true;
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -93,15 +93,15 @@
                            http_responder respond) {
   const time_point now = Now();
   if (log_limiter_.Allow(now)) {
-    LogDecision("request_refused",
-                {{"request", HeaderOf(request, protocol_->headers().request_id)},
-                 {"code", Describe(code).number},
-                 {"reason", Describe(code).name},
-                 {"host", request.host},
-                 {"path", request.path},
-                 {"routes_version",
-                  table_ == nullptr ? 0 : table_->config().version},
-                 {"left_out", log_limiter_.TakeLeftOut()}});
+    LogDecision(
+        "request_refused",
+        {{"request", HeaderOf(request, protocol_->headers().request_id)},
+         {"code", Describe(code).number},
+         {"reason", Describe(code).name},
+         {"host", request.host},
+         {"path", request.path},
+         {"routes_version", table_ == nullptr ? 0 : table_->config().version},
+         {"left_out", log_limiter_.TakeLeftOut()}});
   }
   http_response response = ProblemResponse(code);
   if (response.status == 503) response.retry_after = kUnconfiguredRetrySeconds;
@@ -113,8 +113,7 @@
     return Refuse(request, result_code::kControlLeaseExpired,
                   std::move(respond));
   }
-  const route* matched =
-      table_->Match(WithoutPort(request.host), request.path);
+  const route* matched = table_->Match(WithoutPort(request.host), request.path);
   if (matched == nullptr) {
     return Refuse(request, result_code::kUnknownPath, std::move(respond));
   }
@@ -155,12 +154,12 @@
 // When the caller began: the latency objective counts from there.
 time_point route_gateway::SentAt(const http_request& request,
                                  time_point now) const {
-  const auto first_byte = std::min(
-      now, time_point(std::chrono::duration_cast<duration>(
-               request.received_at.time_since_epoch())));
-  return first_byte - config_.caller_one_way * (request.first_on_connection
-                                                    ? kWaysOnNewConnection
-                                                    : 1);
+  const auto first_byte =
+      std::min(now, time_point(std::chrono::duration_cast<duration>(
+                        request.received_at.time_since_epoch())));
+  return first_byte -
+         config_.caller_one_way *
+             (request.first_on_connection ? kWaysOnNewConnection : 1);
 }
 
 void route_gateway::OnRouteNews(const route_news& news, time_point now) {
@@ -253,13 +252,12 @@
   client_.Send(effect.connection, forwarded);
   const bool first = effect.reason == send_reason::kFirst;
   if (first ? !SampleDecision() : !log_limiter_.Allow(Now())) return;
-  LogDecision("request_sent",
-              {{"request", forwarded.request_id},
-               {"searcher", effect.searcher},
-               {"reason", ToString(effect.reason)},
-               {"expected_us", effect.expected.count()},
-               {"in_flight", effect.in_flight},
-               {"remaining_ms", forwarded.remaining.count()}});
+  LogDecision("request_sent", {{"request", forwarded.request_id},
+                               {"searcher", effect.searcher},
+                               {"reason", ToString(effect.reason)},
+                               {"expected_us", effect.expected.count()},
+                               {"in_flight", effect.in_flight},
+                               {"remaining_ms", forwarded.remaining.count()}});
 }
 
 void route_gateway::Do(finish_route_request& effect) {
@@ -270,17 +268,16 @@
   LogFinish(call, effect);
   const bool served = effect.code == result_code::kOk;
   const std::string_view outcome =
-      !served ? std::string_view(Describe(effect.code).name)
-              : std::string_view(effect.missing.empty() ? "complete"
-                                                        : "partial");
+      !served
+          ? std::string_view(Describe(effect.code).name)
+          : std::string_view(effect.missing.empty() ? "complete" : "partial");
   const auto shards = static_cast<std::uint32_t>(
       std::max<std::size_t>(call.matched->shards.size(), 1));
-  metrics_->RecordQuery(call.matched->name, outcome, effect.elapsed,
-                        effect.attempts > shards ? effect.attempts - shards : 0,
-                        shards,
-                        static_cast<std::uint32_t>(
-                            effect.merged ? effect.stamps.size()
-                                          : (served ? 1 : 0)));
+  metrics_->RecordQuery(
+      call.matched->name, outcome, effect.elapsed,
+      effect.attempts > shards ? effect.attempts - shards : 0, shards,
+      static_cast<std::uint32_t>(effect.merged ? effect.stamps.size()
+                                               : (served ? 1 : 0)));
   call.respond(MakeResponse(effect));
 }
 
--- a/app/route_registry.cc
+++ b/app/route_registry.cc
@@ -61,8 +61,8 @@
   }
   const std::uint64_t version = config->version;
   client_->Propose(
-      EncodeCommand(route_document{version, call.document}),
-      Now() + kCallWait, [version, respond](const control_reply& reply) {
+      EncodeCommand(route_document{version, call.document}), Now() + kCallWait,
+      [version, respond](const control_reply& reply) {
         LogEvent(log_level::kInfo, "routes_proposed",
                  {{"version", version},
                   {"code", Describe(reply.code).number},
@@ -105,22 +105,21 @@
   for (const pending_report& each : *batch) {
     command.reports.push_back(each.report);
   }
-  client_->Propose(
-      EncodeCommand(command), now + kCallWait,
-      [batch](const control_reply& reply) {
-        for (const pending_report& each : *batch) {
-          LogEvent(log_level::kInfo, "searcher_reported",
-                   {{"searcher", each.report.id},
-                    {"service", each.report.service},
-                    {"state", ToString(each.report.state)},
-                    {"started_at_ms", each.report.started_at_ms},
-                    {"sequence", each.report.sequence},
-                    {"code", Describe(reply.code).number}});
-          each.respond(reply.code == result_code::kOk
-                           ? Accepted()
-                           : Unavailable(reply.code));
-        }
-      });
+  client_->Propose(EncodeCommand(command), now + kCallWait,
+                   [batch](const control_reply& reply) {
+                     for (const pending_report& each : *batch) {
+                       LogEvent(log_level::kInfo, "searcher_reported",
+                                {{"searcher", each.report.id},
+                                 {"service", each.report.service},
+                                 {"state", ToString(each.report.state)},
+                                 {"started_at_ms", each.report.started_at_ms},
+                                 {"sequence", each.report.sequence},
+                                 {"code", Describe(reply.code).number}});
+                       each.respond(reply.code == result_code::kOk
+                                        ? Accepted()
+                                        : Unavailable(reply.code));
+                     }
+                   });
 }
 
 }  // namespace bilberrycourse
--- a/app/searcher_client.cc
+++ b/app/searcher_client.cc
@@ -177,8 +177,8 @@
     if (keep != message.end()) idle_limit = IdleLimit(keep->value());
     // Bytes behind the reply belong to no request, and a request that is still
     // being written can't be followed by another one.
-    const bool keep_alive = message.keep_alive() && !to_the_end && !writing_ &&
-                            buffer_.size() == 0;
+    const bool keep_alive =
+        message.keep_alive() && !to_the_end && !writing_ && buffer_.size() == 0;
     const auto self = shared_from_this();
     if (keep_alive) Read();
     client_->handler->OnSearcherReply(id_, MakeReply(&message), keep_alive,
--- a/app/settings.cc
+++ b/app/settings.cc
@@ -196,35 +196,40 @@
     "a readable file with a secret of 16 to 4096 bytes";
 
 constexpr setting_row kRows[] = {
-    {"instance", "name", setting_need::kAlways, kNameAllowed, ParseName<&settings::name>},
+    {"instance", "name", setting_need::kAlways, kNameAllowed,
+     ParseName<&settings::name>},
     {"instance", "availability_zone", setting_need::kAlways, kNameAllowed,
      ParseName<&settings::zone>},
     {"instance", "interface", setting_need::kOptional, "query or routes",
      ParseInterface},
-    {"instance", "role", setting_need::kAlways, "entry, control, or entry,control", ParseRole},
+    {"instance", "role", setting_need::kAlways,
+     "entry, control, or entry,control", ParseRole},
     {"listen", "caller", setting_need::kAlways, kAddressAllowed,
      ParseAddress<&settings::caller_listen>},
     {"listen", "peer", setting_need::kAlways, kAddressAllowed,
      ParseAddress<&settings::peer_listen>},
     {"listen", "readiness", setting_need::kOptional, kAddressAllowed,
      ParseAddress<&settings::readiness_listen>},
-    {"peers", "seeds", setting_need::kAlways, "a list of addresses, separated by commas",
-     ParseSeeds},
+    {"peers", "seeds", setting_need::kAlways,
+     "a list of addresses, separated by commas", ParseSeeds},
     {"peers", "shared_key_file", setting_need::kForQuery, kSecretAllowed,
      ParseSecretFile<&settings::shared_key>},
     {"peers", "shared_key", setting_need::kOptional,
      "a text of 16 to 4096 bytes", ParseSecretText<&settings::shared_key>},
     {"peers", "seed_port", setting_need::kOptional, "1 to 65535",
      ParseNumber<&settings::seed_port, 1, 65535>},
-    {"control", "group", setting_need::kAlways, kNameAllowed, ParseName<&settings::group>},
-    {"control", "initial_members", setting_need::kForQuery, "1, 3, 5 or 7 instance names",
-     ParseMembers},
-    {"control", "spares", setting_need::kOptional, "a list of instance names", ParseSpares},
-    {"control", "data_dir", setting_need::kOptional, "a folder on a disk", ParseDataDir},
+    {"control", "group", setting_need::kAlways, kNameAllowed,
+     ParseName<&settings::group>},
+    {"control", "initial_members", setting_need::kForQuery,
+     "1, 3, 5 or 7 instance names", ParseMembers},
+    {"control", "spares", setting_need::kOptional, "a list of instance names",
+     ParseSpares},
+    {"control", "data_dir", setting_need::kOptional, "a folder on a disk",
+     ParseDataDir},
     {"control", "voters", setting_need::kOptional, "1 to 7 members",
      ParseNumber<&settings::voters, 1, 7>},
-    {"control", "tolerated_losses", setting_need::kOptional,
-     "0 to 3 instances", ParseToleratedLosses},
+    {"control", "tolerated_losses", setting_need::kOptional, "0 to 3 instances",
+     ParseToleratedLosses},
     {"control", "bootstrap", setting_need::kOptional, "true or false",
      ParseBootstrap},
     {"routes", "retry_ratio", setting_need::kOptional, "0 to 1",
@@ -235,19 +240,24 @@
     {"routes", "retry_window_s", setting_need::kOptional, "1 to 600 seconds",
      ParseNumber<&settings::retry_window, 1, 600>},
     {"routes", "caller_one_way_ms", setting_need::kOptional,
-     "0 to 1000 milliseconds",
-     ParseNumber<&settings::caller_one_way, 0, 1000>},
+     "0 to 1000 milliseconds", ParseNumber<&settings::caller_one_way, 0, 1000>},
     {"operator", "token_file", setting_need::kForQuery, kSecretAllowed,
      ParseSecretFile<&settings::operator_token>},
-    {"log", "level", setting_need::kOptional, "debug, info, warning or error", ParseLevel},
-    {"log", "decision_rate", setting_need::kOptional, "0 to 1", ParseRatio<&settings::decision_rate>},
-    {"limits", "max_request_bytes", setting_need::kOptional, "1024 to 16777216 bytes",
+    {"log", "level", setting_need::kOptional, "debug, info, warning or error",
+     ParseLevel},
+    {"log", "decision_rate", setting_need::kOptional, "0 to 1",
+     ParseRatio<&settings::decision_rate>},
+    {"limits", "max_request_bytes", setting_need::kOptional,
+     "1024 to 16777216 bytes",
      ParseNumber<&settings::max_request_bytes, 1024, 16777216>},
-    {"limits", "max_connections", setting_need::kOptional, "10 to 100000 connections",
+    {"limits", "max_connections", setting_need::kOptional,
+     "10 to 100000 connections",
      ParseNumber<&settings::max_connections, 10, 100000>},
-    {"limits", "read_timeout_ms", setting_need::kOptional, "100 to 600000 milliseconds",
+    {"limits", "read_timeout_ms", setting_need::kOptional,
+     "100 to 600000 milliseconds",
      ParseNumber<&settings::read_timeout, 100, 600000>},
-    {"limits", "shutdown_grace_ms", setting_need::kOptional, "0 to 600000 milliseconds",
+    {"limits", "shutdown_grace_ms", setting_need::kOptional,
+     "0 to 600000 milliseconds",
      ParseNumber<&settings::shutdown_grace, 0, 600000>},
 };
 
@@ -306,8 +316,8 @@
 void CheckRoutesContradictions(const settings& s,
                                std::vector<settings_error>* errors) {
   if (s.shared_key.empty()) {
-    errors->push_back({"peers", "shared_key", "is missing",
-                       "shared_key or shared_key_file"});
+    errors->push_back(
+        {"peers", "shared_key", "is missing", "shared_key or shared_key_file"});
   }
   if (s.seeds.empty()) {
     errors->push_back({"peers", "seeds", "names no control instance",
@@ -404,10 +414,9 @@
   for (const setting_row& row : kRows) {
     const std::string name =
         std::string(row.section) + "." + std::string(row.key);
-    const bool required =
-        row.need == setting_need::kAlways ||
-        (row.need == setting_need::kForQuery &&
-         parsed.interface == serving_interface::kQuery);
+    const bool required = row.need == setting_need::kAlways ||
+                          (row.need == setting_need::kForQuery &&
+                           parsed.interface == serving_interface::kQuery);
     if (required && !pairs.contains(name)) {
       errors.push_back({std::string(row.section), std::string(row.key),
                         "is missing", std::string(row.allowed)});
--- a/bilberrycourse/consensus_member_formation.cc
+++ b/bilberrycourse/consensus_member_formation.cc
@@ -48,10 +48,10 @@
   std::vector<log_member> targets;
   const auto add = [&](const log_member& target) {
     if (target.instance == identity_.instance) return;
-    const bool known = std::any_of(
-        targets.begin(), targets.end(), [&](const log_member& other) {
-          return other.instance == target.instance;
-        });
+    const bool known = std::any_of(targets.begin(), targets.end(),
+                                   [&](const log_member& other) {
+                                     return other.instance == target.instance;
+                                   });
     if (!known) targets.push_back(target);
   };
   for (const control_instance& configured : settings_.instances) {
@@ -72,8 +72,7 @@
 
 void consensus_member::OnDiscover(const consensus_message& message,
                                   time_point now, consensus_effects* out) {
-  if (message.members.empty() ||
-      message.members.front().id != message.from) {
+  if (message.members.empty() || message.members.front().id != message.from) {
     return;
   }
   LearnGroup(message);
--- a/bilberrycourse/control_state.cc
+++ b/bilberrycourse/control_state.cc
@@ -313,7 +313,10 @@
 
 control_outcome control_state::Run(const route_document& command) {
   control_outcome outcome;
-  if (command.version > routes_.version) routes_ = command;
+  if (command.version > routes_.version ||
+      Has(control_fault::kAcceptOlderRoutes)) {
+    routes_ = command;
+  }
   outcome.version = routes_.version;
   return outcome;
 }
--- a/bilberrycourse/control_state.h
+++ b/bilberrycourse/control_state.h
@@ -51,6 +51,8 @@
   kForgetAbandonedRuns,
   kClockGoesBack,
   kShardSetLastWins,
+  kAcceptOlderRoutes,
+  kForgetRoutesInSnapshot,
 };
 
 struct control_state_options {
--- a/bilberrycourse/control_state_snapshot.cc
+++ b/bilberrycourse/control_state_snapshot.cc
@@ -198,7 +198,9 @@
     if (!loaded.requests_.emplace(key, std::move(record)).second) return false;
   }
   // A snapshot of a version without routes has no such field.
-  if (in.routes != nullptr) loaded.routes_ = FromWire(*in.routes);
+  if (in.routes != nullptr && !Has(control_fault::kForgetRoutesInSnapshot)) {
+    loaded.routes_ = FromWire(*in.routes);
+  }
   std::vector<searcher_record> searchers;
   for (const auto& row : in.searchers) {
     if (!FromWire(*row, &searchers.emplace_back())) return false;
--- a/bilberrycourse/route_config.cc
+++ b/bilberrycourse/route_config.cc
@@ -33,7 +33,8 @@
     if (!config.services.contains(shard)) {
       return "names the unknown service " + shard;
     }
-    if (!seen.insert(shard).second) return "names the shard " + shard + " twice";
+    if (!seen.insert(shard).second)
+      return "names the shard " + shard + " twice";
   }
   if (!checked.shards.empty() && !checked.idempotent) {
     return "searches shards, but is not idempotent";
--- a/bilberrycourse/route_config.h
+++ b/bilberrycourse/route_config.h
@@ -5,9 +5,10 @@
 // and how they may be repeated.
 //
 //   std::string problem;
-//   if (CheckRouteConfig(config, &problem) != result_code::kOk) Refuse(problem);
-//   route_table table(std::make_shared<const route_config>(config));
-//   const route* match = table.Match("shop.example", "/lots/7");
+//   if (CheckRouteConfig(config, &problem) != result_code::kOk)
+//   Refuse(problem); route_table table(std::make_shared<const
+//   route_config>(config)); const route* match = table.Match("shop.example",
+//   "/lots/7");
 //
 // A configuration is immutable once it is in a table. Requests keep the table
 // by which they were matched until they end, so that one request never mixes
--- a/bilberrycourse/route_engine.cc
+++ b/bilberrycourse/route_engine.cc
@@ -21,8 +21,8 @@
 constexpr double kRetryAfterShare = 0.3;
 
 duration Scale(duration value, double factor) {
-  return duration(static_cast<duration::rep>(
-      static_cast<double>(value.count()) * factor));
+  return duration(
+      static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
 }
 
 }  // namespace
@@ -79,9 +79,8 @@
     // Attempts that have not been sent there go to another searcher.
     std::vector<attempt> moved;
     for (const auto& [id, each] : attempts_) {
-      if (!each.sent &&
-          std::find(stopped.begin(), stopped.end(), each.searcher) !=
-              stopped.end()) {
+      if (!each.sent && std::find(stopped.begin(), stopped.end(),
+                                  each.searcher) != stopped.end()) {
         moved.push_back(each);
       }
     }
@@ -188,11 +187,11 @@
   row.call = std::move(call);
   row.received = now;
   row.give_up_at =
-      now + std::max(duration{0}, std::min(matched.timeout, row.call.time_left) -
-                                      kGiveUpMargin);
-  row.answer_at =
-      std::max(now, row.call.sent_at + matched.latency_objective -
-                        options_.answer_margin);
+      now +
+      std::max(duration{0},
+               std::min(matched.timeout, row.call.time_left) - kGiveUpMargin);
+  row.answer_at = std::max(now, row.call.sent_at + matched.latency_objective -
+                                    options_.answer_margin);
   if (row.fan_out()) {
     for (const std::string& service : matched.shards) {
       row.parts.emplace_back().service = service;
@@ -258,8 +257,8 @@
 }
 
 bool route_engine::EnoughCoverage(const request& row) const {
-  const double share = static_cast<double>(row.answered) /
-                       static_cast<double>(row.parts.size());
+  const double share =
+      static_cast<double>(row.answered) / static_cast<double>(row.parts.size());
   return row.answered > 0 && share >= row.call.matched->min_coverage;
 }
 
@@ -299,8 +298,8 @@
   if ((all || row->past_answer) && EnoughCoverage(*row)) {
     return FinishMerged(row, now, out);
   }
-  const double reachable = static_cast<double>(count - row->failed) /
-                           static_cast<double>(count);
+  const double reachable =
+      static_cast<double>(count - row->failed) / static_cast<double>(count);
   if (all || reachable < row->call.matched->min_coverage) {
     FinishFailed(row, result_code::kCoverageTooLow, now, out);
   }
@@ -318,8 +317,8 @@
       continue;
     }
     finish.missing.push_back(
-        {each.service, each.failed ? each.failure
-                                   : result_code::kDeadlineExceeded});
+        {each.service,
+         each.failed ? each.failure : result_code::kDeadlineExceeded});
   }
   finish.body = TopRecords(bodies, row->call.matched->top_records);
   if (!finish.missing.empty()) ++counters_.partial;
@@ -355,10 +354,9 @@
 }
 
 duration route_engine::RetryAfter(const request& row, time_point now) const {
-  const duration left =
-      row.received + row.call.time_left > now
-          ? row.received + row.call.time_left - now
-          : duration{0};
+  const duration left = row.received + row.call.time_left > now
+                            ? row.received + row.call.time_left - now
+                            : duration{0};
   const duration wanted = std::max<duration>(std::chrono::milliseconds(20),
                                              2 * Usual(*row.call.matched));
   return std::min(wanted, Scale(left, kRetryAfterShare));
--- a/bilberrycourse/route_engine_attempts.cc
+++ b/bilberrycourse/route_engine_attempts.cc
@@ -20,8 +20,8 @@
 bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
 
 duration Scale(duration value, double factor) {
-  return duration(static_cast<duration::rep>(
-      static_cast<double>(value.count()) * factor));
+  return duration(
+      static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
 }
 
 }  // namespace
@@ -93,8 +93,9 @@
   }
 }
 
-std::optional<connection_id> route_engine::TakeConnection(
-    searcher_entry* entry, time_point now, route_effects* out) {
+std::optional<connection_id> route_engine::TakeConnection(searcher_entry* entry,
+                                                          time_point now,
+                                                          route_effects* out) {
   while (const auto id = entry->connections.Take()) {
     const connection_row& row = connections_[*id];
     const bool stale = row.idle_limit.has_value() &&
@@ -115,9 +116,8 @@
   duration remaining =
       std::max<duration>(row->give_up_at - now, std::chrono::milliseconds(1));
   if (row->fan_out() && matched.latency_objective > duration{0}) {
-    remaining = std::min(
-        remaining,
-        Scale(matched.latency_objective, options_.shard_deadline_factor));
+    remaining = std::min(remaining, Scale(matched.latency_objective,
+                                          options_.shard_deadline_factor));
   }
   sending->sent = true;
   sending->sent_at = now;
@@ -221,7 +221,7 @@
 
 // Ends an attempt in flight by closing its connection, which is how a searcher
 // learns that nobody waits.
-void route_engine::BreakOff(const attempt& ended, time_point, 
+void route_engine::BreakOff(const attempt& ended, time_point,
                             route_effects* out) {
   if (searcher_entry* entry = pool_.Find(ended.searcher, ended.serial)) {
     entry->connections.Forget(ended.connection);
@@ -317,10 +317,9 @@
                                       time_point now, route_effects* out) {
   const bool not_run = reply->not_executed || reply->misdirected;
   const bool complete = IsSuccess(reply->status) && !reply->stamp.empty();
-  const bool failed =
-      !complete && (IsSuccess(reply->status) ||
-                    reply->status >= kFirstServerError ||
-                    reply->status == kTooManyRequests);
+  const bool failed = !complete && (IsSuccess(reply->status) ||
+                                    reply->status >= kFirstServerError ||
+                                    reply->status == kTooManyRequests);
   request* row = FindRequest(ended.request);
   if (searcher_entry* entry = pool_.Find(ended.searcher, ended.serial)) {
     if (reply->misdirected) entry->misdirected = true;
--- a/bilberrycourse/searcher_directory.cc
+++ b/bilberrycourse/searcher_directory.cc
@@ -56,7 +56,8 @@
       report.state == searcher_state::kGone) {
     return false;
   }
-  return old.state != report.state || old.started_at_ms != report.started_at_ms ||
+  return old.state != report.state ||
+         old.started_at_ms != report.started_at_ms ||
          old.service != report.service || old.address != report.address ||
          old.zone != report.zone || old.slots != report.slots;
 }
--- a/bilberrycourse/searcher_pool.cc
+++ b/bilberrycourse/searcher_pool.cc
@@ -100,8 +100,7 @@
 }
 
 double searcher_pool::Faded(double value, double rest,
-                            const searcher_entry& entry,
-                            time_point now) const {
+                            const searcher_entry& entry, time_point now) const {
   const double age = static_cast<double>((now - entry.rated_at).count()) /
                      static_cast<double>(options_.fade.count());
   return rest + (value - rest) * std::exp(-std::max(age, 0.0));
--- a/bilberrycourse/searcher_pool.h
+++ b/bilberrycourse/searcher_pool.h
@@ -98,8 +98,7 @@
   // The best searcher of the service that is not in `tried`; nullptr if there
   // is none that is worth a try now.
   searcher_entry* Choose(std::string_view service,
-                         const std::vector<std::string>& tried,
-                         time_point now);
+                         const std::vector<std::string>& tried, time_point now);
 
   searcher_entry* Find(const std::string& id);
   // As above, but nullptr if the searcher has restarted since `serial`.
--- a/bilberrycourse/testing/control_oracle.h
+++ b/bilberrycourse/testing/control_oracle.h
@@ -51,6 +51,13 @@
     return result;
   }
 
+  // The highest version wins, and its first content stays.
+  verdict Routes(const route_document& sent) {
+    if (sent.version > routes_.version) routes_ = sent;
+    return {result_code::kOk, routes_.version};
+  }
+  const route_document& routes() const { return routes_; }
+
   verdict ShardSet(std::uint64_t version, std::uint32_t count) {
     if (!sets_.contains(version) && sets_.size() >= 8 &&
         version < sets_.begin()->first) {
@@ -136,6 +143,7 @@
   wall_time_ms now_ = 0;
   std::uint64_t version_ = 0;
   int content_ = 0;
+  route_document routes_;
   std::map<std::string, change> changes_;
   std::map<std::uint64_t, std::uint32_t> sets_;
   std::map<std::string, request> requests_;
--- a/bilberrycourse/testing/control_state_property_test.cc
+++ b/bilberrycourse/testing/control_state_property_test.cc
@@ -68,7 +68,7 @@
 
  private:
   void Step(const step& s) {
-    switch (s[1] % 10) {
+    switch (s[1] % 12) {
       case 0:
         reloaded_ = control_state(options_);
         Check(reloaded_.LoadSnapshot(state_.SaveSnapshot()), "reload");
@@ -97,6 +97,21 @@
         Send(request_finish{"app", Key(s), Run(s), result_code::kOk,
                             "answer" + std::to_string(s[4] % 3)});
         break;
+      case 10:
+        // Versions race, repeat and come late, with other content as well.
+        Send(route_document{s[2] % 24u, "routes" + std::to_string(s[3] % 4)});
+        break;
+      case 11: {
+        searcher_report report;
+        report.id = "i" + std::to_string(s[2] % 4);
+        report.service = "s" + std::to_string(s[3] % 2);
+        report.address = "10.0.0." + std::to_string(s[4] % 3) + ":80";
+        report.state = static_cast<searcher_state>(s[5] % 3);
+        report.started_at_ms = 1 + s[3] % 5;
+        report.sequence = s[4] % 7;
+        Send(searcher_reports{{report}});
+        break;
+      }
       default:
         // An origin that acted never states that nothing ran.
         if (!acted_.contains({Key(s), Run(s).run_id})) {
@@ -155,6 +170,8 @@
     const std::uint64_t version = state_.config_version();
     Check(version == version_before || version == version_before + 1,
           "version step");
+    Check(state_.routes() == oracle_.routes() || !use_oracle_, "routes");
+    Check(reloaded_.routes() == state_.routes(), "routes after reload");
     Check(version == oracle_.version() || !use_oracle_, "version");
     Check(reloaded_.config_version() == version, "version after reload");
     Check(!use_oracle_ || state_.document().text() ==
@@ -203,6 +220,10 @@
   control_oracle::verdict Expect(const request_abandon& c) {
     return oracle_.Abandon(c);
   }
+  control_oracle::verdict Expect(const route_document& c) {
+    return oracle_.Routes(c);
+  }
+  control_oracle::verdict Expect(const searcher_reports&) { return {}; }
   control_oracle::verdict Expect(const exception_add&) { return {}; }
   control_oracle::verdict Expect(const exception_remove&) { return {}; }
 
@@ -285,6 +306,8 @@
        "run after not_run"},
       {control_fault::kClockGoesBack, "clock goes back"},
       {control_fault::kShardSetLastWins, "last shard set wins"},
+      {control_fault::kAcceptOlderRoutes, "accept older routes"},
+      {control_fault::kForgetRoutesInSnapshot, "forget routes in snapshot"},
   };
   for (const auto& [fault, name, promise] : kFaults) {
     std::string problem;
