Prefer some replicas where connections are fewer than instances

Each instance now prefers as many replicas as its share of the connections allows, its own zone first.

--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -63,7 +63,7 @@
       metrics_(counters),
       wake_(std::move(wake)),
       log_limiter_(kExplainedPerSecond),
-      engine_(EngineOptions(config), config.zone),
+      engine_(EngineOptions(config), config.name, config.zone),
       client_(std::move(executor), {}, protocol->headers(), this) {}
 
 std::string route_gateway::HeaderOf(const http_request& request,
--- a/bilberrycourse/route_engine.cc
+++ b/bilberrycourse/route_engine.cc
@@ -27,17 +27,20 @@
 
 }  // namespace
 
-route_engine::route_engine(route_engine_options options, availability_zone zone)
-    : options_(options), pool_(options.pool, std::move(zone)) {}
+route_engine::route_engine(route_engine_options options, instance_name self,
+                           availability_zone zone)
+    : options_(options),
+      pool_(options.pool, std::move(self), std::move(zone)) {}
 
 void route_engine::SetRoutes(std::shared_ptr<const route_table> table,
                              time_point now, route_effects* out) {
   table_ = std::move(table);
   for (const auto& [name, service] : table_->config().services) {
-    service_row& row = Service(name);
-    row.connection_limit = std::max<std::uint32_t>(service.connection_limit, 1);
+    pool_.SetLimit(name, std::max<std::uint32_t>(service.connection_limit, 1));
     for (searcher_entry* entry : pool_.OfService(name)) {
-      OpenConnections(entry, 1, now, out);
+      if (entry->usable() && entry->preferred) {
+        OpenConnections(entry, 1, now, out);
+      }
     }
   }
 }
@@ -89,7 +92,7 @@
   if (table_ == nullptr) return;
   for (const searcher_record& change : changes) {
     searcher_entry* entry = pool_.Find(change.report.id);
-    if (entry != nullptr && entry->usable() &&
+    if (entry != nullptr && entry->usable() && entry->preferred &&
         table_->config().services.contains(entry->report.service)) {
       OpenConnections(entry, 1, now, out);
     }
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -5,7 +5,7 @@
 // to send once more, when to answer with what is in, when to refuse. No
 // socket, clock or file.
 //
-//   route_engine engine(options, zone);
+//   route_engine engine(options, self, zone);
 //   engine.SetRoutes(table);
 //   engine.UpdateSearchers(records, whole, now, &effects);
 //   engine.Begin({id, table, route, received, time_left}, now, &effects);
@@ -101,7 +101,8 @@
 
 class route_engine {
  public:
-  route_engine(route_engine_options options, availability_zone zone);
+  route_engine(route_engine_options options, instance_name self,
+               availability_zone zone);
 
   // The configuration of requests to come; opens a connection to each searcher
   // that it names.
@@ -203,7 +204,6 @@
     explicit service_row(const retry_budget_options& options)
         : budget(options) {}
     retry_budget budget;
-    std::uint32_t connection_limit = 1;
   };
 
   // Current weights of a split, for smooth weighted round robin.
--- a/bilberrycourse/route_engine_attempts.cc
+++ b/bilberrycourse/route_engine_attempts.cc
@@ -80,8 +80,7 @@
 
 void route_engine::OpenConnections(searcher_entry* entry, std::uint32_t wanted,
                                    time_point now, route_effects* out) {
-  const std::uint32_t limit =
-      pool_.ConnectionShare(Service(entry->report.service).connection_limit);
+  const std::uint32_t limit = pool_.ConnectionShare(*entry);
   std::vector<connection_id> opening;
   entry->connections.Open(std::min(std::max(wanted, 1u), limit), now,
                           &next_connection_, &opening);
--- a/bilberrycourse/searcher_pool.cc
+++ b/bilberrycourse/searcher_pool.cc
@@ -1,5 +1,7 @@
 #include "bilberrycourse/searcher_pool.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <functional>
@@ -19,9 +21,9 @@
 
 }  // namespace
 
-searcher_pool::searcher_pool(searcher_pool_options options,
+searcher_pool::searcher_pool(searcher_pool_options options, instance_name self,
                              availability_zone zone)
-    : options_(options), zone_(std::move(zone)) {
+    : options_(options), self_(std::move(self)), zone_(std::move(zone)) {
   random_.seed(std::random_device()());
 }
 
@@ -40,7 +42,7 @@
     std::string_view service) const {
   static const std::vector<searcher_entry*> kNone;
   const auto found = services_.find(service);
-  return found == services_.end() ? kNone : found->second;
+  return found == services_.end() ? kNone : found->second.entries;
 }
 
 void searcher_pool::Update(const std::vector<searcher_record>& changes,
@@ -67,8 +69,10 @@
       known = entry.get();
       known->serial = next_serial_++;
       known->cold_until = now + std::chrono::milliseconds(report.warmup_ms);
-      services_[report.service].push_back(known);
+      service_row& row = services_[report.service];
+      row.entries.push_back(known);
       entries_[report.id] = std::move(entry);
+      Prefer(&row);
       continue;
     }
     if (known->report.state == searcher_state::kServing &&
@@ -76,6 +80,7 @@
       stopped->push_back(report.id);
     }
     known->report = report;
+    Prefer(&services_[report.service]);
   }
   if (!whole) return;
   std::vector<std::string> unnamed;
@@ -92,8 +97,9 @@
   const auto found = entries_.find(id);
   if (found == entries_.end()) return;
   searcher_entry* entry = found->second.get();
-  auto& row = services_[entry->report.service];
-  row.erase(std::find(row.begin(), row.end(), entry));
+  service_row& row = services_[entry->report.service];
+  std::erase(row.entries, entry);
+  Prefer(&row);
   entry->connections.ForgetUnused(unused);
   stopped->push_back(id);
   entries_.erase(found);
@@ -125,6 +131,7 @@
                                       const std::vector<std::string>& tried,
                                       time_point now) {
   searcher_entry* best = nullptr;
+  bool best_preferred = false;
   double best_score = 0;
   searcher_entry* trial = nullptr;
   std::uniform_real_distribution<double> jitter(0, 0.05);
@@ -135,9 +142,12 @@
       if (now >= entry->suspect_until && entry->load() == 0) trial = entry;
       continue;
     }
+    if (best_preferred && !entry->preferred) continue;
     const double score = Score(*entry, now) + jitter(random_);
-    if (best != nullptr && score >= best_score) continue;
+    const bool wins = best == nullptr || (entry->preferred && !best_preferred);
+    if (!wins && score >= best_score) continue;
     best = entry;
+    best_preferred = entry->preferred;
     best_score = score;
   }
   return best != nullptr ? best : trial;
@@ -189,10 +199,48 @@
   entry->suspect_until = time_point::min();
 }
 
-std::uint32_t searcher_pool::ConnectionShare(std::uint32_t limit) const {
+std::uint32_t searcher_pool::ConnectionShare(
+    const searcher_entry& entry) const {
+  const auto found = services_.find(entry.report.service);
+  const std::uint32_t limit =
+      found == services_.end() ? 1 : found->second.limit;
   const double share = options_.connection_share * static_cast<double>(limit) /
                        std::max<std::uint32_t>(instances_, 1);
   return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(share));
 }
 
+void searcher_pool::SetInstances(std::uint32_t instances) {
+  instances_ = instances;
+  for (auto& [name, row] : services_) Prefer(&row);
+}
+
+void searcher_pool::SetLimit(const std::string& service, std::uint32_t limit) {
+  service_row& row = services_[service];
+  row.limit = limit;
+  Prefer(&row);
+}
+
+void searcher_pool::Prefer(service_row* row) {
+  const double share = options_.connection_share *
+                       static_cast<double>(row->limit) /
+                       std::max<std::uint32_t>(instances_, 1);
+  std::vector<std::pair<std::uint64_t, searcher_entry*>> ranked;
+  for (searcher_entry* entry : row->entries) {
+    entry->preferred = share >= 1;
+    if (!entry->usable()) continue;
+    const std::string key = self_ + " " + entry->report.id;
+    const bool own_zone = entry->report.zone == zone_;
+    ranked.emplace_back(own_zone ? 0 : XXH3_64bits(key.data(), key.size()) | 1,
+                        entry);
+  }
+  if (share >= 1 || ranked.empty()) return;
+  std::sort(ranked.begin(), ranked.end());
+  const double count = share * static_cast<double>(ranked.size());
+  const std::size_t preferred =
+      std::max<std::size_t>(1, static_cast<std::size_t>(count));
+  for (std::size_t i = 0; i < std::min(preferred, ranked.size()); ++i) {
+    ranked[i].second->preferred = true;
+  }
+}
+
 }  // namespace bilberrycourse
--- a/bilberrycourse/searcher_pool.h
+++ b/bilberrycourse/searcher_pool.h
@@ -5,8 +5,8 @@
 // seen of each: connections, requests in flight, slowness and failures. The
 // choice among the searchers of one service is made here.
 //
-//   searcher_pool pool(options, zone);
-//   pool.Update(records, whole);
+//   searcher_pool pool(options, self, zone);
+//   pool.Update(records, whole, now, &stopped, &unused);
 //   searcher_entry* chosen = pool.Choose("catalogue-3", {}, now);
 //
 // Slowness is the ratio of a searcher's service times to the usual ones of the
@@ -75,6 +75,8 @@
   std::uint32_t failures = 0;
   // The address answered as another searcher; unused until the record changes.
   bool misdirected = false;
+  // One of the replicas that this instance uses as a rule; see SetLimit().
+  bool preferred = true;
   time_point cold_until = time_point::min();
 
   std::size_t load() const { return waiting.size() + in_flight.size(); }
@@ -85,7 +87,9 @@
 
 class searcher_pool {
  public:
-  searcher_pool(searcher_pool_options options, availability_zone zone);
+  // `self` is the name of this instance.
+  searcher_pool(searcher_pool_options options, instance_name self,
+                availability_zone zone);
 
   // Applies changes of the directory; with `whole`, searchers that are not
   // among them are gone. Appends the ids of searchers that stopped serving,
@@ -117,13 +121,24 @@
   void OnUnreachable(searcher_entry* entry, time_point now);
   void OnReachable(searcher_entry* entry);
 
-  // Connections that this instance may hold to a searcher whose service
-  // accepts `limit` from the whole tier.
-  std::uint32_t ConnectionShare(std::uint32_t limit) const;
-  void SetInstances(std::uint32_t instances) { instances_ = instances; }
+  // Connections that one searcher of the service accepts from the whole tier.
+  // Where that is less than one for each entry instance, every instance
+  // prefers some of the replicas, that of its own availability zone first and
+  // the others by a hash, so that each replica is preferred by as many as it
+  // has room for. The others are used when no preferred one is left.
+  void SetLimit(const std::string& service, std::uint32_t limit);
+  // Connections that this instance may hold to the searcher.
+  std::uint32_t ConnectionShare(const searcher_entry& entry) const;
+  void SetInstances(std::uint32_t instances);
   std::size_t size() const { return entries_.size(); }
 
  private:
+  struct service_row {
+    std::vector<searcher_entry*> entries;
+    std::uint32_t limit = 1;
+  };
+
+  void Prefer(service_row* row);
   double Score(const searcher_entry& entry, time_point now) const;
   double Faded(double value, double rest, const searcher_entry& entry,
                time_point now) const;
@@ -133,10 +148,11 @@
               std::vector<connection_id>* unused);
 
   searcher_pool_options options_;
+  instance_name self_;
   availability_zone zone_;
   std::uint32_t instances_ = 8;
   std::unordered_map<std::string, std::unique_ptr<searcher_entry>> entries_;
-  std::map<std::string, std::vector<searcher_entry*>, std::less<>> services_;
+  std::map<std::string, service_row, std::less<>> services_;
   std::uint64_t next_serial_ = 1;
   // Breaks ties, so that instances with equal views spread their load.
   std::minstd_rand random_;
