--- a/app/control_client.cc
+++ b/app/control_client.cc
@@ -97,6 +97,7 @@
   poll.routed = known.routed;
   poll.route_version = known.route_version;
   poll.searcher_revision = known.searcher_revision;
+  poll.entry_digest = entry_digest_;
   const std::uint64_t id = poll.poll_id;
   if (!transport_->Send(to, MakeFrame(std::move(poll)))) return;
   polls_[id] = {to, now};
@@ -137,6 +138,26 @@
     }
   }
   TakeNews(sent_at, taken);
+  TakeEntries(news);
+}
+
+// A member that is cut off sees few entry instances, so that only one with a
+// fresh confirmation is believed.
+void control_client::TakeEntries(const wire::control_news& news) {
+  const bool fresh =
+      news.confirmed() && news.confirmed_age_us() <=
+                              static_cast<std::uint64_t>(kMaxNewsAge.count());
+  if (!fresh || news.entry_digest() == entry_digest_ ||
+      news.entries() == nullptr) {
+    return;
+  }
+  std::vector<entry_instance> entries;
+  for (const wire::entry_instance* row : *news.entries()) {
+    entries.push_back({ToText(row->instance()), ToText(row->address()),
+                       ToText(row->availability_zone())});
+  }
+  entry_digest_ = news.entry_digest();
+  handler_->OnEntryInstances(entries);
 }
 
 // Versions never go back: news of a member that is behind is ignored.
--- a/app/control_client.h
+++ b/app/control_client.h
@@ -24,6 +24,7 @@
 #include "app/settings.h"
 #include "bilberrycourse/control_lease.h"
 #include "bilberrycourse/control_state.h"
+#include "bilberrycourse/relay_plan.h"
 
 namespace bilberrycourse {
 
@@ -37,6 +38,8 @@
   // Routed interface: the control group and the number of entry instances as
   // the member that was polled sees them.
   virtual void OnControlGroup(const std::vector<log_member>&, std::uint32_t) {}
+  // Routed interface: the entry instances have changed.
+  virtual void OnEntryInstances(const std::vector<entry_instance>&) {}
 };
 
 class control_client {
@@ -93,6 +96,7 @@
 
   known_versions Known() const;
   void TakeRouteNews(const control_news& news);
+  void TakeEntries(const wire::control_news& news);
   void Poll(const instance_name& to, time_point now);
   void PollNext(time_point now);
   void TakeNews(time_point sent_at, const control_news& news);
@@ -114,6 +118,7 @@
   instance_name leader_;
   std::uint64_t route_version_ = 0;
   std::uint64_t searcher_revision_ = 0;
+  std::uint64_t entry_digest_ = 0;
   // Members of the control group by the newest news, in place of those of the
   // settings.
   std::vector<instance_name> group_;
--- a/app/control_frames.cc
+++ b/app/control_frames.cc
@@ -5,10 +5,19 @@
 #include <utility>
 
 #include "app/frames.h"
+#include "bilberrycourse/key_hash.h"
 
 namespace bilberrycourse {
 namespace {
 
+std::uint64_t DigestOf(const std::vector<entry_instance>& entries) {
+  std::string text;
+  for (const entry_instance& each : entries) {
+    text += each.name + " " + each.address + " " + each.zone + "\n";
+  }
+  return name_hash()(text);
+}
+
 wire::control_newsT ToWire(const control_news& news, std::uint64_t poll_id,
                            std::uint32_t entry_instances) {
   wire::control_newsT out;
@@ -73,8 +82,26 @@
   if (!news.confirmed && !known.routed) {
     news = client_->Relay(known.published_version, now);
   }
-  transport_->Send(peer,
-                   MakeFrame(ToWire(news, poll->poll_id(), entry_instances_)));
+  wire::control_newsT reply = ToWire(news, poll->poll_id(), entry_instances_);
+  reply.entry_digest = entry_digest_;
+  if (known.routed && poll->entry_digest() != entry_digest_) {
+    for (const entry_instance& each : entries_) {
+      auto row = std::make_unique<wire::entry_instanceT>();
+      row->instance = each.name;
+      row->address = each.address;
+      row->availability_zone = each.zone;
+      reply.entries.push_back(std::move(row));
+    }
+  }
+  transport_->Send(peer, MakeFrame(std::move(reply)));
+}
+
+void control_frames::SetEntryInstances(std::uint32_t count,
+                                       std::vector<entry_instance> entries) {
+  entry_instances_ = count;
+  if (entries == entries_) return;
+  entries_ = std::move(entries);
+  entry_digest_ = DigestOf(entries_);
 }
 
 void control_frames::OnNews(const instance_name& peer,
--- a/app/control_frames.h
+++ b/app/control_frames.h
@@ -8,10 +8,12 @@
 //   if (frames.Handle(peer, frame, now)) return;
 
 #include <cstdint>
+#include <vector>
 
 #include "app/control_client.h"
 #include "app/control_service.h"
 #include "app/peer_transport.h"
+#include "bilberrycourse/relay_plan.h"
 
 namespace bilberrycourse {
 
@@ -25,8 +27,10 @@
   bool Handle(const instance_name& peer, const wire::peer_frame& frame,
               time_point now);
 
-  // Entry instances that the answers to polls name.
-  void SetEntryInstances(std::uint32_t count) { entry_instances_ = count; }
+  // Entry instances that the answers to polls name: how many count for shares,
+  // and those that are linked now.
+  void SetEntryInstances(std::uint32_t count,
+                         std::vector<entry_instance> entries);
 
  private:
   using handler = void (control_frames::*)(const instance_name&,
@@ -56,6 +60,8 @@
   control_service* local_;
   control_client* client_;
   std::uint32_t entry_instances_ = 0;
+  std::vector<entry_instance> entries_;
+  std::uint64_t entry_digest_ = 0;
 };
 
 }  // namespace bilberrycourse
--- a/app/peer_frame_generated.h
+++ b/app/peer_frame_generated.h
@@ -108,6 +108,30 @@
 struct admission_batchBuilder;
 struct admission_batchT;
 
+struct entry_hello;
+struct entry_helloBuilder;
+struct entry_helloT;
+
+struct entry_instance;
+struct entry_instanceBuilder;
+struct entry_instanceT;
+
+struct forwarded_header;
+struct forwarded_headerBuilder;
+struct forwarded_headerT;
+
+struct relay_request;
+struct relay_requestBuilder;
+struct relay_requestT;
+
+struct relay_result;
+struct relay_resultBuilder;
+struct relay_resultT;
+
+struct relay_cancel;
+struct relay_cancelBuilder;
+struct relay_cancelT;
+
 struct peer_frame;
 struct peer_frameBuilder;
 struct peer_frameT;
@@ -131,11 +155,15 @@
   heartbeat = 15,
   admission_batch = 16,
   canary_started = 17,
+  entry_hello = 18,
+  relay_request = 19,
+  relay_result = 20,
+  relay_cancel = 21,
   MIN = NONE,
-  MAX = canary_started
+  MAX = relay_cancel
 };
 
-inline const payload (&EnumValuespayload())[18] {
+inline const payload (&EnumValuespayload())[22] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -154,13 +182,17 @@
     payload::shard_cancel,
     payload::heartbeat,
     payload::admission_batch,
-    payload::canary_started
+    payload::canary_started,
+    payload::entry_hello,
+    payload::relay_request,
+    payload::relay_result,
+    payload::relay_cancel
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[19] = {
+  static const char * const names[23] = {
     "NONE",
     "hello",
     "proof",
@@ -179,13 +211,17 @@
     "heartbeat",
     "admission_batch",
     "canary_started",
+    "entry_hello",
+    "relay_request",
+    "relay_result",
+    "relay_cancel",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::canary_started)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::relay_cancel)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -262,6 +298,22 @@
   static const payload enum_value = payload::canary_started;
 };
 
+template<> struct payloadTraits<bilberrycourse::wire::entry_hello> {
+  static const payload enum_value = payload::entry_hello;
+};
+
+template<> struct payloadTraits<bilberrycourse::wire::relay_request> {
+  static const payload enum_value = payload::relay_request;
+};
+
+template<> struct payloadTraits<bilberrycourse::wire::relay_result> {
+  static const payload enum_value = payload::relay_result;
+};
+
+template<> struct payloadTraits<bilberrycourse::wire::relay_cancel> {
+  static const payload enum_value = payload::relay_cancel;
+};
+
 template<typename T> struct payloadUnionTraits {
   static const payload enum_value = payload::NONE;
 };
@@ -334,6 +386,22 @@
   static const payload enum_value = payload::canary_started;
 };
 
+template<> struct payloadUnionTraits<bilberrycourse::wire::entry_helloT> {
+  static const payload enum_value = payload::entry_hello;
+};
+
+template<> struct payloadUnionTraits<bilberrycourse::wire::relay_requestT> {
+  static const payload enum_value = payload::relay_request;
+};
+
+template<> struct payloadUnionTraits<bilberrycourse::wire::relay_resultT> {
+  static const payload enum_value = payload::relay_result;
+};
+
+template<> struct payloadUnionTraits<bilberrycourse::wire::relay_cancelT> {
+  static const payload enum_value = payload::relay_cancel;
+};
+
 struct payloadUnion {
   payload type;
   void *value;
@@ -500,6 +568,38 @@
     return type == payload::canary_started ?
       reinterpret_cast<const bilberrycourse::wire::canary_startedT *>(value) : nullptr;
   }
+  bilberrycourse::wire::entry_helloT *Asentry_hello() {
+    return type == payload::entry_hello ?
+      reinterpret_cast<bilberrycourse::wire::entry_helloT *>(value) : nullptr;
+  }
+  const bilberrycourse::wire::entry_helloT *Asentry_hello() const {
+    return type == payload::entry_hello ?
+      reinterpret_cast<const bilberrycourse::wire::entry_helloT *>(value) : nullptr;
+  }
+  bilberrycourse::wire::relay_requestT *Asrelay_request() {
+    return type == payload::relay_request ?
+      reinterpret_cast<bilberrycourse::wire::relay_requestT *>(value) : nullptr;
+  }
+  const bilberrycourse::wire::relay_requestT *Asrelay_request() const {
+    return type == payload::relay_request ?
+      reinterpret_cast<const bilberrycourse::wire::relay_requestT *>(value) : nullptr;
+  }
+  bilberrycourse::wire::relay_resultT *Asrelay_result() {
+    return type == payload::relay_result ?
+      reinterpret_cast<bilberrycourse::wire::relay_resultT *>(value) : nullptr;
+  }
+  const bilberrycourse::wire::relay_resultT *Asrelay_result() const {
+    return type == payload::relay_result ?
+      reinterpret_cast<const bilberrycourse::wire::relay_resultT *>(value) : nullptr;
+  }
+  bilberrycourse::wire::relay_cancelT *Asrelay_cancel() {
+    return type == payload::relay_cancel ?
+      reinterpret_cast<bilberrycourse::wire::relay_cancelT *>(value) : nullptr;
+  }
+  const bilberrycourse::wire::relay_cancelT *Asrelay_cancel() const {
+    return type == payload::relay_cancel ?
+      reinterpret_cast<const bilberrycourse::wire::relay_cancelT *>(value) : nullptr;
+  }
 };
 
 bool Verifypayload(flatbuffers::Verifier &verifier, const void *obj, payload type);
@@ -837,6 +937,7 @@
   uint64_t route_version = 0;
   uint64_t searcher_revision = 0;
   bool routed = false;
+  uint64_t entry_digest = 0;
 };
 
 struct control_poll FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -847,7 +948,8 @@
     VT_PUBLISHED_VERSION = 6,
     VT_ROUTE_VERSION = 8,
     VT_SEARCHER_REVISION = 10,
-    VT_ROUTED = 12
+    VT_ROUTED = 12,
+    VT_ENTRY_DIGEST = 14
   };
   uint64_t poll_id() const {
     return GetField<uint64_t>(VT_POLL_ID, 0);
@@ -864,6 +966,9 @@
   bool routed() const {
     return GetField<uint8_t>(VT_ROUTED, 0) != 0;
   }
+  uint64_t entry_digest() const {
+    return GetField<uint64_t>(VT_ENTRY_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_POLL_ID, 8) &&
@@ -871,6 +976,7 @@
            VerifyField<uint64_t>(verifier, VT_ROUTE_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_SEARCHER_REVISION, 8) &&
            VerifyField<uint8_t>(verifier, VT_ROUTED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ENTRY_DIGEST, 8) &&
            verifier.EndTable();
   }
   control_pollT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -897,6 +1003,9 @@
   void add_routed(bool routed) {
     fbb_.AddElement<uint8_t>(control_poll::VT_ROUTED, static_cast<uint8_t>(routed), 0);
   }
+  void add_entry_digest(uint64_t entry_digest) {
+    fbb_.AddElement<uint64_t>(control_poll::VT_ENTRY_DIGEST, entry_digest, 0);
+  }
   explicit control_pollBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -914,8 +1023,10 @@
     uint64_t published_version = 0,
     uint64_t route_version = 0,
     uint64_t searcher_revision = 0,
-    bool routed = false) {
+    bool routed = false,
+    uint64_t entry_digest = 0) {
   control_pollBuilder builder_(_fbb);
+  builder_.add_entry_digest(entry_digest);
   builder_.add_searcher_revision(searcher_revision);
   builder_.add_route_version(route_version);
   builder_.add_published_version(published_version);
@@ -1014,6 +1125,8 @@
   std::vector<uint8_t> routes{};
   std::vector<std::unique_ptr<bilberrycourse::wire::control_addressT>> group{};
   uint32_t entry_instances = 0;
+  uint64_t entry_digest = 0;
+  std::vector<std::unique_ptr<bilberrycourse::wire::entry_instanceT>> entries{};
   control_newsT() = default;
   control_newsT(const control_newsT &o);
   control_newsT(control_newsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1032,7 +1145,9 @@
     VT_LEADER = 14,
     VT_ROUTES = 16,
     VT_GROUP = 18,
-    VT_ENTRY_INSTANCES = 20
+    VT_ENTRY_INSTANCES = 20,
+    VT_ENTRY_DIGEST = 22,
+    VT_ENTRIES = 24
   };
   uint64_t poll_id() const {
     return GetField<uint64_t>(VT_POLL_ID, 0);
@@ -1061,6 +1176,12 @@
   uint32_t entry_instances() const {
     return GetField<uint32_t>(VT_ENTRY_INSTANCES, 0);
   }
+  uint64_t entry_digest() const {
+    return GetField<uint64_t>(VT_ENTRY_DIGEST, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>> *>(VT_ENTRIES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_POLL_ID, 8) &&
@@ -1077,6 +1198,10 @@
            verifier.VerifyVector(group()) &&
            verifier.VerifyVectorOfTables(group()) &&
            VerifyField<uint32_t>(verifier, VT_ENTRY_INSTANCES, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ENTRY_DIGEST, 8) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfTables(entries()) &&
            verifier.EndTable();
   }
   control_newsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1115,6 +1240,12 @@
   void add_entry_instances(uint32_t entry_instances) {
     fbb_.AddElement<uint32_t>(control_news::VT_ENTRY_INSTANCES, entry_instances, 0);
   }
+  void add_entry_digest(uint64_t entry_digest) {
+    fbb_.AddElement<uint64_t>(control_news::VT_ENTRY_DIGEST, entry_digest, 0);
+  }
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>>> entries) {
+    fbb_.AddOffset(control_news::VT_ENTRIES, entries);
+  }
   explicit control_newsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1136,11 +1267,15 @@
     flatbuffers::Offset<flatbuffers::String> leader = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> routes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::control_address>>> group = 0,
-    uint32_t entry_instances = 0) {
+    uint32_t entry_instances = 0,
+    uint64_t entry_digest = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>>> entries = 0) {
   control_newsBuilder builder_(_fbb);
+  builder_.add_entry_digest(entry_digest);
   builder_.add_published_version(published_version);
   builder_.add_confirmed_age_us(confirmed_age_us);
   builder_.add_poll_id(poll_id);
+  builder_.add_entries(entries);
   builder_.add_entry_instances(entry_instances);
   builder_.add_group(group);
   builder_.add_routes(routes);
@@ -1160,11 +1295,14 @@
     const char *leader = nullptr,
     const std::vector<uint8_t> *routes = nullptr,
     const std::vector<flatbuffers::Offset<bilberrycourse::wire::control_address>> *group = nullptr,
-    uint32_t entry_instances = 0) {
+    uint32_t entry_instances = 0,
+    uint64_t entry_digest = 0,
+    const std::vector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>> *entries = nullptr) {
   auto state__ = state ? _fbb.CreateVector<uint8_t>(*state) : 0;
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   auto routes__ = routes ? _fbb.CreateVector<uint8_t>(*routes) : 0;
   auto group__ = group ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::control_address>>(*group) : 0;
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>>(*entries) : 0;
   return bilberrycourse::wire::Createcontrol_news(
       _fbb,
       poll_id,
@@ -1175,7 +1313,9 @@
       leader__,
       routes__,
       group__,
-      entry_instances);
+      entry_instances,
+      entry_digest,
+      entries__);
 }
 
 flatbuffers::Offset<control_news> Createcontrol_news(flatbuffers::FlatBufferBuilder &_fbb, const control_newsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2737,6 +2877,741 @@
 
 flatbuffers::Offset<admission_batch> Createadmission_batch(flatbuffers::FlatBufferBuilder &_fbb, const admission_batchT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct entry_helloT : public flatbuffers::NativeTable {
+  typedef entry_hello TableType;
+  std::string address{};
+  std::string availability_zone{};
+};
+
+struct entry_hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef entry_helloT NativeTableType;
+  typedef entry_helloBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ADDRESS = 4,
+    VT_AVAILABILITY_ZONE = 6
+  };
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *availability_zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_AVAILABILITY_ZONE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_AVAILABILITY_ZONE) &&
+           verifier.VerifyString(availability_zone()) &&
+           verifier.EndTable();
+  }
+  entry_helloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(entry_helloT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<entry_hello> Pack(flatbuffers::FlatBufferBuilder &_fbb, const entry_helloT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct entry_helloBuilder {
+  typedef entry_hello Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(entry_hello::VT_ADDRESS, address);
+  }
+  void add_availability_zone(flatbuffers::Offset<flatbuffers::String> availability_zone) {
+    fbb_.AddOffset(entry_hello::VT_AVAILABILITY_ZONE, availability_zone);
+  }
+  explicit entry_helloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<entry_hello> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<entry_hello>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<entry_hello> Createentry_hello(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> availability_zone = 0) {
+  entry_helloBuilder builder_(_fbb);
+  builder_.add_availability_zone(availability_zone);
+  builder_.add_address(address);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<entry_hello> Createentry_helloDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *address = nullptr,
+    const char *availability_zone = nullptr) {
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto availability_zone__ = availability_zone ? _fbb.CreateString(availability_zone) : 0;
+  return bilberrycourse::wire::Createentry_hello(
+      _fbb,
+      address__,
+      availability_zone__);
+}
+
+flatbuffers::Offset<entry_hello> Createentry_hello(flatbuffers::FlatBufferBuilder &_fbb, const entry_helloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct entry_instanceT : public flatbuffers::NativeTable {
+  typedef entry_instance TableType;
+  std::string instance{};
+  std::string address{};
+  std::string availability_zone{};
+};
+
+struct entry_instance FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef entry_instanceT NativeTableType;
+  typedef entry_instanceBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_INSTANCE = 4,
+    VT_ADDRESS = 6,
+    VT_AVAILABILITY_ZONE = 8
+  };
+  const flatbuffers::String *instance() const {
+    return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *availability_zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_AVAILABILITY_ZONE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_INSTANCE) &&
+           verifier.VerifyString(instance()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_AVAILABILITY_ZONE) &&
+           verifier.VerifyString(availability_zone()) &&
+           verifier.EndTable();
+  }
+  entry_instanceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(entry_instanceT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<entry_instance> Pack(flatbuffers::FlatBufferBuilder &_fbb, const entry_instanceT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct entry_instanceBuilder {
+  typedef entry_instance Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_instance(flatbuffers::Offset<flatbuffers::String> instance) {
+    fbb_.AddOffset(entry_instance::VT_INSTANCE, instance);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(entry_instance::VT_ADDRESS, address);
+  }
+  void add_availability_zone(flatbuffers::Offset<flatbuffers::String> availability_zone) {
+    fbb_.AddOffset(entry_instance::VT_AVAILABILITY_ZONE, availability_zone);
+  }
+  explicit entry_instanceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<entry_instance> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<entry_instance>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<entry_instance> Createentry_instance(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> instance = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> availability_zone = 0) {
+  entry_instanceBuilder builder_(_fbb);
+  builder_.add_availability_zone(availability_zone);
+  builder_.add_address(address);
+  builder_.add_instance(instance);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<entry_instance> Createentry_instanceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *instance = nullptr,
+    const char *address = nullptr,
+    const char *availability_zone = nullptr) {
+  auto instance__ = instance ? _fbb.CreateString(instance) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto availability_zone__ = availability_zone ? _fbb.CreateString(availability_zone) : 0;
+  return bilberrycourse::wire::Createentry_instance(
+      _fbb,
+      instance__,
+      address__,
+      availability_zone__);
+}
+
+flatbuffers::Offset<entry_instance> Createentry_instance(flatbuffers::FlatBufferBuilder &_fbb, const entry_instanceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct forwarded_headerT : public flatbuffers::NativeTable {
+  typedef forwarded_header TableType;
+  std::string name{};
+  std::string value{};
+};
+
+struct forwarded_header FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef forwarded_headerT NativeTableType;
+  typedef forwarded_headerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_VALUE = 6
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  const flatbuffers::String *value() const {
+    return GetPointer<const flatbuffers::String *>(VT_VALUE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyString(value()) &&
+           verifier.EndTable();
+  }
+  forwarded_headerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(forwarded_headerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<forwarded_header> Pack(flatbuffers::FlatBufferBuilder &_fbb, const forwarded_headerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct forwarded_headerBuilder {
+  typedef forwarded_header Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(forwarded_header::VT_NAME, name);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::String> value) {
+    fbb_.AddOffset(forwarded_header::VT_VALUE, value);
+  }
+  explicit forwarded_headerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<forwarded_header> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<forwarded_header>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<forwarded_header> Createforwarded_header(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::String> value = 0) {
+  forwarded_headerBuilder builder_(_fbb);
+  builder_.add_value(value);
+  builder_.add_name(name);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<forwarded_header> Createforwarded_headerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    const char *value = nullptr) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto value__ = value ? _fbb.CreateString(value) : 0;
+  return bilberrycourse::wire::Createforwarded_header(
+      _fbb,
+      name__,
+      value__);
+}
+
+flatbuffers::Offset<forwarded_header> Createforwarded_header(flatbuffers::FlatBufferBuilder &_fbb, const forwarded_headerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct relay_requestT : public flatbuffers::NativeTable {
+  typedef relay_request TableType;
+  uint64_t relay_id = 0;
+  std::string route{};
+  std::string request_id{};
+  std::string method{};
+  std::string target{};
+  std::string host{};
+  std::vector<std::unique_ptr<bilberrycourse::wire::forwarded_headerT>> headers{};
+  std::vector<uint8_t> body{};
+  std::vector<std::string> shards{};
+  uint32_t top_records = 0;
+  uint32_t max_attempts = 0;
+  uint64_t objective_us = 0;
+  uint64_t answer_in_us = 0;
+  uint64_t time_left_us = 0;
+  relay_requestT() = default;
+  relay_requestT(const relay_requestT &o);
+  relay_requestT(relay_requestT&&) FLATBUFFERS_NOEXCEPT = default;
+  relay_requestT &operator=(relay_requestT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct relay_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef relay_requestT NativeTableType;
+  typedef relay_requestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RELAY_ID = 4,
+    VT_ROUTE = 6,
+    VT_REQUEST_ID = 8,
+    VT_METHOD = 10,
+    VT_TARGET = 12,
+    VT_HOST = 14,
+    VT_HEADERS = 16,
+    VT_BODY = 18,
+    VT_SHARDS = 20,
+    VT_TOP_RECORDS = 22,
+    VT_MAX_ATTEMPTS = 24,
+    VT_OBJECTIVE_US = 26,
+    VT_ANSWER_IN_US = 28,
+    VT_TIME_LEFT_US = 30
+  };
+  uint64_t relay_id() const {
+    return GetField<uint64_t>(VT_RELAY_ID, 0);
+  }
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
+  }
+  const flatbuffers::String *request_id() const {
+    return GetPointer<const flatbuffers::String *>(VT_REQUEST_ID);
+  }
+  const flatbuffers::String *method() const {
+    return GetPointer<const flatbuffers::String *>(VT_METHOD);
+  }
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::forwarded_header>> *headers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::forwarded_header>> *>(VT_HEADERS);
+  }
+  const flatbuffers::Vector<uint8_t> *body() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *shards() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_SHARDS);
+  }
+  uint32_t top_records() const {
+    return GetField<uint32_t>(VT_TOP_RECORDS, 0);
+  }
+  uint32_t max_attempts() const {
+    return GetField<uint32_t>(VT_MAX_ATTEMPTS, 0);
+  }
+  uint64_t objective_us() const {
+    return GetField<uint64_t>(VT_OBJECTIVE_US, 0);
+  }
+  uint64_t answer_in_us() const {
+    return GetField<uint64_t>(VT_ANSWER_IN_US, 0);
+  }
+  uint64_t time_left_us() const {
+    return GetField<uint64_t>(VT_TIME_LEFT_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_RELAY_ID, 8) &&
+           VerifyOffset(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
+           VerifyOffset(verifier, VT_REQUEST_ID) &&
+           verifier.VerifyString(request_id()) &&
+           VerifyOffset(verifier, VT_METHOD) &&
+           verifier.VerifyString(method()) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyOffset(verifier, VT_HEADERS) &&
+           verifier.VerifyVector(headers()) &&
+           verifier.VerifyVectorOfTables(headers()) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           verifier.VerifyVector(body()) &&
+           VerifyOffset(verifier, VT_SHARDS) &&
+           verifier.VerifyVector(shards()) &&
+           verifier.VerifyVectorOfStrings(shards()) &&
+           VerifyField<uint32_t>(verifier, VT_TOP_RECORDS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_MAX_ATTEMPTS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_OBJECTIVE_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ANSWER_IN_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TIME_LEFT_US, 8) &&
+           verifier.EndTable();
+  }
+  relay_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(relay_requestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<relay_request> Pack(flatbuffers::FlatBufferBuilder &_fbb, const relay_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct relay_requestBuilder {
+  typedef relay_request Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_relay_id(uint64_t relay_id) {
+    fbb_.AddElement<uint64_t>(relay_request::VT_RELAY_ID, relay_id, 0);
+  }
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(relay_request::VT_ROUTE, route);
+  }
+  void add_request_id(flatbuffers::Offset<flatbuffers::String> request_id) {
+    fbb_.AddOffset(relay_request::VT_REQUEST_ID, request_id);
+  }
+  void add_method(flatbuffers::Offset<flatbuffers::String> method) {
+    fbb_.AddOffset(relay_request::VT_METHOD, method);
+  }
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(relay_request::VT_TARGET, target);
+  }
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(relay_request::VT_HOST, host);
+  }
+  void add_headers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::forwarded_header>>> headers) {
+    fbb_.AddOffset(relay_request::VT_HEADERS, headers);
+  }
+  void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
+    fbb_.AddOffset(relay_request::VT_BODY, body);
+  }
+  void add_shards(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> shards) {
+    fbb_.AddOffset(relay_request::VT_SHARDS, shards);
+  }
+  void add_top_records(uint32_t top_records) {
+    fbb_.AddElement<uint32_t>(relay_request::VT_TOP_RECORDS, top_records, 0);
+  }
+  void add_max_attempts(uint32_t max_attempts) {
+    fbb_.AddElement<uint32_t>(relay_request::VT_MAX_ATTEMPTS, max_attempts, 0);
+  }
+  void add_objective_us(uint64_t objective_us) {
+    fbb_.AddElement<uint64_t>(relay_request::VT_OBJECTIVE_US, objective_us, 0);
+  }
+  void add_answer_in_us(uint64_t answer_in_us) {
+    fbb_.AddElement<uint64_t>(relay_request::VT_ANSWER_IN_US, answer_in_us, 0);
+  }
+  void add_time_left_us(uint64_t time_left_us) {
+    fbb_.AddElement<uint64_t>(relay_request::VT_TIME_LEFT_US, time_left_us, 0);
+  }
+  explicit relay_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<relay_request> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<relay_request>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<relay_request> Createrelay_request(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t relay_id = 0,
+    flatbuffers::Offset<flatbuffers::String> route = 0,
+    flatbuffers::Offset<flatbuffers::String> request_id = 0,
+    flatbuffers::Offset<flatbuffers::String> method = 0,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::forwarded_header>>> headers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> shards = 0,
+    uint32_t top_records = 0,
+    uint32_t max_attempts = 0,
+    uint64_t objective_us = 0,
+    uint64_t answer_in_us = 0,
+    uint64_t time_left_us = 0) {
+  relay_requestBuilder builder_(_fbb);
+  builder_.add_time_left_us(time_left_us);
+  builder_.add_answer_in_us(answer_in_us);
+  builder_.add_objective_us(objective_us);
+  builder_.add_relay_id(relay_id);
+  builder_.add_max_attempts(max_attempts);
+  builder_.add_top_records(top_records);
+  builder_.add_shards(shards);
+  builder_.add_body(body);
+  builder_.add_headers(headers);
+  builder_.add_host(host);
+  builder_.add_target(target);
+  builder_.add_method(method);
+  builder_.add_request_id(request_id);
+  builder_.add_route(route);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<relay_request> Createrelay_requestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t relay_id = 0,
+    const char *route = nullptr,
+    const char *request_id = nullptr,
+    const char *method = nullptr,
+    const char *target = nullptr,
+    const char *host = nullptr,
+    const std::vector<flatbuffers::Offset<bilberrycourse::wire::forwarded_header>> *headers = nullptr,
+    const std::vector<uint8_t> *body = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *shards = nullptr,
+    uint32_t top_records = 0,
+    uint32_t max_attempts = 0,
+    uint64_t objective_us = 0,
+    uint64_t answer_in_us = 0,
+    uint64_t time_left_us = 0) {
+  auto route__ = route ? _fbb.CreateString(route) : 0;
+  auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
+  auto method__ = method ? _fbb.CreateString(method) : 0;
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::forwarded_header>>(*headers) : 0;
+  auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
+  auto shards__ = shards ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*shards) : 0;
+  return bilberrycourse::wire::Createrelay_request(
+      _fbb,
+      relay_id,
+      route__,
+      request_id__,
+      method__,
+      target__,
+      host__,
+      headers__,
+      body__,
+      shards__,
+      top_records,
+      max_attempts,
+      objective_us,
+      answer_in_us,
+      time_left_us);
+}
+
+flatbuffers::Offset<relay_request> Createrelay_request(flatbuffers::FlatBufferBuilder &_fbb, const relay_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct relay_resultT : public flatbuffers::NativeTable {
+  typedef relay_result TableType;
+  uint64_t relay_id = 0;
+  std::vector<uint16_t> answered{};
+  std::vector<std::string> stamps{};
+  std::vector<uint8_t> body{};
+  std::vector<uint16_t> failed{};
+  std::vector<uint16_t> codes{};
+  uint32_t attempts = 0;
+  uint32_t hedges = 0;
+  bool final = false;
+};
+
+struct relay_result FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef relay_resultT NativeTableType;
+  typedef relay_resultBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RELAY_ID = 4,
+    VT_ANSWERED = 6,
+    VT_STAMPS = 8,
+    VT_BODY = 10,
+    VT_FAILED = 12,
+    VT_CODES = 14,
+    VT_ATTEMPTS = 16,
+    VT_HEDGES = 18,
+    VT_FINAL = 20
+  };
+  uint64_t relay_id() const {
+    return GetField<uint64_t>(VT_RELAY_ID, 0);
+  }
+  const flatbuffers::Vector<uint16_t> *answered() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_ANSWERED);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *stamps() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_STAMPS);
+  }
+  const flatbuffers::Vector<uint8_t> *body() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
+  }
+  const flatbuffers::Vector<uint16_t> *failed() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_FAILED);
+  }
+  const flatbuffers::Vector<uint16_t> *codes() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_CODES);
+  }
+  uint32_t attempts() const {
+    return GetField<uint32_t>(VT_ATTEMPTS, 0);
+  }
+  uint32_t hedges() const {
+    return GetField<uint32_t>(VT_HEDGES, 0);
+  }
+  bool final() const {
+    return GetField<uint8_t>(VT_FINAL, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_RELAY_ID, 8) &&
+           VerifyOffset(verifier, VT_ANSWERED) &&
+           verifier.VerifyVector(answered()) &&
+           VerifyOffset(verifier, VT_STAMPS) &&
+           verifier.VerifyVector(stamps()) &&
+           verifier.VerifyVectorOfStrings(stamps()) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           verifier.VerifyVector(body()) &&
+           VerifyOffset(verifier, VT_FAILED) &&
+           verifier.VerifyVector(failed()) &&
+           VerifyOffset(verifier, VT_CODES) &&
+           verifier.VerifyVector(codes()) &&
+           VerifyField<uint32_t>(verifier, VT_ATTEMPTS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_HEDGES, 4) &&
+           VerifyField<uint8_t>(verifier, VT_FINAL, 1) &&
+           verifier.EndTable();
+  }
+  relay_resultT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(relay_resultT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<relay_result> Pack(flatbuffers::FlatBufferBuilder &_fbb, const relay_resultT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct relay_resultBuilder {
+  typedef relay_result Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_relay_id(uint64_t relay_id) {
+    fbb_.AddElement<uint64_t>(relay_result::VT_RELAY_ID, relay_id, 0);
+  }
+  void add_answered(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> answered) {
+    fbb_.AddOffset(relay_result::VT_ANSWERED, answered);
+  }
+  void add_stamps(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> stamps) {
+    fbb_.AddOffset(relay_result::VT_STAMPS, stamps);
+  }
+  void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
+    fbb_.AddOffset(relay_result::VT_BODY, body);
+  }
+  void add_failed(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> failed) {
+    fbb_.AddOffset(relay_result::VT_FAILED, failed);
+  }
+  void add_codes(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> codes) {
+    fbb_.AddOffset(relay_result::VT_CODES, codes);
+  }
+  void add_attempts(uint32_t attempts) {
+    fbb_.AddElement<uint32_t>(relay_result::VT_ATTEMPTS, attempts, 0);
+  }
+  void add_hedges(uint32_t hedges) {
+    fbb_.AddElement<uint32_t>(relay_result::VT_HEDGES, hedges, 0);
+  }
+  void add_final(bool final) {
+    fbb_.AddElement<uint8_t>(relay_result::VT_FINAL, static_cast<uint8_t>(final), 0);
+  }
+  explicit relay_resultBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<relay_result> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<relay_result>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<relay_result> Createrelay_result(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t relay_id = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> answered = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> stamps = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> failed = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> codes = 0,
+    uint32_t attempts = 0,
+    uint32_t hedges = 0,
+    bool final = false) {
+  relay_resultBuilder builder_(_fbb);
+  builder_.add_relay_id(relay_id);
+  builder_.add_hedges(hedges);
+  builder_.add_attempts(attempts);
+  builder_.add_codes(codes);
+  builder_.add_failed(failed);
+  builder_.add_body(body);
+  builder_.add_stamps(stamps);
+  builder_.add_answered(answered);
+  builder_.add_final(final);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<relay_result> Createrelay_resultDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t relay_id = 0,
+    const std::vector<uint16_t> *answered = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *stamps = nullptr,
+    const std::vector<uint8_t> *body = nullptr,
+    const std::vector<uint16_t> *failed = nullptr,
+    const std::vector<uint16_t> *codes = nullptr,
+    uint32_t attempts = 0,
+    uint32_t hedges = 0,
+    bool final = false) {
+  auto answered__ = answered ? _fbb.CreateVector<uint16_t>(*answered) : 0;
+  auto stamps__ = stamps ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*stamps) : 0;
+  auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
+  auto failed__ = failed ? _fbb.CreateVector<uint16_t>(*failed) : 0;
+  auto codes__ = codes ? _fbb.CreateVector<uint16_t>(*codes) : 0;
+  return bilberrycourse::wire::Createrelay_result(
+      _fbb,
+      relay_id,
+      answered__,
+      stamps__,
+      body__,
+      failed__,
+      codes__,
+      attempts,
+      hedges,
+      final);
+}
+
+flatbuffers::Offset<relay_result> Createrelay_result(flatbuffers::FlatBufferBuilder &_fbb, const relay_resultT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct relay_cancelT : public flatbuffers::NativeTable {
+  typedef relay_cancel TableType;
+  uint64_t relay_id = 0;
+  bool caller_left = false;
+};
+
+struct relay_cancel FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef relay_cancelT NativeTableType;
+  typedef relay_cancelBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RELAY_ID = 4,
+    VT_CALLER_LEFT = 6
+  };
+  uint64_t relay_id() const {
+    return GetField<uint64_t>(VT_RELAY_ID, 0);
+  }
+  bool caller_left() const {
+    return GetField<uint8_t>(VT_CALLER_LEFT, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_RELAY_ID, 8) &&
+           VerifyField<uint8_t>(verifier, VT_CALLER_LEFT, 1) &&
+           verifier.EndTable();
+  }
+  relay_cancelT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(relay_cancelT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<relay_cancel> Pack(flatbuffers::FlatBufferBuilder &_fbb, const relay_cancelT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct relay_cancelBuilder {
+  typedef relay_cancel Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_relay_id(uint64_t relay_id) {
+    fbb_.AddElement<uint64_t>(relay_cancel::VT_RELAY_ID, relay_id, 0);
+  }
+  void add_caller_left(bool caller_left) {
+    fbb_.AddElement<uint8_t>(relay_cancel::VT_CALLER_LEFT, static_cast<uint8_t>(caller_left), 0);
+  }
+  explicit relay_cancelBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<relay_cancel> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<relay_cancel>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<relay_cancel> Createrelay_cancel(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t relay_id = 0,
+    bool caller_left = false) {
+  relay_cancelBuilder builder_(_fbb);
+  builder_.add_relay_id(relay_id);
+  builder_.add_caller_left(caller_left);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<relay_cancel> Createrelay_cancel(flatbuffers::FlatBufferBuilder &_fbb, const relay_cancelT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct peer_frameT : public flatbuffers::NativeTable {
   typedef peer_frame TableType;
   bilberrycourse::wire::payloadUnion payload{};
@@ -2807,6 +3682,18 @@
   const bilberrycourse::wire::canary_started *payload_as_canary_started() const {
     return payload_type() == bilberrycourse::wire::payload::canary_started ? static_cast<const bilberrycourse::wire::canary_started *>(payload()) : nullptr;
   }
+  const bilberrycourse::wire::entry_hello *payload_as_entry_hello() const {
+    return payload_type() == bilberrycourse::wire::payload::entry_hello ? static_cast<const bilberrycourse::wire::entry_hello *>(payload()) : nullptr;
+  }
+  const bilberrycourse::wire::relay_request *payload_as_relay_request() const {
+    return payload_type() == bilberrycourse::wire::payload::relay_request ? static_cast<const bilberrycourse::wire::relay_request *>(payload()) : nullptr;
+  }
+  const bilberrycourse::wire::relay_result *payload_as_relay_result() const {
+    return payload_type() == bilberrycourse::wire::payload::relay_result ? static_cast<const bilberrycourse::wire::relay_result *>(payload()) : nullptr;
+  }
+  const bilberrycourse::wire::relay_cancel *payload_as_relay_cancel() const {
+    return payload_type() == bilberrycourse::wire::payload::relay_cancel ? static_cast<const bilberrycourse::wire::relay_cancel *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -2887,6 +3774,22 @@
   return payload_as_canary_started();
 }
 
+template<> inline const bilberrycourse::wire::entry_hello *peer_frame::payload_as<bilberrycourse::wire::entry_hello>() const {
+  return payload_as_entry_hello();
+}
+
+template<> inline const bilberrycourse::wire::relay_request *peer_frame::payload_as<bilberrycourse::wire::relay_request>() const {
+  return payload_as_relay_request();
+}
+
+template<> inline const bilberrycourse::wire::relay_result *peer_frame::payload_as<bilberrycourse::wire::relay_result>() const {
+  return payload_as_relay_result();
+}
+
+template<> inline const bilberrycourse::wire::relay_cancel *peer_frame::payload_as<bilberrycourse::wire::relay_cancel>() const {
+  return payload_as_relay_cancel();
+}
+
 struct peer_frameBuilder {
   typedef peer_frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3067,6 +3970,7 @@
   { auto _e = route_version(); _o->route_version = _e; }
   { auto _e = searcher_revision(); _o->searcher_revision = _e; }
   { auto _e = routed(); _o->routed = _e; }
+  { auto _e = entry_digest(); _o->entry_digest = _e; }
 }
 
 inline flatbuffers::Offset<control_poll> control_poll::Pack(flatbuffers::FlatBufferBuilder &_fbb, const control_pollT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3082,13 +3986,15 @@
   auto _route_version = _o->route_version;
   auto _searcher_revision = _o->searcher_revision;
   auto _routed = _o->routed;
+  auto _entry_digest = _o->entry_digest;
   return bilberrycourse::wire::Createcontrol_poll(
       _fbb,
       _poll_id,
       _published_version,
       _route_version,
       _searcher_revision,
-      _routed);
+      _routed,
+      _entry_digest);
 }
 
 inline control_addressT *control_address::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3128,9 +4034,12 @@
         state(o.state),
         leader(o.leader),
         routes(o.routes),
-        entry_instances(o.entry_instances) {
+        entry_instances(o.entry_instances),
+        entry_digest(o.entry_digest) {
   group.reserve(o.group.size());
   for (const auto &group_ : o.group) { group.emplace_back((group_) ? new bilberrycourse::wire::control_addressT(*group_) : nullptr); }
+  entries.reserve(o.entries.size());
+  for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new bilberrycourse::wire::entry_instanceT(*entries_) : nullptr); }
 }
 
 inline control_newsT &control_newsT::operator=(control_newsT o) FLATBUFFERS_NOEXCEPT {
@@ -3143,6 +4052,8 @@
   std::swap(routes, o.routes);
   std::swap(group, o.group);
   std::swap(entry_instances, o.entry_instances);
+  std::swap(entry_digest, o.entry_digest);
+  std::swap(entries, o.entries);
   return *this;
 }
 
@@ -3164,6 +4075,8 @@
   { auto _e = routes(); if (_e) { _o->routes.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->routes.begin()); } }
   { auto _e = group(); if (_e) { _o->group.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->group[_i] = std::unique_ptr<bilberrycourse::wire::control_addressT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = entry_instances(); _o->entry_instances = _e; }
+  { auto _e = entry_digest(); _o->entry_digest = _e; }
+  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<bilberrycourse::wire::entry_instanceT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<control_news> control_news::Pack(flatbuffers::FlatBufferBuilder &_fbb, const control_newsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3183,6 +4096,8 @@
   auto _routes = _o->routes.size() ? _fbb.CreateVector(_o->routes) : 0;
   auto _group = _o->group.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::control_address>> (_o->group.size(), [](size_t i, _VectorArgs *__va) { return Createcontrol_address(*__va->__fbb, __va->__o->group[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _entry_instances = _o->entry_instances;
+  auto _entry_digest = _o->entry_digest;
+  auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return Createentry_instance(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
   return bilberrycourse::wire::Createcontrol_news(
       _fbb,
       _poll_id,
@@ -3193,7 +4108,9 @@
       _leader,
       _routes,
       _group,
-      _entry_instances);
+      _entry_instances,
+      _entry_digest,
+      _entries);
 }
 
 inline proposeT *propose::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3760,6 +4677,276 @@
       _releases);
 }
 
+inline entry_helloT *entry_hello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<entry_helloT>(new entry_helloT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void entry_hello::UnPackTo(entry_helloT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = availability_zone(); if (_e) _o->availability_zone = _e->str(); }
+}
+
+inline flatbuffers::Offset<entry_hello> entry_hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const entry_helloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createentry_hello(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<entry_hello> Createentry_hello(flatbuffers::FlatBufferBuilder &_fbb, const entry_helloT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const entry_helloT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _availability_zone = _o->availability_zone.empty() ? 0 : _fbb.CreateString(_o->availability_zone);
+  return bilberrycourse::wire::Createentry_hello(
+      _fbb,
+      _address,
+      _availability_zone);
+}
+
+inline entry_instanceT *entry_instance::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<entry_instanceT>(new entry_instanceT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void entry_instance::UnPackTo(entry_instanceT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = instance(); if (_e) _o->instance = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = availability_zone(); if (_e) _o->availability_zone = _e->str(); }
+}
+
+inline flatbuffers::Offset<entry_instance> entry_instance::Pack(flatbuffers::FlatBufferBuilder &_fbb, const entry_instanceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createentry_instance(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<entry_instance> Createentry_instance(flatbuffers::FlatBufferBuilder &_fbb, const entry_instanceT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const entry_instanceT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _instance = _o->instance.empty() ? 0 : _fbb.CreateString(_o->instance);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _availability_zone = _o->availability_zone.empty() ? 0 : _fbb.CreateString(_o->availability_zone);
+  return bilberrycourse::wire::Createentry_instance(
+      _fbb,
+      _instance,
+      _address,
+      _availability_zone);
+}
+
+inline forwarded_headerT *forwarded_header::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<forwarded_headerT>(new forwarded_headerT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void forwarded_header::UnPackTo(forwarded_headerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = value(); if (_e) _o->value = _e->str(); }
+}
+
+inline flatbuffers::Offset<forwarded_header> forwarded_header::Pack(flatbuffers::FlatBufferBuilder &_fbb, const forwarded_headerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createforwarded_header(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<forwarded_header> Createforwarded_header(flatbuffers::FlatBufferBuilder &_fbb, const forwarded_headerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const forwarded_headerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
+  auto _value = _o->value.empty() ? 0 : _fbb.CreateString(_o->value);
+  return bilberrycourse::wire::Createforwarded_header(
+      _fbb,
+      _name,
+      _value);
+}
+
+inline relay_requestT::relay_requestT(const relay_requestT &o)
+      : relay_id(o.relay_id),
+        route(o.route),
+        request_id(o.request_id),
+        method(o.method),
+        target(o.target),
+        host(o.host),
+        body(o.body),
+        shards(o.shards),
+        top_records(o.top_records),
+        max_attempts(o.max_attempts),
+        objective_us(o.objective_us),
+        answer_in_us(o.answer_in_us),
+        time_left_us(o.time_left_us) {
+  headers.reserve(o.headers.size());
+  for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new bilberrycourse::wire::forwarded_headerT(*headers_) : nullptr); }
+}
+
+inline relay_requestT &relay_requestT::operator=(relay_requestT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(relay_id, o.relay_id);
+  std::swap(route, o.route);
+  std::swap(request_id, o.request_id);
+  std::swap(method, o.method);
+  std::swap(target, o.target);
+  std::swap(host, o.host);
+  std::swap(headers, o.headers);
+  std::swap(body, o.body);
+  std::swap(shards, o.shards);
+  std::swap(top_records, o.top_records);
+  std::swap(max_attempts, o.max_attempts);
+  std::swap(objective_us, o.objective_us);
+  std::swap(answer_in_us, o.answer_in_us);
+  std::swap(time_left_us, o.time_left_us);
+  return *this;
+}
+
+inline relay_requestT *relay_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<relay_requestT>(new relay_requestT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void relay_request::UnPackTo(relay_requestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = relay_id(); _o->relay_id = _e; }
+  { auto _e = route(); if (_e) _o->route = _e->str(); }
+  { auto _e = request_id(); if (_e) _o->request_id = _e->str(); }
+  { auto _e = method(); if (_e) _o->method = _e->str(); }
+  { auto _e = target(); if (_e) _o->target = _e->str(); }
+  { auto _e = host(); if (_e) _o->host = _e->str(); }
+  { auto _e = headers(); if (_e) { _o->headers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->headers[_i] = std::unique_ptr<bilberrycourse::wire::forwarded_headerT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
+  { auto _e = shards(); if (_e) { _o->shards.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shards[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = top_records(); _o->top_records = _e; }
+  { auto _e = max_attempts(); _o->max_attempts = _e; }
+  { auto _e = objective_us(); _o->objective_us = _e; }
+  { auto _e = answer_in_us(); _o->answer_in_us = _e; }
+  { auto _e = time_left_us(); _o->time_left_us = _e; }
+}
+
+inline flatbuffers::Offset<relay_request> relay_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const relay_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createrelay_request(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<relay_request> Createrelay_request(flatbuffers::FlatBufferBuilder &_fbb, const relay_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const relay_requestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _relay_id = _o->relay_id;
+  auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
+  auto _request_id = _o->request_id.empty() ? 0 : _fbb.CreateString(_o->request_id);
+  auto _method = _o->method.empty() ? 0 : _fbb.CreateString(_o->method);
+  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
+  auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
+  auto _headers = _o->headers.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::forwarded_header>> (_o->headers.size(), [](size_t i, _VectorArgs *__va) { return Createforwarded_header(*__va->__fbb, __va->__o->headers[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
+  auto _shards = _o->shards.size() ? _fbb.CreateVectorOfStrings(_o->shards) : 0;
+  auto _top_records = _o->top_records;
+  auto _max_attempts = _o->max_attempts;
+  auto _objective_us = _o->objective_us;
+  auto _answer_in_us = _o->answer_in_us;
+  auto _time_left_us = _o->time_left_us;
+  return bilberrycourse::wire::Createrelay_request(
+      _fbb,
+      _relay_id,
+      _route,
+      _request_id,
+      _method,
+      _target,
+      _host,
+      _headers,
+      _body,
+      _shards,
+      _top_records,
+      _max_attempts,
+      _objective_us,
+      _answer_in_us,
+      _time_left_us);
+}
+
+inline relay_resultT *relay_result::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<relay_resultT>(new relay_resultT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void relay_result::UnPackTo(relay_resultT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = relay_id(); _o->relay_id = _e; }
+  { auto _e = answered(); if (_e) { _o->answered.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->answered[_i] = _e->Get(_i); } } }
+  { auto _e = stamps(); if (_e) { _o->stamps.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->stamps[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
+  { auto _e = failed(); if (_e) { _o->failed.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->failed[_i] = _e->Get(_i); } } }
+  { auto _e = codes(); if (_e) { _o->codes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->codes[_i] = _e->Get(_i); } } }
+  { auto _e = attempts(); _o->attempts = _e; }
+  { auto _e = hedges(); _o->hedges = _e; }
+  { auto _e = final(); _o->final = _e; }
+}
+
+inline flatbuffers::Offset<relay_result> relay_result::Pack(flatbuffers::FlatBufferBuilder &_fbb, const relay_resultT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createrelay_result(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<relay_result> Createrelay_result(flatbuffers::FlatBufferBuilder &_fbb, const relay_resultT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const relay_resultT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _relay_id = _o->relay_id;
+  auto _answered = _o->answered.size() ? _fbb.CreateVector(_o->answered) : 0;
+  auto _stamps = _o->stamps.size() ? _fbb.CreateVectorOfStrings(_o->stamps) : 0;
+  auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
+  auto _failed = _o->failed.size() ? _fbb.CreateVector(_o->failed) : 0;
+  auto _codes = _o->codes.size() ? _fbb.CreateVector(_o->codes) : 0;
+  auto _attempts = _o->attempts;
+  auto _hedges = _o->hedges;
+  auto _final = _o->final;
+  return bilberrycourse::wire::Createrelay_result(
+      _fbb,
+      _relay_id,
+      _answered,
+      _stamps,
+      _body,
+      _failed,
+      _codes,
+      _attempts,
+      _hedges,
+      _final);
+}
+
+inline relay_cancelT *relay_cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<relay_cancelT>(new relay_cancelT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void relay_cancel::UnPackTo(relay_cancelT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = relay_id(); _o->relay_id = _e; }
+  { auto _e = caller_left(); _o->caller_left = _e; }
+}
+
+inline flatbuffers::Offset<relay_cancel> relay_cancel::Pack(flatbuffers::FlatBufferBuilder &_fbb, const relay_cancelT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createrelay_cancel(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<relay_cancel> Createrelay_cancel(flatbuffers::FlatBufferBuilder &_fbb, const relay_cancelT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const relay_cancelT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _relay_id = _o->relay_id;
+  auto _caller_left = _o->caller_left;
+  return bilberrycourse::wire::Createrelay_cancel(
+      _fbb,
+      _relay_id,
+      _caller_left);
+}
+
 inline peer_frameT *peer_frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<peer_frameT>(new peer_frameT());
   UnPackTo(_o.get(), _resolver);
@@ -3862,6 +5049,22 @@
       auto ptr = reinterpret_cast<const bilberrycourse::wire::canary_started *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::entry_hello: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::entry_hello *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case payload::relay_request: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::relay_request *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case payload::relay_result: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::relay_result *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case payload::relay_cancel: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::relay_cancel *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -3949,6 +5152,22 @@
       auto ptr = reinterpret_cast<const bilberrycourse::wire::canary_started *>(obj);
       return ptr->UnPack(resolver);
     }
+    case payload::entry_hello: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::entry_hello *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case payload::relay_request: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::relay_request *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case payload::relay_result: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::relay_result *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case payload::relay_cancel: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::relay_cancel *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -4024,6 +5243,22 @@
       auto ptr = reinterpret_cast<const bilberrycourse::wire::canary_startedT *>(value);
       return Createcanary_started(_fbb, ptr, _rehasher).Union();
     }
+    case payload::entry_hello: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::entry_helloT *>(value);
+      return Createentry_hello(_fbb, ptr, _rehasher).Union();
+    }
+    case payload::relay_request: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::relay_requestT *>(value);
+      return Createrelay_request(_fbb, ptr, _rehasher).Union();
+    }
+    case payload::relay_result: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::relay_resultT *>(value);
+      return Createrelay_result(_fbb, ptr, _rehasher).Union();
+    }
+    case payload::relay_cancel: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::relay_cancelT *>(value);
+      return Createrelay_cancel(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -4098,6 +5333,22 @@
       value = new bilberrycourse::wire::canary_startedT(*reinterpret_cast<bilberrycourse::wire::canary_startedT *>(u.value));
       break;
     }
+    case payload::entry_hello: {
+      value = new bilberrycourse::wire::entry_helloT(*reinterpret_cast<bilberrycourse::wire::entry_helloT *>(u.value));
+      break;
+    }
+    case payload::relay_request: {
+      value = new bilberrycourse::wire::relay_requestT(*reinterpret_cast<bilberrycourse::wire::relay_requestT *>(u.value));
+      break;
+    }
+    case payload::relay_result: {
+      value = new bilberrycourse::wire::relay_resultT(*reinterpret_cast<bilberrycourse::wire::relay_resultT *>(u.value));
+      break;
+    }
+    case payload::relay_cancel: {
+      value = new bilberrycourse::wire::relay_cancelT(*reinterpret_cast<bilberrycourse::wire::relay_cancelT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -4190,6 +5441,26 @@
       delete ptr;
       break;
     }
+    case payload::entry_hello: {
+      auto ptr = reinterpret_cast<bilberrycourse::wire::entry_helloT *>(value);
+      delete ptr;
+      break;
+    }
+    case payload::relay_request: {
+      auto ptr = reinterpret_cast<bilberrycourse::wire::relay_requestT *>(value);
+      delete ptr;
+      break;
+    }
+    case payload::relay_result: {
+      auto ptr = reinterpret_cast<bilberrycourse::wire::relay_resultT *>(value);
+      delete ptr;
+      break;
+    }
+    case payload::relay_cancel: {
+      auto ptr = reinterpret_cast<bilberrycourse::wire::relay_cancelT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "app/daemon_clock.h"
+#include "app/frames.h"
 #include "app/json_log.h"
 
 namespace bilberrycourse {
@@ -77,9 +78,9 @@
                      HandleMain(std::move(request), std::move(respond));
                    }) {
   if (config_.entry) {
-    gateway_ = std::make_unique<route_gateway>(context_.get_executor(), config_,
-                                               protocol_.get(), &metrics_,
-                                               [this] { ArmTimer(); });
+    gateway_ = std::make_unique<route_gateway>(
+        context_.get_executor(), config_, protocol_.get(), &transport_,
+        &metrics_, [this] { ArmTimer(); });
   }
   if (config_.control) {
     registry_ = std::make_unique<route_registry>(protocol_.get(), member_.get(),
@@ -209,19 +210,23 @@
       addresses.insert(address);
     }
   }
+  if (gateway_ != nullptr) {
+    for (const entry_instance& relay : gateway_->Relays()) {
+      if (!transport_.Connected(relay.name)) addresses.insert(relay.address);
+    }
+  }
   for (const std::string& address : addresses) transport_.Dial(address);
 }
 
 void route_daemon::CountEntryInstances(time_point now) {
-  std::uint32_t count = 0;
-  for (const instance_name& peer : transport_.connected_peers()) {
-    if (!group_.contains(peer)) ++count;
-  }
+  std::vector<entry_instance> linked;
+  for (const auto& [name, entry] : entries_) linked.push_back(entry);
+  const auto count = static_cast<std::uint32_t>(linked.size());
   if (count >= entry_instances_ || now - counted_at_ >= kCountHold) {
     entry_instances_ = count;
     counted_at_ = now;
   }
-  frames_.SetEntryInstances(entry_instances_);
+  frames_.SetEntryInstances(entry_instances_, std::move(linked));
 }
 
 void route_daemon::OnControlGroup(const std::vector<log_member>& group,
@@ -241,18 +246,37 @@
   control_.SetGroup(std::move(names));
 }
 
+void route_daemon::OnEntryInstances(
+    const std::vector<entry_instance>& entries) {
+  if (gateway_ != nullptr) gateway_->SetEntryInstances(entries);
+}
+
 void route_daemon::OnPeerConnected(const instance_name& peer) {
   LogEvent(log_level::kInfo, "peer_connected", {{"peer", peer}});
+  if (gateway_ == nullptr) return;
+  wire::entry_helloT hello;
+  hello.address = config_.peer_listen.ToText();
+  hello.availability_zone = config_.zone;
+  transport_.Send(peer, MakeFrame(std::move(hello)));
 }
 
 void route_daemon::OnPeerDisconnected(const instance_name& peer) {
   LogEvent(log_level::kInfo, "peer_disconnected", {{"peer", peer}});
   control_.OnPeerDisconnected(peer, Now());
+  entries_.erase(peer);
+  if (gateway_ != nullptr) gateway_->OnPeerDisconnected(peer, Now());
 }
 
 void route_daemon::OnPeerFrame(const instance_name& peer,
                                const wire::peer_frame& frame) {
-  frames_.Handle(peer, frame, Now());
+  if (const auto* hello = frame.payload_as_entry_hello()) {
+    entries_[peer] = {peer, ToText(hello->address()),
+                      ToText(hello->availability_zone())};
+    return;
+  }
+  const time_point now = Now();
+  if (gateway_ != nullptr && gateway_->OnPeerFrame(peer, frame, now)) return;
+  frames_.Handle(peer, frame, now);
 }
 
 void route_daemon::OnPublished(const published_state&) {}
--- a/app/route_daemon.h
+++ b/app/route_daemon.h
@@ -51,6 +51,7 @@
   void OnRouteNews(const route_news& news) override;
   void OnControlGroup(const std::vector<log_member>& group,
                       std::uint32_t entry_instances) override;
+  void OnEntryInstances(const std::vector<entry_instance>& entries) override;
 
  private:
   void HandleMain(http_request request, http_responder respond);
@@ -87,6 +88,8 @@
   std::unique_ptr<http_server> readiness_server_;
   // Addresses of the control group by the newest news.
   std::map<instance_name, std::string> group_;
+  // On a control instance: the entry instances by their hello.
+  std::map<instance_name, entry_instance> entries_;
   time_point dial_due_{};
   std::uint32_t entry_instances_ = 0;
   time_point counted_at_{};
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -56,7 +56,8 @@
 
 route_gateway::route_gateway(boost::asio::any_io_executor executor,
                              const settings& config,
-                             const edge_protocol* protocol, metrics* counters,
+                             const edge_protocol* protocol,
+                             peer_transport* transport, metrics* counters,
                              std::function<void()> wake)
     : config_(config),
       protocol_(protocol),
@@ -64,7 +65,9 @@
       wake_(std::move(wake)),
       log_limiter_(kExplainedPerSecond),
       engine_(EngineOptions(config), config.name, config.zone),
-      client_(std::move(executor), {}, protocol->headers(), this) {}
+      client_(std::move(executor), {}, protocol->headers(), this),
+      transport_(transport),
+      plan_({}, config.name, config.zone) {}
 
 std::string route_gateway::HeaderOf(const http_request& request,
                                     const std::string& name) const {
@@ -146,6 +149,7 @@
   call.sent_at = SentAt(request, now);
   call.time_left =
       ParseMillis(HeaderOf(request, names.deadline)).value_or(kNoDeadline);
+  call.relays = UsableGroups(*matched, now);
   route_effects effects;
   engine_.Begin(std::move(call), now, &effects);
   Execute(&effects);
@@ -175,6 +179,7 @@
       table_ = std::make_shared<const route_table>(
           std::make_shared<const route_config>(*std::move(config)));
       engine_.SetRoutes(table_, now, &effects);
+      PlanRelays();
     } else {
       LogEvent(log_level::kError, "routes_unreadable",
                {{"version", news.routes.version}, {"problem", problem}});
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -20,9 +20,11 @@
 #include "app/http_server.h"
 #include "app/log_limiter.h"
 #include "app/metrics.h"
+#include "app/peer_transport.h"
 #include "app/searcher_client.h"
 #include "app/settings.h"
 #include "bilberrycourse/control_state.h"
+#include "bilberrycourse/relay_plan.h"
 #include "bilberrycourse/route_engine.h"
 
 namespace bilberrycourse {
@@ -31,14 +33,21 @@
  public:
   // `wake` is called when next_due() may have become earlier.
   route_gateway(boost::asio::any_io_executor executor, const settings& config,
-                const edge_protocol* protocol, metrics* counters,
-                std::function<void()> wake);
+                const edge_protocol* protocol, peer_transport* transport,
+                metrics* counters, std::function<void()> wake);
 
   // A request of a caller; answered exactly once.
   void Handle(http_request request, http_responder respond);
 
   void OnRouteNews(const route_news& news, time_point now);
   void SetInstances(std::uint32_t instances);
+  void SetEntryInstances(const std::vector<entry_instance>& entries);
+  // Entry instances to which a link is wanted.
+  const std::vector<entry_instance>& Relays() const { return relays_; }
+  // Returns false if the frame is of another kind.
+  bool OnPeerFrame(const instance_name& peer, const wire::peer_frame& frame,
+                   time_point now);
+  void OnPeerDisconnected(const instance_name& peer, time_point now);
 
   void Tick(time_point now);
   std::optional<time_point> next_due() const { return engine_.next_due(); }
@@ -60,6 +69,17 @@
     const route* matched = nullptr;
     std::shared_ptr<const route_table> table;
     http_responder respond;
+    // On a relay: the origin and its number of the request.
+    instance_name origin;
+    std::uint64_t relay_id = 0;
+    // Keeps `matched` alive on a relay.
+    std::shared_ptr<const route> partial;
+  };
+  // A group of shards that a relay searches for this origin.
+  struct relayed_group {
+    route_request_id request{};
+    std::size_t group = 0;
+    instance_name relay;
   };
 
   void Execute(route_effects* effects);
@@ -67,6 +87,17 @@
   void Do(close_searcher_connection& effect);
   void Do(send_to_searcher& effect);
   void Do(finish_route_request& effect);
+  void Do(send_to_relay& effect);
+  void Do(cancel_at_relay& effect);
+  void Do(relay_silent& effect);
+  void Do(route_progress& effect);
+  void OnRelayRequest(const instance_name& peer,
+                      const wire::relay_request& request, time_point now);
+  void OnRelayResult(const wire::relay_result& result, time_point now);
+  void OnRelayCancel(const instance_name& peer,
+                     const wire::relay_cancel& cancel, time_point now);
+  std::vector<relay_group> UsableGroups(const route& matched, time_point now);
+  void PlanRelays();
   std::shared_ptr<const header_list> ForwardedHeaders(
       const header_list& headers) const;
   http_response MakeResponse(const finish_route_request& finish) const;
@@ -87,6 +118,16 @@
   std::shared_ptr<const route_table> table_;
   std::map<route_request_id, call_row> calls_;
   std::uint64_t next_request_ = 1;
+  peer_transport* transport_;
+  relay_plan plan_;
+  std::vector<entry_instance> relays_;
+  // Relays that were silent are not used until then.
+  std::map<instance_name, time_point> silent_until_;
+  // This origin's numbers of groups at relays.
+  std::map<std::uint64_t, relayed_group> relayed_;
+  std::uint64_t next_relay_id_ = 1;
+  // On a relay: requests by origin and its number.
+  std::map<std::pair<instance_name, std::uint64_t>, route_request_id> served_;
 };
 
 }  // namespace bilberrycourse
--- /dev/null
+++ b/app/route_gateway_relays.cc
@@ -0,0 +1,285 @@
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "app/daemon_clock.h"
+#include "app/frames.h"
+#include "app/json_log.h"
+#include "app/route_gateway.h"
+
+// The relays of route_gateway: parts of requests over many shards that other
+// entry instances search for this one, and the other way round.
+
+namespace bilberrycourse {
+namespace {
+
+// A relay that did not report in time is left out for this long.
+constexpr duration kSilencePause = std::chrono::seconds(3);
+
+duration FromMicros(std::uint64_t micros) {
+  constexpr std::uint64_t kDay = 24ULL * 3600 * 1'000'000;
+  return duration(static_cast<duration::rep>(std::min(micros, kDay)));
+}
+
+std::uint64_t ToMicros(duration value) {
+  return static_cast<std::uint64_t>(std::max<duration::rep>(value.count(), 0));
+}
+
+shard_report FromWire(const wire::relay_result& result) {
+  shard_report report;
+  if (result.answered() != nullptr) {
+    report.answered.assign(result.answered()->begin(),
+                           result.answered()->end());
+  }
+  if (result.stamps() != nullptr) {
+    for (const flatbuffers::String* stamp : *result.stamps()) {
+      report.stamps.push_back(ToText(stamp));
+    }
+  }
+  report.body = ToText(result.body());
+  if (result.failed() != nullptr && result.codes() != nullptr) {
+    const std::size_t count =
+        std::min(result.failed()->size(), result.codes()->size());
+    for (flatbuffers::uoffset_t i = 0; i < count; ++i) {
+      report.failed.emplace_back(result.failed()->Get(i),
+                                 ResultCodeFromNumber(result.codes()->Get(i)));
+    }
+  }
+  report.attempts = result.attempts();
+  report.hedges = result.hedges();
+  report.final = result.final();
+  return report;
+}
+
+}  // namespace
+
+void route_gateway::SetEntryInstances(
+    const std::vector<entry_instance>& entries) {
+  plan_.SetInstances(entries);
+  PlanRelays();
+}
+
+// Links are wanted to the relays of every route, and the shards that relays
+// search are used by fewer instances.
+void route_gateway::PlanRelays() {
+  relays_.clear();
+  if (table_ == nullptr) return;
+  std::set<instance_name> names;
+  for (const route& each : table_->config().routes) {
+    const std::uint32_t users =
+        plan_.UsesRelays(each.shards.size())
+            ? plan_.InstancesPerShard(each.shards.size())
+            : 0;
+    for (const std::string& shard : each.shards) {
+      engine_.SetUsers(shard, users);
+    }
+    for (entry_instance& relay : plan_.Relays(each.shards.size())) {
+      if (names.insert(relay.name).second) relays_.push_back(std::move(relay));
+    }
+  }
+}
+
+// The groups whose relays can be reached; the origin searches the others.
+std::vector<relay_group> route_gateway::UsableGroups(const route& matched,
+                                                     time_point now) {
+  std::vector<relay_group> usable;
+  if (matched.shards.empty()) return usable;
+  for (const relay_group& group : plan_.Groups(matched.shards)) {
+    const auto silent = silent_until_.find(group.relay);
+    const bool heard = silent == silent_until_.end() || now >= silent->second;
+    if (heard && transport_->Connected(group.relay)) usable.push_back(group);
+  }
+  return usable;
+}
+
+bool route_gateway::OnPeerFrame(const instance_name& peer,
+                                const wire::peer_frame& frame, time_point now) {
+  if (const auto* request = frame.payload_as_relay_request()) {
+    OnRelayRequest(peer, *request, now);
+    return true;
+  }
+  if (const auto* result = frame.payload_as_relay_result()) {
+    OnRelayResult(*result, now);
+    return true;
+  }
+  if (const auto* cancel = frame.payload_as_relay_cancel()) {
+    OnRelayCancel(peer, *cancel, now);
+    return true;
+  }
+  return false;
+}
+
+void route_gateway::OnPeerDisconnected(const instance_name& peer,
+                                       time_point now) {
+  route_effects effects;
+  engine_.OnRelayLost(peer, now, &effects);
+  std::erase_if(relayed_,
+                [&](const auto& each) { return each.second.relay == peer; });
+  // The callers of an origin that is gone have lost their connections.
+  std::vector<std::pair<instance_name, std::uint64_t>> orphans;
+  for (const auto& [key, id] : served_) {
+    if (key.first == peer) orphans.push_back(key);
+  }
+  for (const auto& key : orphans) {
+    const route_request_id id = served_.at(key);
+    served_.erase(key);
+    engine_.Cancel(id, now, &effects);
+    calls_.erase(id);
+  }
+  Execute(&effects);
+}
+
+void route_gateway::Do(send_to_relay& effect) {
+  const auto found = calls_.find(effect.request);
+  if (found == calls_.end()) return;
+  const call_row& call = found->second;
+  wire::relay_requestT request;
+  request.relay_id = next_relay_id_++;
+  request.route = call.matched->name;
+  request.request_id = call.forwarded.request_id;
+  request.method = call.forwarded.method;
+  request.target = call.forwarded.target;
+  request.host = call.forwarded.host;
+  for (const auto& [name, value] : *call.forwarded.headers) {
+    auto header = std::make_unique<wire::forwarded_headerT>();
+    header->name = name;
+    header->value = value;
+    request.headers.push_back(std::move(header));
+  }
+  if (call.forwarded.body != nullptr) {
+    request.body = ToBytes(*call.forwarded.body);
+  }
+  request.shards = std::move(effect.shards);
+  request.top_records = call.matched->top_records;
+  request.max_attempts = call.matched->max_attempts;
+  request.objective_us = ToMicros(call.matched->latency_objective);
+  request.answer_in_us = ToMicros(effect.answer_in);
+  request.time_left_us = ToMicros(effect.time_left);
+  relayed_[request.relay_id] = {effect.request, effect.group, effect.relay};
+  transport_->Send(effect.relay, MakeFrame(std::move(request)));
+}
+
+void route_gateway::Do(cancel_at_relay& effect) {
+  for (auto each = relayed_.begin(); each != relayed_.end(); ++each) {
+    if (each->second.request != effect.request ||
+        each->second.group != effect.group) {
+      continue;
+    }
+    wire::relay_cancelT cancel;
+    cancel.relay_id = each->first;
+    cancel.caller_left = effect.caller_left;
+    transport_->Send(effect.relay, MakeFrame(std::move(cancel)));
+    relayed_.erase(each);
+    return;
+  }
+}
+
+void route_gateway::Do(relay_silent& effect) {
+  silent_until_[effect.relay] = Now() + kSilencePause;
+  LogEvent(log_level::kWarning, "relay_silent", {{"relay", effect.relay}});
+}
+
+void route_gateway::OnRelayRequest(const instance_name& peer,
+                                   const wire::relay_request& request,
+                                   time_point now) {
+  if (table_ == nullptr || request.shards() == nullptr) return;
+  auto partial = std::make_shared<route>();
+  partial->name = ToText(request.route());
+  partial->idempotent = true;
+  partial->latency_objective = FromMicros(request.objective_us());
+  partial->timeout = FromMicros(request.time_left_us());
+  partial->max_attempts = std::max(request.max_attempts(), 1u);
+  partial->top_records = request.top_records();
+  for (const flatbuffers::String* shard : *request.shards()) {
+    partial->shards.push_back(ToText(shard));
+  }
+  if (partial->shards.empty()) return;
+  const route_request_id id{next_request_++};
+  call_row& row = calls_[id];
+  row.partial = partial;
+  row.matched = partial.get();
+  row.table = table_;
+  row.origin = peer;
+  row.relay_id = request.relay_id();
+  row.forwarded.method = ToText(request.method());
+  row.forwarded.target = ToText(request.target());
+  row.forwarded.host = ToText(request.host());
+  row.forwarded.request_id = ToText(request.request_id());
+  auto headers = std::make_shared<header_list>();
+  if (request.headers() != nullptr) {
+    for (const wire::forwarded_header* each : *request.headers()) {
+      headers->emplace_back(ToText(each->name()), ToText(each->value()));
+    }
+  }
+  row.forwarded.headers = std::move(headers);
+  if (request.body() != nullptr && request.body()->size() > 0) {
+    row.forwarded.body =
+        std::make_shared<const std::string>(ToText(request.body()));
+  }
+  served_[{peer, request.relay_id()}] = id;
+  route_call call;
+  call.id = id;
+  call.table = table_;
+  call.matched = partial.get();
+  call.partial = partial;
+  call.sent_at = now;
+  call.time_left = FromMicros(request.time_left_us());
+  call.answer_at = now + FromMicros(request.answer_in_us());
+  route_effects effects;
+  engine_.Begin(std::move(call), now, &effects);
+  Execute(&effects);
+}
+
+void route_gateway::Do(route_progress& effect) {
+  const auto found = calls_.find(effect.request);
+  if (found == calls_.end()) return;
+  const call_row& call = found->second;
+  const shard_report& report = effect.report;
+  wire::relay_resultT result;
+  result.relay_id = call.relay_id;
+  result.answered.assign(report.answered.begin(), report.answered.end());
+  result.stamps = report.stamps;
+  result.body = ToBytes(report.body);
+  for (const auto& [position, code] : report.failed) {
+    result.failed.push_back(static_cast<std::uint16_t>(position));
+    result.codes.push_back(Describe(code).number);
+  }
+  result.attempts = report.attempts;
+  result.hedges = report.hedges;
+  result.final = report.final;
+  transport_->Send(call.origin, MakeFrame(std::move(result)));
+  if (!report.final) return;
+  served_.erase({call.origin, call.relay_id});
+  calls_.erase(found);
+}
+
+void route_gateway::OnRelayResult(const wire::relay_result& result,
+                                  time_point now) {
+  const auto found = relayed_.find(result.relay_id());
+  if (found == relayed_.end()) return;
+  const relayed_group group = found->second;
+  if (result.final()) relayed_.erase(found);
+  route_effects effects;
+  engine_.OnRelayReport(group.request, group.group, FromWire(result), now,
+                        &effects);
+  Execute(&effects);
+}
+
+void route_gateway::OnRelayCancel(const instance_name& peer,
+                                  const wire::relay_cancel& cancel,
+                                  time_point now) {
+  const auto found = served_.find({peer, cancel.relay_id()});
+  if (found == served_.end()) return;
+  const route_request_id id = found->second;
+  served_.erase(found);
+  route_effects effects;
+  if (cancel.caller_left()) {
+    engine_.Cancel(id, now, &effects);
+  } else {
+    engine_.Abandon(id);
+  }
+  calls_.erase(id);
+  Execute(&effects);
+}
+
+}  // namespace bilberrycourse
--- a/bilberrycourse/route_effects.h
+++ b/bilberrycourse/route_effects.h
@@ -101,9 +101,55 @@
   duration elapsed{0};
 };
 
+// Let another entry instance search some shards of the request.
+struct send_to_relay {
+  route_request_id request{};
+  // Names the group in the calls about its results.
+  std::size_t group = 0;
+  instance_name relay;
+  std::vector<std::string> shards;
+  // When the relay reports what it has, and until when it goes on.
+  duration answer_in{0};
+  duration time_left{0};
+};
+
+// The origin needs no further result of the relay. With `caller_left`, work in
+// flight is to be broken off as well.
+struct cancel_at_relay {
+  route_request_id request{};
+  std::size_t group = 0;
+  instance_name relay;
+  bool caller_left = false;
+};
+
+// The relay has not been heard of when its report was due.
+struct relay_silent {
+  instance_name relay;
+};
+
+// Shards that have been answered or have failed, by their position.
+struct shard_report {
+  std::vector<std::size_t> answered;
+  std::vector<std::string> stamps;
+  // The greatest records of the answered shards.
+  std::string body;
+  std::vector<std::pair<std::size_t, result_code>> failed;
+  std::uint32_t attempts = 0;
+  std::uint32_t hedges = 0;
+  // Nothing follows.
+  bool final = false;
+};
+
+// Part of the result of a request that was begun as `streamed`.
+struct route_progress {
+  route_request_id request{};
+  shard_report report;
+};
+
 using route_effect =
     std::variant<open_searcher_connection, close_searcher_connection,
-                 send_to_searcher, finish_route_request>;
+                 send_to_searcher, finish_route_request, send_to_relay,
+                 cancel_at_relay, relay_silent, route_progress>;
 using route_effects = std::vector<route_effect>;
 
 }  // namespace bilberrycourse
--- a/bilberrycourse/route_engine.cc
+++ b/bilberrycourse/route_engine.cc
@@ -38,7 +38,7 @@
   for (const auto& [name, service] : table_->config().services) {
     pool_.SetLimit(name, std::max<std::uint32_t>(service.connection_limit, 1));
     for (searcher_entry* entry : pool_.OfService(name)) {
-      if (entry->usable() && entry->preferred) {
+      if (entry->usable() && pool_.KeepsWarm(*entry)) {
         OpenConnections(entry, 1, now, out);
       }
     }
@@ -49,7 +49,16 @@
   if (instances == 0 || instances == instances_) return;
   instances_ = instances;
   pool_.SetInstances(instances);
-  for (auto& [name, row] : services_) row.budget.SetInstances(instances);
+  for (auto& [name, row] : services_) {
+    if (row.users == 0) row.budget.SetInstances(instances);
+  }
+}
+
+void route_engine::SetUsers(const std::string& service, std::uint32_t users) {
+  pool_.SetUsers(service, users);
+  service_row& row = Service(service);
+  row.users = users;
+  row.budget.SetInstances(users > 0 ? users : instances_);
 }
 
 route_engine::service_row& route_engine::Service(const std::string& name) {
@@ -92,7 +101,7 @@
   if (table_ == nullptr) return;
   for (const searcher_record& change : changes) {
     searcher_entry* entry = pool_.Find(change.report.id);
-    if (entry != nullptr && entry->usable() && entry->preferred &&
+    if (entry != nullptr && entry->usable() && pool_.KeepsWarm(*entry) &&
         table_->config().services.contains(entry->report.service)) {
       OpenConnections(entry, 1, now, out);
     }
@@ -175,6 +184,8 @@
       return OnWaitDue(row, now, out);
     case alarm_kind::kAnswer:
       return OnAnswerDue(row, now, out);
+    case alarm_kind::kRelay:
+      return OnRelayDue(row, due.part, now, out);
     case alarm_kind::kGiveUp:
       return OnGiveUpDue(row, now, out);
     case alarm_kind::kAttempt:
@@ -195,6 +206,7 @@
                std::min(matched.timeout, row.call.time_left) - kGiveUpMargin);
   row.answer_at = std::max(now, row.call.sent_at + matched.latency_objective -
                                     options_.answer_margin);
+  if (row.call.streamed()) row.answer_at = row.call.answer_at;
   if (row.fan_out()) {
     for (const std::string& service : matched.shards) {
       row.parts.emplace_back().service = service;
@@ -202,11 +214,13 @@
   } else {
     row.parts.emplace_back().service = PickBackend(matched);
   }
-  for (const part& each : row.parts) Service(each.service).budget.OnRequest();
   if (requests_.size() > options_.max_requests) {
     return FinishFailed(&row, result_code::kOverloaded, now, out);
   }
+  StartRelays(&row, now, out);
   for (std::size_t i = 0; i < row.parts.size(); ++i) {
+    if (row.parts[i].relayed) continue;
+    Service(row.parts[i].service).budget.OnRequest();
     if (!StartAttempt(&row, i, send_reason::kFirst, now, out)) {
       FailPart(&row, i, result_code::kNoServingReplica, now, out);
     }
@@ -253,6 +267,12 @@
 
 void route_engine::OnGiveUpDue(request* row, time_point now,
                                route_effects* out) {
+  if (row->call.streamed()) {
+    for (std::size_t i = 0; i < row->parts.size(); ++i) {
+      FailPart(row, i, result_code::kDeadlineExceeded, now, out);
+    }
+    return Report(row, now, out);
+  }
   if (row->fan_out() && EnoughCoverage(*row)) {
     return FinishMerged(row, now, out);
   }
@@ -287,6 +307,11 @@
 // or if the least coverage can't be reached any more.
 void route_engine::CheckDone(request* row, time_point now, route_effects* out) {
   const std::size_t count = row->parts.size();
+  if (row->call.streamed()) {
+    const bool done = row->answered + row->failed == count;
+    if (done || row->past_answer) Report(row, now, out);
+    return;
+  }
   if (!row->fan_out()) {
     const part& only = row->parts.front();
     if (only.reply != nullptr) {
@@ -373,17 +398,26 @@
   finish.hedges = row->hedges;
   finish.elapsed = now - row->received;
   ForgetUnsent(*row);
+  CancelRelays(*row, false, out);
   const route_request_id id = row->call.id;
   out->push_back(std::move(finish));
   requests_.erase(id);
 }
 
+void route_engine::Abandon(route_request_id id) {
+  request* row = FindRequest(id);
+  if (row == nullptr) return;
+  ForgetUnsent(*row);
+  requests_.erase(id);
+}
+
 void route_engine::Cancel(route_request_id id, time_point now,
                           route_effects* out) {
   request* row = FindRequest(id);
   if (row == nullptr) return;
   ++counters_.cancelled;
   ForgetUnsent(*row);
+  CancelRelays(*row, true, out);
   for (const part& each : row->parts) {
     for (const attempt_id running : each.running) {
       const attempt* ended = FindAttempt(running);
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -39,6 +39,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "bilberrycourse/relay_plan.h"
 #include "bilberrycourse/retry_budget.h"
 #include "bilberrycourse/route_config.h"
 #include "bilberrycourse/route_effects.h"
@@ -69,6 +70,9 @@
   double shard_deadline_factor = 1.3;
   // An attempt without a reply is given up this long after its deadline.
   duration reply_grace = std::chrono::milliseconds(300);
+  // A relay reports this long before the answer leaves the origin, and counts
+  // as silent that long after.
+  duration relay_return = std::chrono::milliseconds(6);
   // Requests in flight; more are refused.
   std::size_t max_requests = 4096;
 };
@@ -82,6 +86,14 @@
   time_point sent_at{};
   // The caller's own deadline, from `now` on.
   duration time_left{0};
+  // Groups of shards that other instances search; the origin searches the rest.
+  std::vector<relay_group> relays;
+  // On a relay: `matched` is not a route of the table, but stands for the part
+  // of the request that came from another instance. Its result is reported by
+  // route_progress: at `answer_at` what is there, then each further shard.
+  std::shared_ptr<const route> partial;
+  time_point answer_at{};
+  bool streamed() const { return partial != nullptr; }
 };
 
 struct route_engine_counters {
@@ -109,6 +121,9 @@
   void SetRoutes(std::shared_ptr<const route_table> table, time_point now,
                  route_effects* out);
   void SetInstances(std::uint32_t instances);
+  // Entry instances that use the searchers of this service; 0: all of them.
+  // They share its connections and its retry budget.
+  void SetUsers(const std::string& service, std::uint32_t users);
   void UpdateSearchers(const std::vector<searcher_record>& changes, bool whole,
                        time_point now, route_effects* out);
 
@@ -116,6 +131,10 @@
   // The caller has left: nothing of its request goes on.
   void Cancel(route_request_id id, time_point now, route_effects* out);
 
+  // Nobody waits for the request, but its attempts in flight may run on: their
+  // replies free the connections.
+  void Abandon(route_request_id id);
+
   void OnOpened(connection_id connection, time_point now, route_effects* out);
   // The connection failed to open or was closed; an attempt on it, if any, may
   // have run.
@@ -125,6 +144,14 @@
                bool keep_alive, std::optional<duration> idle_limit,
                time_point now, route_effects* out);
 
+  // What a relay reports of one group.
+  void OnRelayReport(route_request_id id, std::size_t group,
+                     const shard_report& report, time_point now,
+                     route_effects* out);
+  // The link to the relay broke: the origin searches its shards itself.
+  void OnRelayLost(const instance_name& relay, time_point now,
+                   route_effects* out);
+
   void Tick(time_point now, route_effects* out);
   std::optional<time_point> next_due() const;
 
@@ -155,6 +182,10 @@
     // Attempts that may have run.
     std::uint32_t may_have_run = 0;
     bool hedged = false;
+    // Searched by a relay.
+    bool relayed = false;
+    // Named by a route_progress.
+    bool reported = false;
     bool failed = false;
     result_code failure = result_code::kOk;
     searcher_reply_pointer reply;
@@ -171,6 +202,10 @@
     time_point answer_at{};
     time_point give_up_at{};
     bool past_answer = false;
+    bool first_reported = false;
+    // By group of call.relays: whether the relay has reported, and finally.
+    std::vector<bool> relay_heard;
+    std::vector<bool> relay_done;
     std::uint32_t attempts = 0;
     std::uint32_t hedges = 0;
     bool fan_out() const { return !call.matched->shards.empty(); }
@@ -188,6 +223,7 @@
     kHedge,
     kWait,
     kAnswer,
+    kRelay,
     kGiveUp,
     kAttempt
   };
@@ -204,6 +240,7 @@
     explicit service_row(const retry_budget_options& options)
         : budget(options) {}
     retry_budget budget;
+    std::uint32_t users = 0;
   };
 
   // Current weights of a split, for smooth weighted round robin.
@@ -214,6 +251,8 @@
                   route_effects* out);
   void OnWaitDue(request* row, time_point now, route_effects* out);
   void OnAnswerDue(request* row, time_point now, route_effects* out);
+  void OnRelayDue(request* row, std::size_t group, time_point now,
+                  route_effects* out);
   void OnGiveUpDue(request* row, time_point now, route_effects* out);
   void OnAttemptDue(attempt_id id, time_point now, route_effects* out);
 
@@ -239,6 +278,11 @@
                       route_effects* out);
   void CheckDone(request* row, time_point now, route_effects* out);
   bool EnoughCoverage(const request& row) const;
+  void StartRelays(request* row, time_point now, route_effects* out);
+  void SearchInsteadOfRelay(request* row, std::size_t group, time_point now,
+                            route_effects* out);
+  void CancelRelays(const request& row, bool caller_left, route_effects* out);
+  void Report(request* row, time_point now, route_effects* out);
   void FinishMerged(request* row, time_point now, route_effects* out);
   void FinishWith(request* row, finish_route_request finish, time_point now,
                   route_effects* out);
--- a/bilberrycourse/searcher_pool.cc
+++ b/bilberrycourse/searcher_pool.cc
@@ -199,14 +199,31 @@
   entry->suspect_until = time_point::min();
 }
 
+double searcher_pool::Share(const service_row& row) const {
+  const std::uint32_t users = row.users > 0 ? row.users : instances_;
+  return options_.connection_share * static_cast<double>(row.limit) /
+         std::max<std::uint32_t>(users, 1);
+}
+
 std::uint32_t searcher_pool::ConnectionShare(
     const searcher_entry& entry) const {
   const auto found = services_.find(entry.report.service);
-  const std::uint32_t limit =
-      found == services_.end() ? 1 : found->second.limit;
-  const double share = options_.connection_share * static_cast<double>(limit) /
-                       std::max<std::uint32_t>(instances_, 1);
-  return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(share));
+  if (found == services_.end()) return 1;
+  return std::max<std::uint32_t>(
+      1, static_cast<std::uint32_t>(Share(found->second)));
+}
+
+bool searcher_pool::KeepsWarm(const searcher_entry& entry) const {
+  const auto found = services_.find(entry.report.service);
+  return found != services_.end() && found->second.users == 0 &&
+         Share(found->second) >= 1;
+}
+
+void searcher_pool::SetUsers(const std::string& service, std::uint32_t users) {
+  service_row& row = services_[service];
+  if (row.users == users) return;
+  row.users = users;
+  Prefer(&row);
 }
 
 void searcher_pool::SetInstances(std::uint32_t instances) {
@@ -221,9 +238,7 @@
 }
 
 void searcher_pool::Prefer(service_row* row) {
-  const double share = options_.connection_share *
-                       static_cast<double>(row->limit) /
-                       std::max<std::uint32_t>(instances_, 1);
+  const double share = Share(*row);
   std::vector<std::pair<std::uint64_t, searcher_entry*>> ranked;
   for (searcher_entry* entry : row->entries) {
     entry->preferred = share >= 1;
--- a/bilberrycourse/searcher_pool.h
+++ b/bilberrycourse/searcher_pool.h
@@ -127,17 +127,27 @@
   // the others by a hash, so that each replica is preferred by as many as it
   // has room for. The others are used when no preferred one is left.
   void SetLimit(const std::string& service, std::uint32_t limit);
+  // True if a connection is opened before the first request needs one: where
+  // every instance may hold one and uses it often enough.
+  bool KeepsWarm(const searcher_entry& entry) const;
   // Connections that this instance may hold to the searcher.
   std::uint32_t ConnectionShare(const searcher_entry& entry) const;
   void SetInstances(std::uint32_t instances);
+  // Entry instances that use the searchers of this service, where that is not
+  // all of them; 0: all.
+  void SetUsers(const std::string& service, std::uint32_t users);
   std::size_t size() const { return entries_.size(); }
 
  private:
   struct service_row {
     std::vector<searcher_entry*> entries;
     std::uint32_t limit = 1;
+    std::uint32_t users = 0;
   };
 
+  // Connections of one searcher for each instance that uses it.
+  double Share(const service_row& row) const;
+
   void Prefer(service_row* row);
   double Score(const searcher_entry& entry, time_point now) const;
   double Faded(double value, double rest, const searcher_entry& entry,
