Send entry instances only what they do not know; compress news; ping by dialer

Polls now carry digests, come each 400 ms, news is deflated, and only the side that dialed a link pings. A searcher in another zone costs 0.8 of a usual service time.

--- a/app/control_client.cc
+++ b/app/control_client.cc
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr duration kPollPeriod = std::chrono::milliseconds(200);
+// An entry instance of the routed interface serves on without news; it must
+// only learn of changes well within the seconds that they may take.
+constexpr duration kRoutesPollPeriod = std::chrono::milliseconds(400);
 // A poll without an answer for this long goes to another member.
 constexpr duration kPollTimeout = std::chrono::milliseconds(150);
 // A member whose last quorum confirmation is older is cut off or without a
@@ -98,6 +101,7 @@
   poll.route_version = known.route_version;
   poll.searcher_revision = known.searcher_revision;
   poll.entry_digest = entry_digest_;
+  poll.group_digest = group_digest_;
   const std::uint64_t id = poll.poll_id;
   if (!transport_->Send(to, MakeFrame(std::move(poll)))) return;
   polls_[id] = {to, now};
@@ -128,43 +132,45 @@
   taken.state = ToText(news.state());
   taken.leader = ToText(news.leader());
   taken.routes = ToText(news.routes());
-  taken.entry_instances = news.entry_instances();
-  if (news.group() != nullptr) {
-    for (const wire::control_address* row : *news.group()) {
-      log_member member;
-      member.instance = ToText(row->instance());
-      member.address = ToText(row->address());
-      taken.group.push_back(std::move(member));
-    }
-  }
   TakeNews(sent_at, taken);
-  TakeEntries(news);
+  TakeInstances(news);
 }
 
 // A member that is cut off sees few entry instances, so that only one with a
 // fresh confirmation is believed.
-void control_client::TakeEntries(const wire::control_news& news) {
-  const bool fresh =
-      news.confirmed() && news.confirmed_age_us() <=
-                              static_cast<std::uint64_t>(kMaxNewsAge.count());
-  if (!fresh || news.entry_digest() == entry_digest_ ||
-      news.entries() == nullptr) {
+void control_client::TakeInstances(const wire::control_news& news) {
+  if (!news.confirmed() || news.confirmed_age_us() >
+                               static_cast<std::uint64_t>(kMaxNewsAge.count())) {
     return;
   }
-  std::vector<entry_instance> entries;
-  for (const wire::entry_instance* row : *news.entries()) {
-    entries.push_back({ToText(row->instance()), ToText(row->address()),
-                       ToText(row->availability_zone())});
+  if (news.entry_instances() != entry_instances_) {
+    entry_instances_ = news.entry_instances();
+    handler_->OnEntryCount(entry_instances_);
+  }
+  if (news.group_digest() != group_digest_ && news.group() != nullptr) {
+    std::vector<log_member> group;
+    for (const wire::control_address* row : *news.group()) {
+      log_member member;
+      member.instance = ToText(row->instance());
+      member.address = ToText(row->address());
+      group.push_back(std::move(member));
+    }
+    group_digest_ = news.group_digest();
+    handler_->OnControlGroup(group);
+  }
+  if (news.entry_digest() != entry_digest_ && news.entries() != nullptr) {
+    std::vector<entry_instance> entries;
+    for (const wire::entry_instance* row : *news.entries()) {
+      entries.push_back({ToText(row->instance()), ToText(row->address()),
+                         ToText(row->availability_zone())});
+    }
+    entry_digest_ = news.entry_digest();
+    handler_->OnEntryInstances(entries);
   }
-  entry_digest_ = news.entry_digest();
-  handler_->OnEntryInstances(entries);
 }
 
 // Versions never go back: news of a member that is behind is ignored.
 void control_client::TakeRouteNews(const control_news& news) {
-  if (!news.group.empty()) {
-    handler_->OnControlGroup(news.group, news.entry_instances);
-  }
   if (news.routes.empty()) return;
   auto routes = LoadRouteNews(news.routes);
   if (!routes.has_value()) {
@@ -205,7 +211,9 @@
   lease_.OnConfirmed(sent_at, news.age, news.published_version);
   if (news.age > kMaxNewsAge) return;
   poll_answered_ = true;
-  poll_due_ = sent_at + kPollPeriod;
+  poll_due_ = sent_at + (config_.interface == serving_interface::kRoutes
+                             ? kRoutesPollPeriod
+                             : kPollPeriod);
 }
 
 void control_client::OnRelayed(const instance_name& from, time_point sent_at,
--- a/app/control_client.h
+++ b/app/control_client.h
@@ -35,9 +35,10 @@
   virtual void OnPublished(const published_state& state) = 0;
   // Routed interface: changes of routes or searchers.
   virtual void OnRouteNews(const route_news&) {}
-  // Routed interface: the control group and the number of entry instances as
-  // the member that was polled sees them.
-  virtual void OnControlGroup(const std::vector<log_member>&, std::uint32_t) {}
+  // Routed interface: the control group, and the number of entry instances that
+  // share limits, as the member that was polled sees them.
+  virtual void OnControlGroup(const std::vector<log_member>&) {}
+  virtual void OnEntryCount(std::uint32_t) {}
   // Routed interface: the entry instances have changed.
   virtual void OnEntryInstances(const std::vector<entry_instance>&) {}
 };
@@ -96,7 +97,7 @@
 
   known_versions Known() const;
   void TakeRouteNews(const control_news& news);
-  void TakeEntries(const wire::control_news& news);
+  void TakeInstances(const wire::control_news& news);
   void Poll(const instance_name& to, time_point now);
   void PollNext(time_point now);
   void TakeNews(time_point sent_at, const control_news& news);
@@ -119,6 +120,8 @@
   std::uint64_t route_version_ = 0;
   std::uint64_t searcher_revision_ = 0;
   std::uint64_t entry_digest_ = 0;
+  std::uint64_t group_digest_ = 0;
+  std::uint32_t entry_instances_ = 0;
   // Members of the control group by the newest news, in place of those of the
   // settings.
   std::vector<instance_name> group_;
--- a/app/control_frames.cc
+++ b/app/control_frames.cc
@@ -18,8 +18,15 @@
   return name_hash()(text);
 }
 
-wire::control_newsT ToWire(const control_news& news, std::uint64_t poll_id,
-                           std::uint32_t entry_instances) {
+std::uint64_t DigestOf(const std::vector<log_member>& group) {
+  std::string text;
+  for (const log_member& each : group) {
+    text += each.instance + " " + each.address + "\n";
+  }
+  return name_hash()(text);
+}
+
+wire::control_newsT ToWire(const control_news& news, std::uint64_t poll_id) {
   wire::control_newsT out;
   out.poll_id = poll_id;
   out.confirmed = news.confirmed;
@@ -28,16 +35,32 @@
   out.state = ToBytes(news.state);
   out.leader = news.leader;
   out.routes = ToBytes(news.routes);
-  out.entry_instances = entry_instances;
-  for (const log_member& member : news.group) {
-    auto row = std::make_unique<wire::control_addressT>();
-    row->instance = member.instance;
-    row->address = member.address;
-    out.group.push_back(std::move(row));
-  }
   return out;
 }
 
+// Appends what the asker's digests do not cover.
+void AddInstances(const wire::control_poll& poll, const control_news& news,
+                  const std::vector<entry_instance>& entries,
+                  wire::control_newsT* out) {
+  out->group_digest = DigestOf(news.group);
+  if (poll.group_digest() != out->group_digest) {
+    for (const log_member& member : news.group) {
+      auto row = std::make_unique<wire::control_addressT>();
+      row->instance = member.instance;
+      row->address = member.address;
+      out->group.push_back(std::move(row));
+    }
+  }
+  if (poll.entry_digest() == out->entry_digest) return;
+  for (const entry_instance& each : entries) {
+    auto row = std::make_unique<wire::entry_instanceT>();
+    row->instance = each.name;
+    row->address = each.address;
+    row->availability_zone = each.zone;
+    out->entries.push_back(std::move(row));
+  }
+}
+
 }  // namespace
 
 const control_frames::row control_frames::kRows[] = {
@@ -82,17 +105,10 @@
   if (!news.confirmed && !known.routed) {
     news = client_->Relay(known.published_version, now);
   }
-  wire::control_newsT reply = ToWire(news, poll->poll_id(), entry_instances_);
+  wire::control_newsT reply = ToWire(news, poll->poll_id());
+  reply.entry_instances = entry_instances_;
   reply.entry_digest = entry_digest_;
-  if (known.routed && poll->entry_digest() != entry_digest_) {
-    for (const entry_instance& each : entries_) {
-      auto row = std::make_unique<wire::entry_instanceT>();
-      row->instance = each.name;
-      row->address = each.address;
-      row->availability_zone = each.zone;
-      reply.entries.push_back(std::move(row));
-    }
-  }
+  if (known.routed) AddInstances(*poll, news, entries_, &reply);
   transport_->Send(peer, MakeFrame(std::move(reply)));
 }
 
--- a/app/control_service.h
+++ b/app/control_service.h
@@ -53,10 +53,9 @@
   std::string state;
   instance_name leader;
   // Routed interface: encoded route_news, empty if the asker is up to date,
-  // the members of the group, and how many entry instances are linked.
+  // and the members of the group.
   std::string routes;
   std::vector<log_member> group;
-  std::uint32_t entry_instances = 0;
 };
 
 // What the asker of news knows already.
--- a/app/peer_frame_generated.h
+++ b/app/peer_frame_generated.h
@@ -92,6 +92,10 @@
 struct heartbeatBuilder;
 struct heartbeatT;
 
+struct ping;
+struct pingBuilder;
+struct pingT;
+
 struct admission_request;
 struct admission_requestBuilder;
 struct admission_requestT;
@@ -159,11 +163,12 @@
   relay_request = 19,
   relay_result = 20,
   relay_cancel = 21,
+  ping = 22,
   MIN = NONE,
-  MAX = relay_cancel
+  MAX = ping
 };
 
-inline const payload (&EnumValuespayload())[22] {
+inline const payload (&EnumValuespayload())[23] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -186,13 +191,14 @@
     payload::entry_hello,
     payload::relay_request,
     payload::relay_result,
-    payload::relay_cancel
+    payload::relay_cancel,
+    payload::ping
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[23] = {
+  static const char * const names[24] = {
     "NONE",
     "hello",
     "proof",
@@ -215,13 +221,14 @@
     "relay_request",
     "relay_result",
     "relay_cancel",
+    "ping",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::relay_cancel)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::ping)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -314,6 +321,10 @@
   static const payload enum_value = payload::relay_cancel;
 };
 
+template<> struct payloadTraits<bilberrycourse::wire::ping> {
+  static const payload enum_value = payload::ping;
+};
+
 template<typename T> struct payloadUnionTraits {
   static const payload enum_value = payload::NONE;
 };
@@ -402,6 +413,10 @@
   static const payload enum_value = payload::relay_cancel;
 };
 
+template<> struct payloadUnionTraits<bilberrycourse::wire::pingT> {
+  static const payload enum_value = payload::ping;
+};
+
 struct payloadUnion {
   payload type;
   void *value;
@@ -600,6 +615,14 @@
     return type == payload::relay_cancel ?
       reinterpret_cast<const bilberrycourse::wire::relay_cancelT *>(value) : nullptr;
   }
+  bilberrycourse::wire::pingT *Asping() {
+    return type == payload::ping ?
+      reinterpret_cast<bilberrycourse::wire::pingT *>(value) : nullptr;
+  }
+  const bilberrycourse::wire::pingT *Asping() const {
+    return type == payload::ping ?
+      reinterpret_cast<const bilberrycourse::wire::pingT *>(value) : nullptr;
+  }
 };
 
 bool Verifypayload(flatbuffers::Verifier &verifier, const void *obj, payload type);
@@ -938,6 +961,7 @@
   uint64_t searcher_revision = 0;
   bool routed = false;
   uint64_t entry_digest = 0;
+  uint64_t group_digest = 0;
 };
 
 struct control_poll FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -949,7 +973,8 @@
     VT_ROUTE_VERSION = 8,
     VT_SEARCHER_REVISION = 10,
     VT_ROUTED = 12,
-    VT_ENTRY_DIGEST = 14
+    VT_ENTRY_DIGEST = 14,
+    VT_GROUP_DIGEST = 16
   };
   uint64_t poll_id() const {
     return GetField<uint64_t>(VT_POLL_ID, 0);
@@ -969,6 +994,9 @@
   uint64_t entry_digest() const {
     return GetField<uint64_t>(VT_ENTRY_DIGEST, 0);
   }
+  uint64_t group_digest() const {
+    return GetField<uint64_t>(VT_GROUP_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_POLL_ID, 8) &&
@@ -977,6 +1005,7 @@
            VerifyField<uint64_t>(verifier, VT_SEARCHER_REVISION, 8) &&
            VerifyField<uint8_t>(verifier, VT_ROUTED, 1) &&
            VerifyField<uint64_t>(verifier, VT_ENTRY_DIGEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_GROUP_DIGEST, 8) &&
            verifier.EndTable();
   }
   control_pollT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1006,6 +1035,9 @@
   void add_entry_digest(uint64_t entry_digest) {
     fbb_.AddElement<uint64_t>(control_poll::VT_ENTRY_DIGEST, entry_digest, 0);
   }
+  void add_group_digest(uint64_t group_digest) {
+    fbb_.AddElement<uint64_t>(control_poll::VT_GROUP_DIGEST, group_digest, 0);
+  }
   explicit control_pollBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1024,8 +1056,10 @@
     uint64_t route_version = 0,
     uint64_t searcher_revision = 0,
     bool routed = false,
-    uint64_t entry_digest = 0) {
+    uint64_t entry_digest = 0,
+    uint64_t group_digest = 0) {
   control_pollBuilder builder_(_fbb);
+  builder_.add_group_digest(group_digest);
   builder_.add_entry_digest(entry_digest);
   builder_.add_searcher_revision(searcher_revision);
   builder_.add_route_version(route_version);
@@ -1126,6 +1160,7 @@
   std::vector<std::unique_ptr<bilberrycourse::wire::control_addressT>> group{};
   uint32_t entry_instances = 0;
   uint64_t entry_digest = 0;
+  uint64_t group_digest = 0;
   std::vector<std::unique_ptr<bilberrycourse::wire::entry_instanceT>> entries{};
   control_newsT() = default;
   control_newsT(const control_newsT &o);
@@ -1147,7 +1182,8 @@
     VT_GROUP = 18,
     VT_ENTRY_INSTANCES = 20,
     VT_ENTRY_DIGEST = 22,
-    VT_ENTRIES = 24
+    VT_GROUP_DIGEST = 24,
+    VT_ENTRIES = 26
   };
   uint64_t poll_id() const {
     return GetField<uint64_t>(VT_POLL_ID, 0);
@@ -1179,6 +1215,9 @@
   uint64_t entry_digest() const {
     return GetField<uint64_t>(VT_ENTRY_DIGEST, 0);
   }
+  uint64_t group_digest() const {
+    return GetField<uint64_t>(VT_GROUP_DIGEST, 0);
+  }
   const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>> *>(VT_ENTRIES);
   }
@@ -1199,6 +1238,7 @@
            verifier.VerifyVectorOfTables(group()) &&
            VerifyField<uint32_t>(verifier, VT_ENTRY_INSTANCES, 4) &&
            VerifyField<uint64_t>(verifier, VT_ENTRY_DIGEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_GROUP_DIGEST, 8) &&
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfTables(entries()) &&
@@ -1243,6 +1283,9 @@
   void add_entry_digest(uint64_t entry_digest) {
     fbb_.AddElement<uint64_t>(control_news::VT_ENTRY_DIGEST, entry_digest, 0);
   }
+  void add_group_digest(uint64_t group_digest) {
+    fbb_.AddElement<uint64_t>(control_news::VT_GROUP_DIGEST, group_digest, 0);
+  }
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>>> entries) {
     fbb_.AddOffset(control_news::VT_ENTRIES, entries);
   }
@@ -1269,8 +1312,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::control_address>>> group = 0,
     uint32_t entry_instances = 0,
     uint64_t entry_digest = 0,
+    uint64_t group_digest = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>>> entries = 0) {
   control_newsBuilder builder_(_fbb);
+  builder_.add_group_digest(group_digest);
   builder_.add_entry_digest(entry_digest);
   builder_.add_published_version(published_version);
   builder_.add_confirmed_age_us(confirmed_age_us);
@@ -1297,6 +1342,7 @@
     const std::vector<flatbuffers::Offset<bilberrycourse::wire::control_address>> *group = nullptr,
     uint32_t entry_instances = 0,
     uint64_t entry_digest = 0,
+    uint64_t group_digest = 0,
     const std::vector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>> *entries = nullptr) {
   auto state__ = state ? _fbb.CreateVector<uint8_t>(*state) : 0;
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
@@ -1315,6 +1361,7 @@
       group__,
       entry_instances,
       entry_digest,
+      group_digest,
       entries__);
 }
 
@@ -2395,6 +2442,58 @@
 
 flatbuffers::Offset<heartbeat> Createheartbeat(flatbuffers::FlatBufferBuilder &_fbb, const heartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct pingT : public flatbuffers::NativeTable {
+  typedef ping TableType;
+  bool echo = false;
+};
+
+struct ping FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef pingT NativeTableType;
+  typedef pingBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ECHO = 4
+  };
+  bool echo() const {
+    return GetField<uint8_t>(VT_ECHO, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_ECHO, 1) &&
+           verifier.EndTable();
+  }
+  pingT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(pingT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ping> Pack(flatbuffers::FlatBufferBuilder &_fbb, const pingT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct pingBuilder {
+  typedef ping Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_echo(bool echo) {
+    fbb_.AddElement<uint8_t>(ping::VT_ECHO, static_cast<uint8_t>(echo), 0);
+  }
+  explicit pingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ping> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ping>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ping> Createping(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool echo = false) {
+  pingBuilder builder_(_fbb);
+  builder_.add_echo(echo);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<ping> Createping(flatbuffers::FlatBufferBuilder &_fbb, const pingT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct admission_requestT : public flatbuffers::NativeTable {
   typedef admission_request TableType;
   std::string scope{};
@@ -3694,6 +3793,9 @@
   const bilberrycourse::wire::relay_cancel *payload_as_relay_cancel() const {
     return payload_type() == bilberrycourse::wire::payload::relay_cancel ? static_cast<const bilberrycourse::wire::relay_cancel *>(payload()) : nullptr;
   }
+  const bilberrycourse::wire::ping *payload_as_ping() const {
+    return payload_type() == bilberrycourse::wire::payload::ping ? static_cast<const bilberrycourse::wire::ping *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -3790,6 +3892,10 @@
   return payload_as_relay_cancel();
 }
 
+template<> inline const bilberrycourse::wire::ping *peer_frame::payload_as<bilberrycourse::wire::ping>() const {
+  return payload_as_ping();
+}
+
 struct peer_frameBuilder {
   typedef peer_frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3971,6 +4077,7 @@
   { auto _e = searcher_revision(); _o->searcher_revision = _e; }
   { auto _e = routed(); _o->routed = _e; }
   { auto _e = entry_digest(); _o->entry_digest = _e; }
+  { auto _e = group_digest(); _o->group_digest = _e; }
 }
 
 inline flatbuffers::Offset<control_poll> control_poll::Pack(flatbuffers::FlatBufferBuilder &_fbb, const control_pollT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3987,6 +4094,7 @@
   auto _searcher_revision = _o->searcher_revision;
   auto _routed = _o->routed;
   auto _entry_digest = _o->entry_digest;
+  auto _group_digest = _o->group_digest;
   return bilberrycourse::wire::Createcontrol_poll(
       _fbb,
       _poll_id,
@@ -3994,7 +4102,8 @@
       _route_version,
       _searcher_revision,
       _routed,
-      _entry_digest);
+      _entry_digest,
+      _group_digest);
 }
 
 inline control_addressT *control_address::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4035,7 +4144,8 @@
         leader(o.leader),
         routes(o.routes),
         entry_instances(o.entry_instances),
-        entry_digest(o.entry_digest) {
+        entry_digest(o.entry_digest),
+        group_digest(o.group_digest) {
   group.reserve(o.group.size());
   for (const auto &group_ : o.group) { group.emplace_back((group_) ? new bilberrycourse::wire::control_addressT(*group_) : nullptr); }
   entries.reserve(o.entries.size());
@@ -4053,6 +4163,7 @@
   std::swap(group, o.group);
   std::swap(entry_instances, o.entry_instances);
   std::swap(entry_digest, o.entry_digest);
+  std::swap(group_digest, o.group_digest);
   std::swap(entries, o.entries);
   return *this;
 }
@@ -4076,6 +4187,7 @@
   { auto _e = group(); if (_e) { _o->group.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->group[_i] = std::unique_ptr<bilberrycourse::wire::control_addressT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = entry_instances(); _o->entry_instances = _e; }
   { auto _e = entry_digest(); _o->entry_digest = _e; }
+  { auto _e = group_digest(); _o->group_digest = _e; }
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<bilberrycourse::wire::entry_instanceT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
@@ -4097,6 +4209,7 @@
   auto _group = _o->group.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::control_address>> (_o->group.size(), [](size_t i, _VectorArgs *__va) { return Createcontrol_address(*__va->__fbb, __va->__o->group[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _entry_instances = _o->entry_instances;
   auto _entry_digest = _o->entry_digest;
+  auto _group_digest = _o->group_digest;
   auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return Createentry_instance(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
   return bilberrycourse::wire::Createcontrol_news(
       _fbb,
@@ -4110,6 +4223,7 @@
       _group,
       _entry_instances,
       _entry_digest,
+      _group_digest,
       _entries);
 }
 
@@ -4506,6 +4620,32 @@
       _fbb);
 }
 
+inline pingT *ping::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<pingT>(new pingT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ping::UnPackTo(pingT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = echo(); _o->echo = _e; }
+}
+
+inline flatbuffers::Offset<ping> ping::Pack(flatbuffers::FlatBufferBuilder &_fbb, const pingT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createping(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ping> Createping(flatbuffers::FlatBufferBuilder &_fbb, const pingT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const pingT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _echo = _o->echo;
+  return bilberrycourse::wire::Createping(
+      _fbb,
+      _echo);
+}
+
 inline admission_requestT *admission_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<admission_requestT>(new admission_requestT());
   UnPackTo(_o.get(), _resolver);
@@ -5065,6 +5205,10 @@
       auto ptr = reinterpret_cast<const bilberrycourse::wire::relay_cancel *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::ping: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::ping *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5168,6 +5312,10 @@
       auto ptr = reinterpret_cast<const bilberrycourse::wire::relay_cancel *>(obj);
       return ptr->UnPack(resolver);
     }
+    case payload::ping: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::ping *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -5259,6 +5407,10 @@
       auto ptr = reinterpret_cast<const bilberrycourse::wire::relay_cancelT *>(value);
       return Createrelay_cancel(_fbb, ptr, _rehasher).Union();
     }
+    case payload::ping: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::pingT *>(value);
+      return Createping(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -5349,6 +5501,10 @@
       value = new bilberrycourse::wire::relay_cancelT(*reinterpret_cast<bilberrycourse::wire::relay_cancelT *>(u.value));
       break;
     }
+    case payload::ping: {
+      value = new bilberrycourse::wire::pingT(*reinterpret_cast<bilberrycourse::wire::pingT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -5461,6 +5617,11 @@
       delete ptr;
       break;
     }
+    case payload::ping: {
+      auto ptr = reinterpret_cast<bilberrycourse::wire::pingT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/app/peer_transport.cc
+++ b/app/peer_transport.cc
@@ -300,7 +300,9 @@
     flatbuffers::Verifier verifier(body_.data(), body_.size());
     if (!verifier.VerifyBuffer<wire::peer_frame>()) return Close();
     const auto* frame = flatbuffers::GetRoot<wire::peer_frame>(body_.data());
-    if (open()) {
+    if (const wire::ping* ping = frame->payload_as_ping()) {
+      if (open() && !ping->echo()) SendPing(true);
+    } else if (open()) {
       owner_->handler->OnPeerFrame(peer_, *frame);
     } else {
       HandleHandshake(*frame);
@@ -349,30 +351,36 @@
     if (!dialer_) --owner_->unauthenticated;
     state_ = link_state::kOpen;
     timer_.cancel();
-    if (owner_->options.heartbeat_period.count() > 0) ArmHeartbeat();
+    if (dialer_ && owner_->options.ping_period.count() > 0) ArmPing();
     owner_->Opened(shared_from_this());
   }
 
-  void ArmHeartbeat() {
-    timer_.expires_after(owner_->options.heartbeat_period);
+  void ArmPing() {
+    timer_.expires_after(owner_->options.ping_period);
     timer_.async_wait(
         [self = shared_from_this()](const boost::system::error_code& error) {
-          if (!error && self->open()) self->OnHeartbeatDue();
+          if (!error && self->open()) self->OnPingDue();
         });
   }
 
   // Counts periods in place of reading the clock: while the process itself
   // stands still, it can't blame the peer for its silence.
-  void OnHeartbeatDue() {
+  void OnPingDue() {
     ++silent_periods_;
-    if (silent_periods_ * owner_->options.heartbeat_period >=
+    if (silent_periods_ * owner_->options.ping_period >=
         owner_->options.silence_timeout) {
       return Close();
     }
+    SendPing(false);
+    ArmPing();
+  }
+
+  void SendPing(bool echo) {
+    wire::pingT ping;
+    ping.echo = echo;
     wire::peer_frameT frame;
-    frame.payload.Set(wire::heartbeatT());
+    frame.payload.Set(std::move(ping));
     SendFrame(frame);
-    ArmHeartbeat();
   }
 
   std::shared_ptr<impl> owner_;
--- a/app/peer_transport.h
+++ b/app/peer_transport.h
@@ -39,10 +39,11 @@
   std::size_t max_frame_bytes = 16 << 20;
   // A peer that does not read is disconnected beyond this backlog.
   std::size_t max_backlog_bytes = 64 << 20;
-  // An open link sends a heartbeat with this period and is closed when no
-  // frame has come for `silence_timeout`; 0 turns both off. A link whose
-  // packets vanish without a reset shows in no other way.
-  std::chrono::milliseconds heartbeat_period{0};
+  // The side that dialed a link sends a ping with this period and closes the
+  // link when nothing has come for `silence_timeout`; 0 turns both off. A link
+  // whose packets vanish without a reset shows in no other way. The new link
+  // that the dialer opens replaces the old one on the other side.
+  std::chrono::milliseconds ping_period{0};
   std::chrono::milliseconds silence_timeout{3000};
 };
 
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -18,8 +18,12 @@
 constexpr duration kControlTick = std::chrono::milliseconds(10);
 constexpr duration kEntryTick = std::chrono::milliseconds(50);
 constexpr duration kDialPeriod = std::chrono::milliseconds(250);
-constexpr std::chrono::milliseconds kHeartbeatPeriod{1000};
-constexpr std::chrono::milliseconds kSilenceTimeout{3000};
+// Links among control instances carry votes, so that their loss must show before
+// the next election; those of entry instances are many, and their polls and
+// reports time out by themselves.
+constexpr std::chrono::milliseconds kControlPingPeriod{1000};
+constexpr std::chrono::milliseconds kEntryPingPeriod{3000};
+constexpr int kSilentPings = 3;
 constexpr std::chrono::milliseconds kHandshakeTimeout{1000};
 // An entry instance that is away for less than this still has its share of the
 // retry budget: it may have spent it.
@@ -36,8 +40,9 @@
   options.self = config.name;
   options.listen = config.peer_listen;
   options.shared_key = config.shared_key;
-  options.heartbeat_period = kHeartbeatPeriod;
-  options.silence_timeout = kSilenceTimeout;
+  options.ping_period =
+      config.control ? kControlPingPeriod : kEntryPingPeriod;
+  options.silence_timeout = kSilentPings * options.ping_period;
   options.handshake_timeout = kHandshakeTimeout;
   return options;
 }
@@ -192,7 +197,7 @@
   if (member_ != nullptr) {
     const std::vector<log_member> group = member_->Group();
     if (!group.empty()) {
-      OnControlGroup(group, 0);
+      OnControlGroup(group);
       CountEntryInstances(now);
     }
   }
@@ -229,9 +234,11 @@
   frames_.SetEntryInstances(entry_instances_, std::move(linked));
 }
 
-void route_daemon::OnControlGroup(const std::vector<log_member>& group,
-                                  std::uint32_t entry_instances) {
-  if (gateway_ != nullptr) gateway_->SetInstances(entry_instances);
+void route_daemon::OnEntryCount(std::uint32_t count) {
+  if (gateway_ != nullptr) gateway_->SetInstances(count);
+}
+
+void route_daemon::OnControlGroup(const std::vector<log_member>& group) {
   std::map<instance_name, std::string> members;
   std::vector<instance_name> names;
   for (const log_member& member : group) {
--- a/app/route_daemon.h
+++ b/app/route_daemon.h
@@ -49,8 +49,8 @@
                    const wire::peer_frame& frame) override;
   void OnPublished(const published_state& state) override;
   void OnRouteNews(const route_news& news) override;
-  void OnControlGroup(const std::vector<log_member>& group,
-                      std::uint32_t entry_instances) override;
+  void OnControlGroup(const std::vector<log_member>& group) override;
+  void OnEntryCount(std::uint32_t count) override;
   void OnEntryInstances(const std::vector<entry_instance>& entries) override;
 
  private:
--- a/bilberrycourse/control_state_snapshot.cc
+++ b/bilberrycourse/control_state_snapshot.cc
@@ -1,6 +1,7 @@
 // Snapshots of control_state and the published state, as bytes.
 
 #include <xxhash.h>
+#include <zlib.h>
 
 #include <algorithm>
 #include <cstring>
@@ -42,6 +43,38 @@
   return content;
 }
 
+// Longest expansion that is accepted; a directory of 65,536 searchers has 12 MB.
+constexpr std::uint32_t kMaxExpandedBytes = 64 << 20;
+
+// The length of the content, then the content by deflate: a configuration names
+// each service several times, and bytes between zones cost money.
+std::string Compress(const std::string& content) {
+  uLongf size = compressBound(content.size());
+  const auto length = Little(static_cast<std::uint32_t>(content.size()));
+  std::string out(sizeof(length) + size, '\0');
+  std::memcpy(out.data(), &length, sizeof(length));
+  compress(reinterpret_cast<Bytef*>(out.data() + sizeof(length)), &size,
+           reinterpret_cast<const Bytef*>(content.data()), content.size());
+  out.resize(sizeof(length) + size);
+  return out;
+}
+
+std::optional<std::string> Expand(std::string_view bytes) {
+  std::uint32_t length = 0;
+  if (bytes.size() < sizeof(length)) return std::nullopt;
+  std::memcpy(&length, bytes.data(), sizeof(length));
+  length = Little(length);
+  if (length > kMaxExpandedBytes) return std::nullopt;
+  std::string out(length, '\0');
+  uLongf size = length;
+  const int status = uncompress(
+      reinterpret_cast<Bytef*>(out.data()), &size,
+      reinterpret_cast<const Bytef*>(bytes.data() + sizeof(length)),
+      bytes.size() - sizeof(length));
+  if (status != Z_OK || size != length) return std::nullopt;
+  return out;
+}
+
 std::unique_ptr<wire::request_recordT> RequestToWire(
     const std::string& caller, const std::string& key,
     const request_record& record) {
@@ -245,11 +278,13 @@
   }
   wire::control_rootT root;
   root.body.Set(std::move(out));
-  return WithHash(PackRoot(root));
+  return Compress(WithHash(PackRoot(root)));
 }
 
 std::optional<route_news> LoadRouteNews(std::string_view bytes) {
-  const auto content = WithoutHash(bytes);
+  const auto expanded = Expand(bytes);
+  if (!expanded) return std::nullopt;
+  const auto content = WithoutHash(*expanded);
   if (!content) return std::nullopt;
   const auto root = UnpackRoot(*content, wire::root_body::route_news);
   if (root == nullptr) return std::nullopt;
--- a/bilberrycourse/searcher_pool.h
+++ b/bilberrycourse/searcher_pool.h
@@ -37,7 +37,7 @@
 struct searcher_pool_options {
   // Weight of a searcher in another availability zone, in multiples of the
   // usual service time: bytes between zones cost money.
-  double other_zone_cost = 0.35;
+  double other_zone_cost = 0.8;
   // Weight of one more own request in flight.
   double in_flight_cost = 0.5;
   // Weight of a failure rate of 1.
