--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -28,6 +28,9 @@
 // An entry instance that is away for less than this still has its share of the
 // retry budget: it may have spent it.
 constexpr duration kCountHold = std::chrono::seconds(10);
+// A control instance that has just started tells nothing of entry instances:
+// those that have not linked yet would be missing.
+constexpr duration kCountDelay = std::chrono::seconds(2);
 // Shutdown: idle connections close this long before the end of the grace.
 constexpr duration kIdleCloseMargin = std::chrono::milliseconds(1200);
 // A control instance hands over at once and has nothing in flight for longer.
@@ -111,6 +114,7 @@
     BOOST_LEAF_CHECK(readiness_server_->Listen());
   }
   const time_point now = Now();
+  started_at_ = now;
   if (member_ != nullptr) member_->Start(now);
   timers_.SubscribePeriodic(
       config_.control ? kControlTick : kEntryTick, now,
@@ -224,6 +228,7 @@
 }
 
 void route_daemon::CountEntryInstances(time_point now) {
+  if (now - started_at_ < kCountDelay) return;
   std::vector<entry_instance> linked;
   for (const auto& [name, entry] : entries_) linked.push_back(entry);
   const auto count = static_cast<std::uint32_t>(linked.size());
--- a/app/route_daemon.h
+++ b/app/route_daemon.h
@@ -93,6 +93,7 @@
   time_point dial_due_{};
   std::uint32_t entry_instances_ = 0;
   time_point counted_at_{};
+  time_point started_at_{};
   bool shutting_down_ = false;
   bool closing_idle_ = false;
   time_point shutdown_started_{};
--- a/bilberrycourse/retry_budget.cc
+++ b/bilberrycourse/retry_budget.cc
@@ -3,16 +3,9 @@
 #include <algorithm>
 
 namespace bilberrycourse {
-namespace {
-
-// Until the control group has told the number of entry instances.
-constexpr std::uint32_t kAssumedInstances = 8;
-
-}  // namespace
-
 retry_budget::retry_budget(const retry_budget_options& options)
     : options_(options) {
-  SetInstances(kAssumedInstances);
+  SetInstances(1);
   tokens_ = capacity_ * options_.initial_fill;
 }
 
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -307,7 +307,7 @@
   route_engine_options options_;
   searcher_pool pool_;
   std::shared_ptr<const route_table> table_;
-  std::uint32_t instances_ = 8;
+  std::uint32_t instances_ = kAssumedInstances;
   std::unordered_map<route_request_id, request> requests_;
   std::unordered_map<attempt_id, attempt> attempts_;
   std::unordered_map<connection_id, connection_row> connections_;
--- a/bilberrycourse/searcher_pool.h
+++ b/bilberrycourse/searcher_pool.h
@@ -34,6 +34,11 @@
 
 namespace bilberrycourse {
 
+// Entry instances that are assumed until the control group has told their
+// number: after a restart of the whole tier every instance would otherwise take
+// a large share of the connections and of the retry budget.
+inline constexpr std::uint32_t kAssumedInstances = 64;
+
 struct searcher_pool_options {
   // Weight of a searcher in another availability zone, in multiples of the
   // usual service time: bytes between zones cost money.
@@ -160,7 +165,8 @@
   searcher_pool_options options_;
   instance_name self_;
   availability_zone zone_;
-  std::uint32_t instances_ = 8;
+  // Until the number is known, no connection may be one too many.
+  std::uint32_t instances_ = kAssumedInstances;
   std::unordered_map<std::string, std::unique_ptr<searcher_entry>> entries_;
   std::map<std::string, service_row, std::less<>> services_;
   std::uint64_t next_serial_ = 1;
