--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -20,8 +20,10 @@
 // Ways between caller and instance before the first byte of a request: three on
 // a new connection, whose opening takes a round trip.
 constexpr int kWaysOnNewConnection = 3;
-// For the merge and the queues of the instance itself.
-constexpr duration kAnswerTime = std::chrono::milliseconds(4);
+// For the merge, the queues of the instance itself and the reports of relays,
+// which all arrive at the same moment: with 4 ms a fifth of the answers over 90
+// shards came up to 10 ms too late.
+constexpr duration kAnswerTime = std::chrono::milliseconds(8);
 
 route_engine_options EngineOptions(const settings& config) {
   route_engine_options options;
