Keep about two requests a slot at a searcher; wait at the instance

Cause: with 3 connections for each of 7 instances a searcher of 2 slots could be sent 21 requests; its queue of 12 filled at the wave's top, and it shed.

--- a/bilberrycourse/searcher_pool.cc
+++ b/bilberrycourse/searcher_pool.cc
@@ -13,6 +13,9 @@
 // An attempt in flight says something about its searcher once it takes this
 // many times the usual time.
 constexpr double kAgeFactor = 2.0;
+// Requests that the tier keeps at one searcher, in multiples of its slots. More
+// would wait there while the other replica may become free.
+constexpr std::uint32_t kSlotsCovered = 2;
 constexpr std::uint32_t kMaxDoublings = 6;
 
 bool Contains(const std::vector<std::string>& list, const std::string& item) {
@@ -209,8 +212,12 @@
     const searcher_entry& entry) const {
   const auto found = services_.find(entry.report.service);
   if (found == services_.end()) return 1;
-  return std::max<std::uint32_t>(
-      1, static_cast<std::uint32_t>(Share(found->second)));
+  const std::uint32_t users =
+      found->second.users > 0 ? found->second.users : instances_;
+  const std::uint32_t slots = kSlotsCovered * entry.report.slots;
+  const std::uint32_t in_flight = (slots + users - 1) / users + 1;
+  return std::clamp<std::uint32_t>(
+      static_cast<std::uint32_t>(Share(found->second)), 1, in_flight);
 }
 
 bool searcher_pool::KeepsWarm(const searcher_entry& entry) const {
