Dial again after 300 ms; poll as soon as a link opens

Cause of the second without service after a power loss of all machines: an entry instance that started first waited a whole handshake time for the opening packet that a control machine without power had dropped. An instance without a configuration also asks its callers to come back after 0.7 s.

--- a/app/control_client.cc
+++ b/app/control_client.cc
@@ -53,7 +53,8 @@
       transport_(transport),
       local_(local),
       handler_(handler),
-      poll_target_(FirstPollTarget(config, local != nullptr)) {}
+      poll_target_(FirstPollTarget(config, local != nullptr)),
+      poll_answered_(local != nullptr) {}
 
 void control_client::Tick(time_point now) {
   if (now >= poll_due_) {
@@ -372,6 +373,13 @@
   callback(reply);
 }
 
+void control_client::OnPeerConnected(const instance_name& peer,
+                                     time_point now) {
+  if (poll_answered_ || local_ != nullptr) return;
+  poll_target_ = peer;
+  PollNext(now);
+}
+
 void control_client::OnPeerDisconnected(const instance_name& peer,
                                         time_point now) {
   if (peer == leader_) leader_.clear();
--- a/app/control_client.h
+++ b/app/control_client.h
@@ -54,6 +54,8 @@
               time_point now);
   void OnProposeResult(const wire::propose_result& result, time_point now);
   void OnReadResult(const wire::read_result& result, time_point now);
+  // A link to a control member has opened.
+  void OnPeerConnected(const instance_name& peer, time_point now);
   void OnPeerDisconnected(const instance_name& peer, time_point now);
   // A peer's ack relayed its freshness.
   void OnRelayed(const instance_name& from, time_point sent_at, duration age,
@@ -130,7 +132,7 @@
   time_point poll_due_{};
   std::uint64_t next_poll_ = 1;
   std::map<std::uint64_t, sent_poll> polls_;
-  bool poll_answered_ = true;
+  bool poll_answered_;
   std::uint64_t next_call_ = 1;
   std::map<std::uint64_t, call> calls_;
 };
--- a/app/peer_transport.cc
+++ b/app/peer_transport.cc
@@ -148,17 +148,17 @@
         address_(std::move(address)) {}
 
   void StartDial(const tcp::endpoint& endpoint) {
-    ArmHandshakeTimer();
+    ArmOpeningTimer(owner_->options.connect_timeout);
     auto self = shared_from_this();
     socket_.async_connect(endpoint,
                           [self](const boost::system::error_code& error) {
                             if (error) return self->Close();
-                            self->StartHandshake();
+                            self->StartConnected();
                           });
   }
 
-  void StartAccepted() {
-    ArmHandshakeTimer();
+  void StartConnected() {
+    ArmOpeningTimer(owner_->options.handshake_timeout);
     StartHandshake();
   }
 
@@ -191,8 +191,8 @@
   }
 
  private:
-  void ArmHandshakeTimer() {
-    timer_.expires_after(owner_->options.handshake_timeout);
+  void ArmOpeningTimer(std::chrono::milliseconds timeout) {
+    timer_.expires_after(timeout);
     timer_.async_wait(
         [self = shared_from_this()](const boost::system::error_code& error) {
           if (!error && !self->open()) self->Close();
@@ -427,7 +427,7 @@
             auto accepted =
                 std::make_shared<link>(self, std::move(socket), false, "");
             self->links.insert(accepted);
-            accepted->StartAccepted();
+            accepted->StartConnected();
           } else {
             ++self->counters.rejected_links;
           }
--- a/app/peer_transport.h
+++ b/app/peer_transport.h
@@ -34,6 +34,10 @@
   instance_name self;
   socket_address listen;
   std::string shared_key;
+  // For opening the connection of a dialed link. An instance without power
+  // answers nothing, and it may be back long before the system sends the
+  // opening packet again.
+  std::chrono::milliseconds connect_timeout{300};
   std::chrono::milliseconds handshake_timeout{2000};
   std::size_t max_unauthenticated_links = 64;
   std::size_t max_frame_bytes = 16 << 20;
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -270,6 +270,9 @@
   hello.address = config_.peer_listen.ToText();
   hello.availability_zone = config_.zone;
   transport_.Send(peer, MakeFrame(std::move(hello)));
+  if (group_.empty() || group_.contains(peer)) {
+    control_.OnPeerConnected(peer, Now());
+  }
 }
 
 void route_daemon::OnPeerDisconnected(const instance_name& peer) {
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -16,7 +16,7 @@
 // A request without a deadline of its caller.
 constexpr duration kNoDeadline = std::chrono::hours(1);
 // When to come back to an instance that knows no configuration yet.
-constexpr double kUnconfiguredRetrySeconds = 0.3;
+constexpr double kUnconfiguredRetrySeconds = 0.7;
 // Ways between caller and instance before the first byte of a request: three on
 // a new connection, whose opening takes a round trip.
 constexpr int kWaysOnNewConnection = 3;
