Write log lines to standard output without waiting; count dropped ones

A full pipe would have stopped the process. Lines go through a dispatch callback of easylogging++ that drops what the output does not take at once.

--- a/app/json_log.cc
+++ b/app/json_log.cc
@@ -1,6 +1,8 @@
 #include "app/json_log.h"
 
 #include <easylogging++.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -20,6 +22,35 @@
 log_options global_options;
 double decision_credit = 0;
 
+// A pipe that can take anything takes at least this much at once.
+constexpr std::size_t kMaxLineBytes = 4096;
+std::uint64_t dropped_lines = 0;
+
+// Writes the line if standard output takes it at once. A reader that has
+// stopped must not stop the process, so that a line is dropped and counted
+// instead; the next line that is written tells how many were.
+void WriteLine(std::string line) {
+  pollfd ready{STDOUT_FILENO, POLLOUT, 0};
+  if (line.size() >= kMaxLineBytes || ::poll(&ready, 1, 0) != 1 ||
+      (ready.revents & POLLOUT) == 0) {
+    ++dropped_lines;
+    return;
+  }
+  line += '\n';
+  if (::write(STDOUT_FILENO, line.data(), line.size()) < 0) ++dropped_lines;
+}
+
+// Takes the lines of the logging library in place of its own output, which
+// would wait for the reader.
+class line_writer : public el::LogDispatchCallback {
+ protected:
+  // The name is that of the library.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  void handle(const el::LogDispatchData* data) override {
+    WriteLine(data->logMessage()->message());
+  }
+};
+
 std::int64_t WallTimeMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -34,8 +65,9 @@
   configuration.setToDefault();
   configuration.setGlobally(el::ConfigurationType::Format, "%msg");
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   el::Loggers::reconfigureAllLoggers(configuration);
+  el::Helpers::installLogDispatchCallback<line_writer>("line_writer");
 }
 
 bool LogEnabled(log_level level) { return level >= global_options.level; }
@@ -44,13 +76,17 @@
               boost::json::object fields) {
   if (!LogEnabled(level)) return;
   boost::json::object line;
-  line.reserve(fields.size() + 4);
+  line.reserve(fields.size() + 5);
   line["ts_ms"] = WallTimeMs();
   line["level"] = kLevelNames[static_cast<std::size_t>(level)];
   line["instance"] = global_options.instance;
   line["event"] = event;
   for (auto& field : fields) line[field.key()] = std::move(field.value());
+  const std::uint64_t dropped_before = dropped_lines;
+  if (dropped_before > 0) line["dropped_lines"] = dropped_before;
   LOG(INFO) << boost::json::serialize(line);
+  // The count has been told only if this line was written.
+  if (dropped_lines == dropped_before) dropped_lines = 0;
 }
 
 bool SampleDecision() {
--- a/app/json_log.h
+++ b/app/json_log.h
@@ -1,14 +1,16 @@
 #ifndef APP_JSON_LOG_H_
 #define APP_JSON_LOG_H_
 
-// JSON log lines on standard error, written by easylogging++.
+// JSON log lines on standard output, through easylogging++.
 //
 //   LogEvent(log_level::kInfo, "query_answered",
 //            {{"query", 17}, {"outcome", "complete"}});
 //
-// Every line has the fields ts_ms, level, instance and event. Lines about one
-// routing or placement decision use LogDecision(), which is subject to the
-// level and to the sampling rate of the [log] section.
+// Writing never waits: a line that standard output does not take at once, or of
+// more than 4095 bytes, is dropped, and the next line carries their number in
+// `dropped_lines`. Every line has the fields ts_ms, level, instance and event.
+// Lines about one routing or placement decision use LogDecision(), which is
+// subject to the level and to the sampling rate of the [log] section.
 
 #include <boost/json.hpp>
 #include <cstdint>
