--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -13,6 +13,11 @@
 
 // Failed and refused requests explained in the log, per second.
 constexpr double kExplainedPerSecond = 40;
+// Attempts after a refusal or a failure that are logged, per second.
+constexpr double kRetriesPerSecond = 20;
+// Missing shards that one line names; their number is always stated. A line
+// must stay below the 4 KB that a pipe takes at once.
+constexpr std::size_t kMaxMissingListed = 12;
 // A request without a deadline of its caller.
 constexpr duration kNoDeadline = std::chrono::hours(1);
 // When to come back to an instance that knows no configuration yet.
@@ -66,6 +71,7 @@
       metrics_(counters),
       wake_(std::move(wake)),
       log_limiter_(kExplainedPerSecond),
+      retry_log_limiter_(kRetriesPerSecond),
       engine_(EngineOptions(config), config.name, config.zone),
       client_(std::move(executor), {}, protocol->headers(), this),
       transport_(transport),
@@ -257,14 +263,17 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(effect.remaining),
       std::chrono::milliseconds(1));
   client_.Send(effect.connection, forwarded);
-  const bool first = effect.reason == send_reason::kFirst;
-  if (first ? !SampleDecision() : !log_limiter_.Allow(Now())) return;
-  LogDecision("request_sent", {{"request", forwarded.request_id},
-                               {"searcher", effect.searcher},
-                               {"reason", ToString(effect.reason)},
-                               {"expected_us", effect.expected.count()},
-                               {"in_flight", effect.in_flight},
-                               {"remaining_ms", forwarded.remaining.count()}});
+  const bool routine = effect.reason == send_reason::kFirst ||
+                       effect.reason == send_reason::kHedge;
+  if (routine ? !SampleDecision() : !retry_log_limiter_.Allow(Now())) return;
+  LogDecision("request_sent",
+              {{"request", forwarded.request_id},
+               {"searcher", effect.searcher},
+               {"reason", ToString(effect.reason)},
+               {"expected_us", effect.expected.count()},
+               {"in_flight", effect.in_flight},
+               {"remaining_ms", forwarded.remaining.count()},
+               {"left_out", routine ? 0 : retry_log_limiter_.TakeLeftOut()}});
 }
 
 void route_gateway::Do(finish_route_request& effect) {
@@ -318,6 +327,7 @@
   if (routine ? !SampleDecision() : !log_limiter_.Allow(Now())) return;
   boost::json::array missing;
   for (const missing_part& each : finish.missing) {
+    if (missing.size() == kMaxMissingListed) break;
     missing.push_back(boost::json::object{
         {"service", each.service}, {"reason", Describe(each.code).name}});
   }
@@ -331,6 +341,8 @@
        {"searcher_status", finish.reply == nullptr ? 0 : finish.reply->status},
        {"attempts", finish.attempts},
        {"hedges", finish.hedges},
+       {"last_searcher", finish.last_searcher},
+       {"missing_count", finish.missing.size()},
        {"missing", std::move(missing)},
        {"elapsed_us", finish.elapsed.count()},
        {"retry_after_ms", finish.retry_after.count() / 1000},
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -113,6 +113,7 @@
   metrics* metrics_;
   std::function<void()> wake_;
   log_limiter log_limiter_;
+  log_limiter retry_log_limiter_;
   route_engine engine_;
   searcher_client client_;
   std::shared_ptr<const route_table> table_;
--- a/bilberrycourse/route_effects.h
+++ b/bilberrycourse/route_effects.h
@@ -98,6 +98,8 @@
   // Summary for logs and metrics.
   std::uint32_t attempts = 0;
   std::uint32_t hedges = 0;
+  // The searcher that got the latest attempt, empty if there was none.
+  std::string last_searcher;
   duration elapsed{0};
 };
 
--- a/bilberrycourse/route_engine.cc
+++ b/bilberrycourse/route_engine.cc
@@ -399,6 +399,7 @@
   finish.request = row->call.id;
   finish.attempts = row->attempts;
   finish.hedges = row->hedges;
+  finish.last_searcher = row->last_searcher;
   finish.elapsed = now - row->received;
   ForgetUnsent(*row);
   CancelRelays(*row, false, out);
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -208,6 +208,7 @@
     std::vector<bool> relay_done;
     std::uint32_t attempts = 0;
     std::uint32_t hedges = 0;
+    std::string last_searcher;
     bool fan_out() const { return !call.matched->shards.empty(); }
   };
 
--- a/bilberrycourse/route_engine_attempts.cc
+++ b/bilberrycourse/route_engine_attempts.cc
@@ -125,6 +125,7 @@
   part& each = row->parts[sending->part];
   ++each.may_have_run;
   ++row->attempts;
+  row->last_searcher = sending->searcher;
   switch (sending->reason) {
     case send_reason::kFirst:
       ++counters_.first_attempts;
