--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -144,12 +144,7 @@
         std::make_shared<const std::string>(std::move(request.body));
   }
   row.respond = std::move(respond);
-  *request.on_disconnect = [this, id] {
-    route_effects effects;
-    engine_.Cancel(id, Now(), &effects);
-    calls_.erase(id);
-    Execute(&effects);
-  };
+  *request.on_disconnect = [this, id] { OnCallerLeft(id); };
   route_call call;
   call.id = id;
   call.table = table_;
@@ -163,6 +158,20 @@
   Execute(&effects);
 }
 
+// The responder must be called all the same: it lets go of the connection.
+void route_gateway::OnCallerLeft(route_request_id id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  const http_responder respond = std::move(found->second.respond);
+  calls_.erase(found);
+  route_effects effects;
+  engine_.Cancel(id, Now(), &effects);
+  Execute(&effects);
+  http_response abandoned;
+  abandoned.abort = true;
+  respond(std::move(abandoned));
+}
+
 // When the caller began: the latency objective counts from there.
 time_point route_gateway::SentAt(const http_request& request,
                                  time_point now) const {
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -106,6 +106,7 @@
               http_responder respond);
   std::string HeaderOf(const http_request& request,
                        const std::string& name) const;
+  void OnCallerLeft(route_request_id id);
   time_point SentAt(const http_request& request, time_point now) const;
 
   const settings& config_;
--- a/app/testing/control_client_test.cc
+++ b/app/testing/control_client_test.cc
@@ -9,19 +9,13 @@
 
 #include "app/daemon_clock.h"
 #include "app/frames.h"
+#include "app/testing/loopback.h"
 
 namespace bilberrycourse {
 namespace {
 
 namespace asio = boost::asio;
 
-std::uint16_t FreePort() {
-  asio::io_context context;
-  asio::ip::tcp::acceptor acceptor(context,
-                                   {asio::ip::make_address("127.0.0.1"), 0});
-  return acceptor.local_endpoint().port();
-}
-
 // A control member that answers every poll with the same age and version.
 class fake_member : public peer_transport_handler {
  public:
@@ -100,15 +94,8 @@
 
   template <typename Condition>
   bool RunUntil(Condition condition) {
-    const auto end =
-        std::chrono::steady_clock::now() + std::chrono::seconds(20);
-    while (!condition()) {
-      if (std::chrono::steady_clock::now() > end) return false;
-      client_->Tick(Now());
-      context_.restart();
-      context_.run_for(std::chrono::milliseconds(10));
-    }
-    return true;
+    return RunContextUntil(&context_, condition,
+                           [this] { client_->Tick(Now()); });
   }
 
   asio::io_context context_;
--- a/app/testing/peer_transport_test.cc
+++ b/app/testing/peer_transport_test.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "app/frames.h"
+#include "app/testing/loopback.h"
 
 namespace bilberrycourse {
 namespace {
@@ -39,12 +40,6 @@
   std::vector<std::string> frames;
 };
 
-std::uint16_t FreePort() {
-  asio::io_context context;
-  tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-  return acceptor.local_endpoint().port();
-}
-
 class peer_transport_test : public ::testing::Test {
  protected:
   struct node {
@@ -71,17 +66,9 @@
     return started;
   }
 
-  // Runs until the condition holds; gives up after a generous time.
   template <typename Condition>
   bool RunUntil(Condition condition) {
-    const auto end =
-        std::chrono::steady_clock::now() + std::chrono::seconds(20);
-    while (!condition()) {
-      if (std::chrono::steady_clock::now() > end) return false;
-      context_.restart();
-      context_.run_for(std::chrono::milliseconds(10));
-    }
-    return true;
+    return RunContextUntil(&context_, condition);
   }
 
   static wire::peer_frameT Text(const std::string& text) {
--- /dev/null
+++ b/app/testing/route_gateway_test.cc
@@ -0,0 +1,146 @@
+#include "app/route_gateway.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <memory>
+#include <string>
+
+#include "app/daemon_clock.h"
+#include "app/testing/loopback.h"
+#include "platform/platform_protocol.h"
+
+namespace bilberrycourse {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr char kDocument[] = R"({"version":1,"routes":[
+  {"name":"look","host":"h.example","pathPrefix":"/look/",
+   "routeType":"idempotent","timeoutMs":1000,"targetLatencyMs":500,
+   "backend":"desk","maxAttempts":1}],
+  "services":[{"name":"desk","healthPath":"/health","maxConnections":10}]})";
+
+// A gateway behind an HTTP server, and a searcher that a test plays by hand.
+class route_gateway_test : public ::testing::Test,
+                           public peer_transport_handler {
+ protected:
+  void SetUp() override {
+    config_.name = "e1";
+    config_.zone = "a";
+    config_.entry = true;
+    config_.caller_listen = {"127.0.0.1", FreePort()};
+    peer_transport_options links;
+    links.self = "e1";
+    links.listen = {"127.0.0.1", FreePort()};
+    transport_ =
+        std::make_unique<peer_transport>(context_.get_executor(), links, this);
+    gateway_ = std::make_unique<route_gateway>(
+        context_.get_executor(), config_, protocol_.get(), transport_.get(),
+        &metrics_, [] {});
+    http_server_options options;
+    options.listen = config_.caller_listen;
+    options.keep_headers = true;
+    server_ = std::make_unique<http_server>(
+        context_.get_executor(), options,
+        [this](http_request request, http_responder respond) {
+          gateway_->Handle(std::move(request), std::move(respond));
+        });
+    ASSERT_TRUE(server_->Listen());
+    route_news news;
+    news.routes = {1, kDocument};
+    searcher_record searcher;
+    searcher.report.id = "i1";
+    searcher.report.service = "desk";
+    searcher.report.address =
+        "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    searcher.report.slots = 2;
+    searcher.revision = 1;
+    news.revision = 1;
+    news.searchers = {searcher};
+    gateway_->OnRouteNews(news, Now());
+  }
+
+  void OnPeerConnected(const instance_name&) override {}
+  void OnPeerDisconnected(const instance_name&) override {}
+  void OnPeerFrame(const instance_name&, const wire::peer_frame&) override {}
+
+  template <typename Condition>
+  bool RunUntil(Condition condition) {
+    return RunContextUntil(&context_, condition,
+                           [this] { gateway_->Tick(Now()); });
+  }
+
+  void Call(tcp::socket* caller) {
+    caller->connect(
+        {asio::ip::make_address("127.0.0.1"), config_.caller_listen.port});
+    asio::write(*caller,
+                asio::buffer(std::string("GET /look/x HTTP/1.1\r\nHost: "
+                                         "h.example\r\nX-Request-Id: r1\r\n"
+                                         "X-Deadline-Ms: 900\r\n\r\n")));
+  }
+
+  asio::io_context context_;
+  settings config_;
+  std::unique_ptr<edge_protocol> protocol_ = MakePlatformProtocol();
+  metrics metrics_;
+  std::unique_ptr<peer_transport> transport_;
+  std::unique_ptr<route_gateway> gateway_;
+  std::unique_ptr<http_server> server_;
+  tcp::acceptor acceptor_{context_, {asio::ip::make_address("127.0.0.1"), 0}};
+};
+
+// Guards against a request that stays pending for ever once its caller has
+// left: its connection was never let go, and each shutdown waited for the whole
+// grace. Found by the soak (seed 223) as requests cut off at the end of a
+// grace.
+TEST_F(route_gateway_test, Handle_CallerLeaves_LetsGoOfItsConnection) {
+  tcp::socket caller(context_);
+  Call(&caller);
+  ASSERT_TRUE(RunUntil([&] { return gateway_->in_flight() == 1; }));
+  EXPECT_EQ(server_->pending(), 1u);
+  caller.close();
+  EXPECT_TRUE(RunUntil([&] { return gateway_->in_flight() == 0; }));
+  EXPECT_TRUE(RunUntil([&] { return server_->pending() == 0; }));
+}
+
+// Guards against an answer of the searcher that does not reach the caller as it
+// was.
+TEST_F(route_gateway_test, Handle_SearcherAnswers_CallerGetsItsBytes) {
+  tcp::socket caller(context_);
+  Call(&caller);
+  ASSERT_TRUE(RunUntil([&] { return gateway_->in_flight() == 1; }));
+  tcp::socket searcher(context_);
+  acceptor_.accept(searcher);
+  std::string read;
+  ASSERT_TRUE(RunUntil([&] {
+    char buffer[1024];
+    if (searcher.available() > 0) {
+      read.append(buffer, searcher.read_some(asio::buffer(buffer)));
+    }
+    return read.find("\r\n\r\n") != std::string::npos;
+  }));
+  EXPECT_NE(read.find("X-Expected-Instance: i1"), std::string::npos);
+  asio::write(searcher, asio::buffer(std::string(
+                            "HTTP/1.1 207 X\r\nX-Server-Stamp: s\r\n"
+                            "X-Request-Id: r1\r\nContent-Type: a/b\r\n"
+                            "Content-Length: 4\r\n\r\nbody")));
+  std::string answer;
+  ASSERT_TRUE(RunUntil([&] {
+    char buffer[1024];
+    if (caller.available() > 0) {
+      answer.append(buffer, caller.read_some(asio::buffer(buffer)));
+    }
+    return answer.find("body") != std::string::npos;
+  }));
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 207 "));
+  EXPECT_NE(answer.find("X-Server-Stamp: s\r\n"), std::string::npos);
+  EXPECT_NE(answer.find("Content-Type: a/b\r\n"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace bilberrycourse
--- a/app/testing/searcher_client_test.cc
+++ b/app/testing/searcher_client_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "app/testing/loopback.h"
 #include "platform/platform_protocol.h"
 
 namespace bilberrycourse {
@@ -44,14 +45,7 @@
 
   template <typename Condition>
   bool RunUntil(Condition condition) {
-    const auto end =
-        std::chrono::steady_clock::now() + std::chrono::seconds(20);
-    while (!condition()) {
-      if (std::chrono::steady_clock::now() > end) return false;
-      context_.restart();
-      context_.run_for(std::chrono::milliseconds(5));
-    }
-    return true;
+    return RunContextUntil(&context_, condition);
   }
 
   // Sends a request and returns what the searcher reads.
--- a/bilberrycourse/route_engine.cc
+++ b/bilberrycourse/route_engine.cc
@@ -20,11 +20,6 @@
 // Callers follow Retry-After up to a third of the time that they have left.
 constexpr double kRetryAfterShare = 0.3;
 
-duration Scale(duration value, double factor) {
-  return duration(
-      static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
-}
-
 }  // namespace
 
 route_engine::route_engine(route_engine_options options, instance_name self,
@@ -110,7 +105,7 @@
 
 duration route_engine::Usual(const route& matched) const {
   const auto found = service_times_.find(matched.name);
-  const duration prior = Scale(matched.latency_objective, kUsualShare);
+  const duration prior = Scaled(matched.latency_objective, kUsualShare);
   if (found == service_times_.end()) return prior;
   return found->second.recent().value_or(prior);
 }
@@ -122,9 +117,9 @@
   if (found != service_times_.end()) {
     quantile = found->second.Quantile(options_.hedge_quantile, now);
   }
-  return std::clamp(quantile.value_or(Scale(objective, kHedgeShare)),
-                    Scale(objective, options_.min_hedge_share),
-                    Scale(objective, options_.max_hedge_share));
+  return std::clamp(quantile.value_or(Scaled(objective, kHedgeShare)),
+                    Scaled(objective, options_.min_hedge_share),
+                    Scaled(objective, options_.max_hedge_share));
 }
 
 // Smooth weighted round robin: over any sequence of requests each backend gets
@@ -185,7 +180,7 @@
     case alarm_kind::kAnswer:
       return OnAnswerDue(row, now, out);
     case alarm_kind::kRelay:
-      return OnRelayDue(row, due.part, now, out);
+      return OnRelayDue(row, due.part, out);
     case alarm_kind::kGiveUp:
       return OnGiveUpDue(row, now, out);
     case alarm_kind::kAttempt:
@@ -222,7 +217,7 @@
     if (row.parts[i].relayed) continue;
     Service(row.parts[i].service).budget.OnRequest();
     if (!StartAttempt(&row, i, send_reason::kFirst, now, out)) {
-      FailPart(&row, i, result_code::kNoServingReplica, now, out);
+      FailPart(&row, i, result_code::kNoServingReplica);
     }
   }
   SetAlarm(alarm_kind::kGiveUp, row.give_up_at, id);
@@ -230,7 +225,7 @@
     SetAlarm(alarm_kind::kAnswer, row.answer_at, id);
   } else {
     SetAlarm(alarm_kind::kWait,
-             now + Scale(matched.latency_objective, options_.max_wait_share),
+             now + Scaled(matched.latency_objective, options_.max_wait_share),
              id);
   }
   CheckDone(&row, now, out);
@@ -272,9 +267,9 @@
                                route_effects* out) {
   if (row->call.streamed()) {
     for (std::size_t i = 0; i < row->parts.size(); ++i) {
-      FailPart(row, i, result_code::kDeadlineExceeded, now, out);
+      FailPart(row, i, result_code::kDeadlineExceeded);
     }
-    return Report(row, now, out);
+    return Report(row, out);
   }
   if (row->fan_out() && EnoughCoverage(*row)) {
     return FinishMerged(row, now, out);
@@ -288,8 +283,7 @@
   return row.answered > 0 && share >= row.call.matched->min_coverage;
 }
 
-void route_engine::FailPart(request* row, std::size_t index, result_code code,
-                            time_point, route_effects*) {
+void route_engine::FailPart(request* row, std::size_t index, result_code code) {
   part& each = row->parts[index];
   if (each.failed || each.reply != nullptr) return;
   each.failed = true;
@@ -312,7 +306,7 @@
   const std::size_t count = row->parts.size();
   if (row->call.streamed()) {
     const bool done = row->answered + row->failed == count;
-    if (done || row->past_answer) Report(row, now, out);
+    if (done || row->past_answer) Report(row, out);
     return;
   }
   if (!row->fan_out()) {
@@ -390,7 +384,7 @@
                             : duration{0};
   const duration wanted = std::max<duration>(std::chrono::milliseconds(20),
                                              2 * Usual(*row.call.matched));
-  return std::min(wanted, Scale(left, kRetryAfterShare));
+  return std::min(wanted, Scaled(left, kRetryAfterShare));
 }
 
 // Attempts in flight run on: their connections become free with their replies.
@@ -415,8 +409,7 @@
   requests_.erase(id);
 }
 
-void route_engine::Cancel(route_request_id id, time_point now,
-                          route_effects* out) {
+void route_engine::Cancel(route_request_id id, time_point, route_effects* out) {
   request* row = FindRequest(id);
   if (row == nullptr) return;
   ++counters_.cancelled;
@@ -425,7 +418,7 @@
   for (const part& each : row->parts) {
     for (const attempt_id running : each.running) {
       const attempt* ended = FindAttempt(running);
-      if (ended != nullptr) BreakOff(*ended, now, out);
+      if (ended != nullptr) BreakOff(*ended, out);
     }
   }
   requests_.erase(id);
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -252,8 +252,7 @@
                   route_effects* out);
   void OnWaitDue(request* row, time_point now, route_effects* out);
   void OnAnswerDue(request* row, time_point now, route_effects* out);
-  void OnRelayDue(request* row, std::size_t group, time_point now,
-                  route_effects* out);
+  void OnRelayDue(request* row, std::size_t group, route_effects* out);
   void OnGiveUpDue(request* row, time_point now, route_effects* out);
   void OnAttemptDue(attempt_id id, time_point now, route_effects* out);
 
@@ -272,8 +271,7 @@
                     result_code code, time_point now, route_effects* out);
   bool MayRepeat(const request& row, const part& each,
                  send_reason reason) const;
-  void FailPart(request* row, std::size_t index, result_code code,
-                time_point now, route_effects* out);
+  void FailPart(request* row, std::size_t index, result_code code);
   void OnPartAnswered(request* row, std::size_t index,
                       searcher_reply_pointer reply, time_point now,
                       route_effects* out);
@@ -283,7 +281,7 @@
   void SearchInsteadOfRelay(request* row, std::size_t group, time_point now,
                             route_effects* out);
   void CancelRelays(const request& row, bool caller_left, route_effects* out);
-  void Report(request* row, time_point now, route_effects* out);
+  void Report(request* row, route_effects* out);
   void FinishMerged(request* row, time_point now, route_effects* out);
   void FinishWith(request* row, finish_route_request finish, time_point now,
                   route_effects* out);
@@ -292,7 +290,7 @@
   duration RetryAfter(const request& row, time_point now) const;
   void ForgetUnsent(const request& row);
   void MoveUnsent(const attempt& moved, time_point now, route_effects* out);
-  void BreakOff(const attempt& ended, time_point now, route_effects* out);
+  void BreakOff(const attempt& ended, route_effects* out);
   void EndAttempt(attempt_id id);
   void HandleAttemptReply(const attempt& ended, searcher_reply_pointer reply,
                           time_point now, route_effects* out);
--- a/bilberrycourse/route_engine_attempts.cc
+++ b/bilberrycourse/route_engine_attempts.cc
@@ -19,11 +19,6 @@
 
 bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
 
-duration Scale(duration value, double factor) {
-  return duration(
-      static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
-}
-
 }  // namespace
 
 route_engine::attempt* route_engine::FindAttempt(attempt_id id) {
@@ -115,8 +110,8 @@
   duration remaining =
       std::max<duration>(row->give_up_at - now, std::chrono::milliseconds(1));
   if (row->fan_out() && matched.latency_objective > duration{0}) {
-    remaining = std::min(remaining, Scale(matched.latency_objective,
-                                          options_.shard_deadline_factor));
+    remaining = std::min(remaining, Scaled(matched.latency_objective,
+                                           options_.shard_deadline_factor));
   }
   sending->sent = true;
   sending->sent_at = now;
@@ -175,7 +170,7 @@
     }
   }
   if (repeated) return;
-  FailPart(row, index, code, now, out);
+  FailPart(row, index, code);
   CheckDone(row, now, out);
 }
 
@@ -190,7 +185,7 @@
   if (each.reply != nullptr || each.failed) return;
   if (StartAttempt(row, moved.part, moved.reason, now, out)) return;
   if (!each.running.empty()) return;
-  FailPart(row, moved.part, result_code::kNoServingReplica, now, out);
+  FailPart(row, moved.part, result_code::kNoServingReplica);
   CheckDone(row, now, out);
 }
 
@@ -221,8 +216,7 @@
 
 // Ends an attempt in flight by closing its connection, which is how a searcher
 // learns that nobody waits.
-void route_engine::BreakOff(const attempt& ended, time_point,
-                            route_effects* out) {
+void route_engine::BreakOff(const attempt& ended, route_effects* out) {
   if (searcher_entry* entry = pool_.Find(ended.searcher, ended.serial)) {
     entry->connections.Forget(ended.connection);
     pool_.OnEnded(entry, ended.sent_at);
@@ -368,7 +362,7 @@
     pool_.OnUnreachable(entry, now);
   }
   ++counters_.broken_attempts;
-  BreakOff(ended, now, out);
+  BreakOff(ended, out);
   if (row == nullptr) return;
   RepeatOrFail(row, ended.part, send_reason::kFailed,
                result_code::kDeadlineExceeded, now, out);
--- a/bilberrycourse/route_engine_relays.cc
+++ b/bilberrycourse/route_engine_relays.cc
@@ -64,7 +64,7 @@
   }
   for (const auto& [position, code] : report.failed) {
     if (position < positions.size()) {
-      FailPart(row, positions[position], code, now, out);
+      FailPart(row, positions[position], code);
     }
   }
   CheckDone(row, now, out);
@@ -73,7 +73,7 @@
 // The relay may only be slow. Searching its shards again would reach more
 // searchers than the route allows, so that the origin goes on waiting and
 // leaves the relay out of its next requests.
-void route_engine::OnRelayDue(request* row, std::size_t group, time_point,
+void route_engine::OnRelayDue(request* row, std::size_t group,
                               route_effects* out) {
   if (row->relay_heard[group]) return;
   out->push_back(relay_silent{row->call.relays[group].relay});
@@ -111,7 +111,7 @@
         may_search && Service(each.service).budget.Take() &&
         StartAttempt(row, index, send_reason::kFailed, now, out);
     if (!started) {
-      FailPart(row, index, result_code::kOwnerUnreachable, now, out);
+      FailPart(row, index, result_code::kOwnerUnreachable);
     }
   }
   CheckDone(row, now, out);
@@ -127,7 +127,7 @@
 }
 
 // Reports what no earlier report has named; the last report ends the request.
-void route_engine::Report(request* row, time_point, route_effects* out) {
+void route_engine::Report(request* row, route_effects* out) {
   route_progress progress;
   progress.request = row->call.id;
   shard_report& report = progress.report;
--- a/bilberrycourse/types.h
+++ b/bilberrycourse/types.h
@@ -47,6 +47,12 @@
 // Identity of one log member. A member that lost its disk gets a new one.
 enum class member_id : std::uint64_t {};
 
+// A share or multiple of a duration, rounded down to a microsecond.
+inline duration Scaled(duration value, double factor) {
+  return duration(
+      static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
+}
+
 // Name of an instance of the tier, from its settings.
 using instance_name = std::string;
 using availability_zone = std::string;
