--- a/bilberrycourse/testing/shard_dispatcher_test.cc
+++ b/bilberrycourse/testing/shard_dispatcher_test.cc
@@ -191,6 +191,22 @@
   EXPECT_TRUE(Take<cancel_attempt>().empty());
 }
 
+// Guards against new work for a draining searcher while another one serves:
+// only the choice among the replicas keeps it away then.
+TEST_F(shard_dispatcher_test, DrainingSearcher_OtherIsBusy_IsNotChosen) {
+  AddServer(Record("a"));
+  AddServer(Record("b"));
+  backend_server_record record = Record("a");
+  record.sequence = 1;
+  record.state = backend_server_state::kDraining;
+  dispatcher_->UpdateBackendServer(record, now_, &effects_);
+  for (std::uint64_t id = 1; id <= 4; ++id) Submit(Request(id));
+  OpenAll();
+  for (const send_attempt& attempt : Take<send_attempt>()) {
+    EXPECT_EQ(attempt.server.replica, "b");
+  }
+}
+
 // Guards against mixed versions in an answer.
 TEST_F(shard_dispatcher_test, OtherVersion_Reply_IsNeverTheAnswer) {
   AddServer(Record("a"));
