--- a/app/searcher_client.cc
+++ b/app/searcher_client.cc
@@ -23,7 +23,9 @@
 
 // Reads `timeout=N` of a Keep-Alive header.
 std::optional<duration> IdleLimit(beast::string_view text) {
-  for (const auto& parameter : http::param_list(";" + std::string(text))) {
+  // The list refers to its text, which must live as long as the loop.
+  const std::string listed = ";" + std::string(text);
+  for (const auto& parameter : http::param_list(listed)) {
     if (!beast::iequals(parameter.first, "timeout")) continue;
     unsigned seconds = 0;
     const auto value = parameter.second;
