Let an instance advertise another peer address than it listens on

Cause: the soak puts a proxy before each instance's peer links, and members learn each other's addresses from the group, which went around any translation. [listen] peer_advertised is what others are told; by default it is peer.

Seen on the way: with seeds that name their ports and no seed_port, the control group listed its seeds with port 0. Tests: settings_test.SeedAddress_NoSeedPort_IsThatOfTheList and Parse_PeerAdvertised_DefaultsToThePeerAddress.

--- a/app/cluster_service.cc
+++ b/app/cluster_service.cc
@@ -16,7 +16,7 @@
   record.name = config.name;
   record.incarnation = incarnation;
   record.zone = config.zone;
-  record.peer_address = config.peer_listen.ToText();
+  record.peer_address = config.peer_advertised.ToText();
   record.http_address = config.caller_listen.ToText();
   if (config.entry) record.roles.Add(instance_role::kEntry);
   if (config.control) record.roles.Add(instance_role::kControl);
@@ -28,7 +28,7 @@
   membership_options options;
   options.seed = incarnation;
   for (const socket_address& seed : config.seeds) {
-    if (seed == config.peer_listen) continue;
+    if (seed == config.peer_advertised) continue;
     options.seeds.push_back(seed.ToText());
   }
   return options;
@@ -116,7 +116,7 @@
   for (const socket_address& seed : config_.seeds) {
     // A seed whose instance is connected needs no second link; the transport
     // also drops one that turns out to be a duplicate.
-    if (seed == config_.peer_listen) continue;
+    if (seed == config_.peer_advertised) continue;
     const std::string address = seed.ToText();
     bool connected = false;
     for (const instance_record& each : members_.alive()) {
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -209,7 +209,7 @@
     if (!group_.empty() && !group_.contains(seed.ip) && gateway_ != nullptr) {
       continue;
     }
-    if (seed.ip != config_.peer_listen.ip && !transport_.Connected(seed.ip)) {
+    if (seed.ip != config_.peer_advertised.ip && !transport_.Connected(seed.ip)) {
       addresses.insert(seed.ToText());
     }
   }
@@ -266,7 +266,7 @@
   LogEvent(log_level::kInfo, "peer_connected", {{"peer", peer}});
   if (gateway_ == nullptr) return;
   wire::entry_helloT hello;
-  hello.address = config_.peer_listen.ToText();
+  hello.address = config_.peer_advertised.ToText();
   hello.availability_zone = config_.zone;
   transport_.Send(peer, MakeFrame(std::move(hello)));
   if (group_.empty() || group_.contains(peer)) {
--- a/app/settings.cc
+++ b/app/settings.cc
@@ -208,6 +208,8 @@
      ParseAddress<&settings::caller_listen>},
     {"listen", "peer", setting_need::kAlways, kAddressAllowed,
      ParseAddress<&settings::peer_listen>},
+    {"listen", "peer_advertised", setting_need::kOptional, kAddressAllowed,
+     ParseAddress<&settings::peer_advertised>},
     {"listen", "readiness", setting_need::kOptional, kAddressAllowed,
      ParseAddress<&settings::readiness_listen>},
     {"peers", "seeds", setting_need::kAlways,
@@ -323,10 +325,10 @@
     errors->push_back({"peers", "seeds", "names no control instance",
                        "the addresses of one or more control instances"});
   }
-  if (s.control && s.name != s.peer_listen.ip) {
+  if (s.control && s.name != s.peer_advertised.ip) {
     errors->push_back({"instance", "name", "is not the own IP number",
                        "with interface routes and role control, the IP number "
-                       "of [listen] peer"});
+                       "of [listen] peer_advertised, by default of peer"});
   }
   if (s.control && s.entry) {
     errors->push_back({"instance", "role", "has both roles",
@@ -422,6 +424,9 @@
                         "is missing", std::string(row.allowed)});
     }
   }
+  if (parsed.peer_advertised.ip.empty()) {
+    parsed.peer_advertised = parsed.peer_listen;
+  }
   if (parsed.interface == serving_interface::kRoutes) {
     NameMembersBySeeds(&parsed);
   }
@@ -445,6 +450,13 @@
   return ParseSettings(file, text);
 }
 
+std::string SeedAddress(const settings& config, const std::string& ip) {
+  for (const socket_address& seed : config.seeds) {
+    if (seed.ip == ip) return seed.ToText();
+  }
+  return "";
+}
+
 std::string ToText(const settings_errors& errors) {
   std::ostringstream out;
   for (const settings_error& error : errors.errors) {
--- a/app/settings.h
+++ b/app/settings.h
@@ -55,6 +55,9 @@
   // [listen]
   socket_address caller_listen;
   socket_address peer_listen;
+  // Where other instances reach peer_listen; equal to it unless the network
+  // translates addresses.
+  socket_address peer_advertised;
   // Where the balancer asks for readiness and metrics are read; routes only.
   socket_address readiness_listen;
   // [peers]
@@ -113,6 +116,10 @@
 boost::leaf::result<settings> ParseSettings(const std::string& file,
                                             const std::string& text);
 
+// Address of the peer links of the seed with IP number `ip`; empty if no seed
+// has it.
+std::string SeedAddress(const settings& config, const std::string& ip);
+
 // One line for each error: file, section, key, problem and what is allowed.
 std::string ToText(const settings_errors& errors);
 
--- a/app/testing/settings_test.cc
+++ b/app/testing/settings_test.cc
@@ -184,6 +184,48 @@
       [] { ADD_FAILURE(); });
 }
 
+// Guards against members that are dialed at port 0 where the list of seeds
+// names the ports of the peer links itself.
+TEST_F(settings_test, SeedAddress_NoSeedPort_IsThatOfTheList) {
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(
+            parsed, ParseSettings("test.ini", Replace(RoutesText(),
+                                                      "seed_port=7380\n", "")));
+        EXPECT_EQ(SeedAddress(parsed, "10.0.0.2"), "10.0.0.2:8106");
+        EXPECT_EQ(SeedAddress(parsed, "10.0.0.3"), "");
+        return {};
+      },
+      [](const settings_errors& errors) { ADD_FAILURE() << ToText(errors); },
+      [] { ADD_FAILURE(); });
+}
+
+// Guards against an instance behind address translation that tells others its
+// own, unreachable address.
+TEST_F(settings_test, Parse_PeerAdvertised_DefaultsToThePeerAddress) {
+  const struct {
+    const char* line;
+    const char* advertised;
+  } rows[] = {
+      {"peer=10.0.0.1:7380\n", "10.0.0.1:7380"},
+      {"peer=192.168.0.9:7380\npeer_advertised=10.0.0.1:9000\n",
+       "10.0.0.1:9000"},
+  };
+  for (const auto& row : rows) {
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+          BOOST_LEAF_AUTO(
+              parsed, ParseSettings("test.ini",
+                                    Replace(RoutesText(),
+                                            "peer=10.0.0.1:7380\n", row.line)));
+          EXPECT_EQ(parsed.peer_advertised.ToText(), row.advertised);
+          return {};
+        },
+        [](const settings_errors& errors) { ADD_FAILURE() << ToText(errors); },
+        [] { ADD_FAILURE(); });
+  }
+}
+
 // Guards against settings that start an instance which can never take part.
 TEST_F(settings_test, Parse_RoutesInterface_ContradictionsAreNamed) {
   const struct {
