Release the folder before it is opened again

Cause: control_service opened the data folder again while the files of the failed opening still held its lock, so that every second opening failed and a damaged folder was never discarded: the opening that should discard it saw no files. Found by reading, while a factory for the files was put in.

--- a/app/control_service.cc
+++ b/app/control_service.cc
@@ -42,7 +42,7 @@
   }
   if (config.interface == serving_interface::kRoutes) {
     for (control_instance& each : instances) {
-      each.address = socket_address{each.instance, config.seed_port}.ToText();
+      each.address = SeedAddress(config, each.instance);
     }
   }
   for (const instance_name& name : config.spares) {
@@ -76,13 +76,16 @@
   reads_.clear();
   if (discard_folder_) {
     discard_folder_ = false;
-    posix_storage_files folder(config_.data_dir);
+    // Closed first, because it holds the lock of the folder.
+    files_.reset();
+    const auto folder = StorageFilesFactory()(config_.data_dir);
     std::vector<std::string> names;
-    folder.List(&names);
-    for (const std::string& name : names) folder.Remove(name);
-    folder.SyncFolder();
+    folder->List(&names);
+    for (const std::string& name : names) folder->Remove(name);
+    folder->SyncFolder();
   }
-  files_ = std::make_unique<posix_storage_files>(config_.data_dir);
+  files_.reset();
+  files_ = StorageFilesFactory()(config_.data_dir);
   const auto completed = [executor = executor_, alive = alive_,
                           opening = ++opening_](const log_store_event& event) {
     boost::asio::post(executor, [alive, opening, event] {
@@ -110,7 +113,7 @@
             {"snapshot_index",
              opened.log.snapshot ? opened.log.snapshot->index : 0}});
   consensus_settings options;
-  options.address = config_.peer_listen.ToText();
+  options.address = config_.peer_advertised.ToText();
   options.instances = ControlInstances(config_);
   options.may_form_group = config_.bootstrap;
   // Differs between members and between starts, so that elections do not
--- a/app/control_service.h
+++ b/app/control_service.h
@@ -128,7 +128,7 @@
   boost::asio::any_io_executor executor_;
   const settings& config_;
   peer_transport* transport_;
-  std::unique_ptr<posix_storage_files> files_;
+  std::unique_ptr<storage_files> files_;
   std::unique_ptr<log_store> store_;
   std::unique_ptr<consensus_member> member_;
   control_state state_;
--- a/app/log_store.cc
+++ b/app/log_store.cc
@@ -178,6 +178,13 @@
                                           : result_code::kSyncFailed;
 }
 
+storage_files_factory& StorageFilesFactory() {
+  static storage_files_factory factory = [](const std::string& folder) {
+    return std::make_unique<posix_storage_files>(folder);
+  };
+  return factory;
+}
+
 // ---- log_store ----
 
 log_store::log_store(storage_files* files, log_store_settings settings,
--- a/app/log_store.h
+++ b/app/log_store.h
@@ -91,6 +91,14 @@
   std::vector<open_file> open_;
 };
 
+// Makes the file operations of a data folder.
+using storage_files_factory =
+    std::function<std::unique_ptr<storage_files>(const std::string& folder)>;
+
+// Gives posix_storage_files until a test program sets another factory, which
+// it does before any folder is opened.
+storage_files_factory& StorageFilesFactory();
+
 struct log_store_settings {
   std::string group;
   instance_name instance;
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -175,9 +175,7 @@
 // When the caller began: the latency objective counts from there.
 time_point route_gateway::SentAt(const http_request& request,
                                  time_point now) const {
-  const auto first_byte =
-      std::min(now, time_point(std::chrono::duration_cast<duration>(
-                        request.received_at.time_since_epoch())));
+  const auto first_byte = std::min(now, FromSteady(request.received_at));
   return first_byte -
          config_.caller_one_way *
              (request.first_on_connection ? kWaysOnNewConnection : 1);
--- /dev/null
+++ b/app/testing/control_service_test.cc
@@ -0,0 +1,72 @@
+#include "app/control_service.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <string>
+
+#include "app/daemon_clock.h"
+#include "app/testing/loopback.h"
+
+namespace bilberrycourse {
+namespace {
+
+class control_service_test : public ::testing::Test,
+                             public peer_transport_handler {
+ protected:
+  control_service_test()
+      : folder_(std::filesystem::temp_directory_path() /
+                ("control_service_test_" + std::to_string(::getpid()))) {
+    std::filesystem::remove_all(folder_);
+    config_.interface = serving_interface::kRoutes;
+    config_.name = "127.0.0.1";
+    config_.control = true;
+    config_.group = "group";
+    config_.initial_members = {"127.0.0.1", "127.0.0.2", "127.0.0.3"};
+    config_.data_dir = folder_.string();
+    peer_transport_options options;
+    options.self = config_.name;
+    options.shared_key = "a-long-shared-key";
+    transport_ = std::make_unique<peer_transport>(context_.get_executor(),
+                                                  options, this);
+  }
+  ~control_service_test() override { std::filesystem::remove_all(folder_); }
+
+  void OnPeerConnected(const instance_name&) override {}
+  void OnPeerDisconnected(const instance_name&) override {}
+  void OnPeerFrame(const instance_name&, const wire::peer_frame&) override {}
+
+  std::unique_ptr<control_service> Start(time_point now) {
+    auto service = std::make_unique<control_service>(context_.get_executor(),
+                                                     config_, transport_.get());
+    service->Start(now);
+    return service;
+  }
+
+  static std::string Role(const control_service& service, time_point now) {
+    return std::string(service.Describe(now).at("role").as_string());
+  }
+
+  boost::asio::io_context context_;
+  std::filesystem::path folder_;
+  settings config_;
+  std::unique_ptr<peer_transport> transport_;
+};
+
+// Guards against a damaged folder that is never replaced: the opening that
+// failed held the lock of the folder while the next one began.
+TEST_F(control_service_test, Tick_FolderDamaged_IsReplacedAtTheFirstReopening) {
+  const time_point start = Now();
+  Start(start)->Drain();
+  std::filesystem::resize_file(folder_ / "log-1", 40);
+  const auto service = Start(start);
+  ASSERT_EQ(Role(*service, start), "stopped");
+  service->Tick(start + std::chrono::milliseconds(600));
+  EXPECT_EQ(Role(*service, start + std::chrono::milliseconds(600)), "unformed");
+}
+
+}  // namespace
+}  // namespace bilberrycourse
--- /dev/null
+++ b/app/testing/faulty_storage_files.h
@@ -0,0 +1,89 @@
+#ifndef APP_TESTING_FAULTY_STORAGE_FILES_H_
+#define APP_TESTING_FAULTY_STORAGE_FILES_H_
+
+// A data folder whose operations fail at random.
+//
+//   faulty_storage_files files(std::make_unique<posix_storage_files>(folder),
+//                              {.sync_failure = 0.01, .seed = 7});
+//
+// A failed write leaves the first half of its bytes, as a disk that runs full
+// does. A failed sync leaves all of them, but the caller must not count on it.
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "app/log_store.h"
+
+namespace bilberrycourse {
+
+struct storage_faults {
+  // Share of the operations that fail, 0 to 1.
+  double sync_failure = 0;
+  double write_failure = 0;
+  // Longest extra time of a sync; the mean is half of it.
+  std::chrono::milliseconds sync_delay{0};
+  std::uint64_t seed = 0;
+};
+
+class faulty_storage_files : public storage_files {
+ public:
+  faulty_storage_files(std::unique_ptr<storage_files> files,
+                       const storage_faults& faults)
+      : files_(std::move(files)), faults_(faults), random_(faults.seed) {}
+
+  result_code List(std::vector<std::string>* names) override {
+    return files_->List(names);
+  }
+  result_code Read(const std::string& name, std::string* bytes) override {
+    return files_->Read(name, bytes);
+  }
+  result_code Write(const std::string& name, std::uint64_t offset,
+                    std::string_view bytes) override {
+    if (!Happens(faults_.write_failure)) {
+      return files_->Write(name, offset, bytes);
+    }
+    const result_code code =
+        files_->Write(name, offset, bytes.substr(0, bytes.size() / 2));
+    return code == result_code::kOk ? result_code::kDiskFull : code;
+  }
+  result_code Truncate(const std::string& name, std::uint64_t length) override {
+    return files_->Truncate(name, length);
+  }
+  result_code Sync(const std::string& name) override {
+    if (faults_.sync_delay.count() > 0) {
+      std::uniform_int_distribution<std::int64_t> wait(
+          0, faults_.sync_delay.count());
+      std::this_thread::sleep_for(std::chrono::milliseconds(wait(random_)));
+    }
+    const result_code code = files_->Sync(name);
+    if (code != result_code::kOk) return code;
+    return Happens(faults_.sync_failure) ? result_code::kSyncFailed : code;
+  }
+  result_code Rename(const std::string& from, const std::string& to) override {
+    return files_->Rename(from, to);
+  }
+  result_code Remove(const std::string& name) override {
+    return files_->Remove(name);
+  }
+  result_code SyncFolder() override { return files_->SyncFolder(); }
+
+ private:
+  bool Happens(double share) {
+    return std::bernoulli_distribution(share)(random_);
+  }
+
+  std::unique_ptr<storage_files> files_;
+  storage_faults faults_;
+  std::mt19937_64 random_;
+};
+
+}  // namespace bilberrycourse
+
+#endif  // APP_TESTING_FAULTY_STORAGE_FILES_H_
