Carry searchers and backend servers by one HTTP client

http_client holds the connections; the two clients build requests and read replies. Backend servers gain what searchers had: interim and early responses, and bytes that nobody asked for close the connection.

--- a/app/backend_client.cc
+++ b/app/backend_client.cc
@@ -5,8 +5,6 @@
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <deque>
-#include <map>
-#include <optional>
 #include <utility>
 
 #include "app/settings.h"
@@ -23,162 +21,31 @@
 // cancellation connection.
 constexpr std::chrono::seconds kCancelTimeout{2};
 constexpr std::size_t kMaxQueuedCancels = 1000;
+constexpr unsigned kHttp11 = 11;
 
-http::request<http::string_body> MakePost(const std::string& path,
-                                          const std::string& host) {
-  http::request<http::string_body> request(http::verb::post, path, 11);
+client_request MakePost(const std::string& path, const std::string& host) {
+  client_request request(http::verb::post, path, kHttp11);
   request.set(http::field::host, host);
   request.keep_alive(true);
   return request;
 }
 
-index_version VersionField(const http::response<http::string_body>& reply) {
+index_version VersionField(const client_response& reply) {
   const auto text = reply["X-Snapshot"];
   std::uint64_t value = 0;
   std::from_chars(text.data(), text.data() + text.size(), value);
   return index_version{value};
 }
 
-tcp::endpoint ToEndpoint(const socket_address& address) {
-  return {asio::ip::make_address(address.ip), address.port};
-}
-
 }  // namespace
 
-class backend_client::impl : public std::enable_shared_from_this<impl> {
- public:
-  impl(asio::any_io_executor run_on, backend_client_options configured,
-       backend_client_handler* receiver)
-      : executor(std::move(run_on)), options(configured), handler(receiver) {}
-
-  asio::any_io_executor executor;
-  backend_client_options options;
-  backend_client_handler* handler;
-  std::map<connection_id, std::shared_ptr<connection>> connections;
-  std::map<std::string, std::shared_ptr<cancel_channel>> cancels;
-};
-
-// A connection always has one read outstanding, so that a close by the
-// backend server is noticed while the connection is idle, too.
-class backend_client::connection
-    : public std::enable_shared_from_this<connection> {
- public:
-  connection(std::shared_ptr<impl> client, connection_id id,
-             std::string address)
-      : client_(std::move(client)),
-        id_(id),
-        address_(std::move(address)),
-        stream_(client_->executor) {}
-
-  void Open() {
-    socket_address parsed;
-    if (!ParseSocketAddress(address_, &parsed)) {
-      asio::post(client_->executor,
-                 [self = shared_from_this()] { self->Fail(); });
-      return;
-    }
-    stream_.expires_after(client_->options.connect_timeout);
-    stream_.async_connect(
-        ToEndpoint(parsed),
-        [self = shared_from_this()](const beast::error_code& error) {
-          if (error) return self->Fail();
-          self->Opened();
-        });
-  }
-
-  void Send(const backend_attempt& attempt) {
-    attempt_ = attempt.id;
-    request_ = MakePost("/attempt", address_);
-    request_.set("X-Attempt-Id", attempt.wire_id);
-    request_.set("X-Deadline-Ms", std::to_string(attempt.remaining.count()));
-    request_.set("X-Snapshot",
-                 std::to_string(static_cast<std::uint64_t>(attempt.version)));
-    if (!attempt.traceparent.empty()) {
-      request_.set("traceparent", attempt.traceparent);
-    }
-    request_.set(http::field::content_type, "application/json");
-    if (attempt.body != nullptr) request_.body() = *attempt.body;
-    request_.prepare_payload();
-    http::async_write(stream_, request_,
-                      [self = shared_from_this()](
-                          const beast::error_code& error, std::size_t) {
-                        if (error) self->Fail();
-                      });
-  }
-
-  void CloseSilently() {
-    closed_ = true;
-    stream_.close();
-  }
-
- private:
-  void Opened() {
-    if (closed_) return;
-    opened_ = true;
-    stream_.expires_never();
-    beast::error_code ignored;
-    stream_.socket().set_option(tcp::no_delay(true), ignored);
-    Read();
-    client_->handler->OnBackendOpened(id_);
-  }
-
-  void Read() {
-    parser_.emplace();
-    parser_->body_limit(client_->options.max_reply_bytes);
-    http::async_read(
-        stream_, buffer_, *parser_,
-        [self = shared_from_this()](const beast::error_code& error,
-                                    std::size_t) { self->ReadDone(error); });
-  }
-
-  void ReadDone(const beast::error_code& error) {
-    if (closed_) return;
-    if (error || !attempt_.has_value()) return Fail();
-    auto message = parser_->release();
-    const attempt_id attempt = *attempt_;
-    attempt_.reset();
-    backend_reply reply;
-    reply.status = message.result_int();
-    reply.not_run = message["X-Not-Run"] == "1";
-    reply.version = VersionField(message);
-    reply.body = std::make_shared<const std::string>(std::move(message.body()));
-    const bool keep = message.keep_alive();
-    if (keep) Read();
-    const auto self = shared_from_this();
-    client_->handler->OnBackendReply(id_, attempt, reply);
-    if (!keep) self->Fail();
-  }
-
-  void Fail() {
-    if (closed_) return;
-    closed_ = true;
-    const auto self = shared_from_this();
-    stream_.close();
-    client_->connections.erase(id_);
-    client_->handler->OnBackendClosed(id_, opened_);
-  }
-
-  std::shared_ptr<impl> client_;
-  const connection_id id_;
-  const std::string address_;
-  beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
-  std::optional<http::response_parser<http::string_body>> parser_;
-  http::request<http::string_body> request_;
-  std::optional<attempt_id> attempt_;
-  bool opened_ = false;
-  bool closed_ = false;
-};
-
 // Sends cancellations to one backend server, one at a time. A cancellation is
 // advice: it is dropped when the backend server does not take it.
 class backend_client::cancel_channel
     : public std::enable_shared_from_this<cancel_channel> {
  public:
-  cancel_channel(std::shared_ptr<impl> client, std::string address)
-      : client_(std::move(client)),
-        address_(std::move(address)),
-        stream_(client_->executor) {}
+  cancel_channel(const asio::any_io_executor& executor, std::string address)
+      : address_(std::move(address)), stream_(executor) {}
 
   void Queue(const std::string& wire_id) {
     if (queue_.size() >= kMaxQueuedCancels) return;
@@ -200,7 +67,7 @@
     socket_address parsed;
     if (!ParseSocketAddress(address_, &parsed)) return Reset();
     stream_.async_connect(
-        ToEndpoint(parsed),
+        tcp::endpoint(asio::ip::make_address(parsed.ip), parsed.port),
         [self = shared_from_this()](const beast::error_code& error) {
           if (error) return self->Reset();
           self->connected_ = true;
@@ -243,12 +110,11 @@
     queue_.clear();
   }
 
-  std::shared_ptr<impl> client_;
   const std::string address_;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
-  http::request<http::string_body> request_;
-  http::response<http::string_body> response_;
+  client_request request_;
+  client_response response_;
   std::deque<std::string> queue_;
   bool connected_ = false;
   bool busy_ = false;
@@ -256,50 +122,88 @@
 };
 
 backend_client::backend_client(asio::any_io_executor executor,
-                               backend_client_options options,
+                               const http_client_options& options,
                                backend_client_handler* handler)
-    : impl_(std::make_shared<impl>(std::move(executor), options, handler)) {}
+    : executor_(std::move(executor)),
+      handler_(handler),
+      http_(executor_, options, this) {}
 
 backend_client::~backend_client() { CloseAll(); }
 
 void backend_client::Open(connection_id id, const std::string& address) {
-  auto opened = std::make_shared<connection>(impl_, id, address);
-  impl_->connections[id] = opened;
-  opened->Open();
+  open_[id].address = address;
+  http_.Open(id, address);
 }
 
 void backend_client::Close(connection_id id) {
-  const auto found = impl_->connections.find(id);
-  if (found == impl_->connections.end()) return;
-  const auto closing = found->second;
-  impl_->connections.erase(found);
-  closing->CloseSilently();
+  open_.erase(id);
+  http_.Close(id);
 }
 
 void backend_client::SendAttempt(connection_id id,
                                  const backend_attempt& attempt) {
-  const auto found = impl_->connections.find(id);
-  if (found != impl_->connections.end()) found->second->Send(attempt);
+  const auto found = open_.find(id);
+  if (found == open_.end()) return;
+  found->second.attempt = attempt.id;
+  client_request request = MakePost("/attempt", found->second.address);
+  request.set("X-Attempt-Id", attempt.wire_id);
+  request.set("X-Deadline-Ms", std::to_string(attempt.remaining.count()));
+  request.set("X-Snapshot",
+              std::to_string(static_cast<std::uint64_t>(attempt.version)));
+  if (!attempt.traceparent.empty()) {
+    request.set("traceparent", attempt.traceparent);
+  }
+  request.set(http::field::content_type, "application/json");
+  if (attempt.body != nullptr) request.body() = *attempt.body;
+  request.prepare_payload();
+  http_.Send(id, std::move(request));
 }
 
 void backend_client::Cancel(const std::string& address,
                             const std::string& wire_id) {
-  auto& channel = impl_->cancels[address];
+  auto& channel = cancels_[address];
   if (channel == nullptr) {
-    channel = std::make_shared<cancel_channel>(impl_, address);
+    channel = std::make_shared<cancel_channel>(executor_, address);
   }
   channel->Queue(wire_id);
 }
 
 void backend_client::CloseAll() {
-  for (const auto& [id, each] : impl_->connections) each->CloseSilently();
-  impl_->connections.clear();
-  for (const auto& [address, each] : impl_->cancels) each->Close();
-  impl_->cancels.clear();
+  open_.clear();
+  http_.CloseAll();
+  for (const auto& [address, each] : cancels_) each->Close();
+  cancels_.clear();
+}
+
+void backend_client::OnConnectionOpened(connection_id id) {
+  handler_->OnBackendOpened(id);
+}
+
+void backend_client::OnConnectionClosed(connection_id id, bool was_open) {
+  open_.erase(id);
+  handler_->OnBackendClosed(id, was_open);
+}
+
+bool backend_client::Answers(connection_id, const client_response&) {
+  return true;
 }
 
-std::size_t backend_client::connections() const {
-  return impl_->connections.size();
+void backend_client::OnResponse(connection_id id, client_response response,
+                                bool keep_alive) {
+  const auto found = open_.find(id);
+  if (found == open_.end() || !found->second.attempt.has_value()) return;
+  const attempt_id attempt = *found->second.attempt;
+  found->second.attempt.reset();
+  backend_reply reply;
+  reply.status = response.result_int();
+  reply.not_run = response["X-Not-Run"] == "1";
+  reply.version = VersionField(response);
+  reply.body = std::make_shared<const std::string>(std::move(response.body()));
+  handler_->OnBackendReply(id, attempt, reply);
+  // The handler may have closed the connection meanwhile.
+  if (keep_alive || open_.erase(id) == 0) return;
+  http_.Close(id);
+  handler_->OnBackendClosed(id, true);
 }
 
 }  // namespace bilberrycourse
--- a/app/backend_client.h
+++ b/app/backend_client.h
@@ -1,7 +1,7 @@
 #ifndef APP_BACKEND_CLIENT_H_
 #define APP_BACKEND_CLIENT_H_
 
-// HTTP/1.1 keep-alive connections to backend servers. The shard_dispatcher
+// Sends attempts to backend servers of POST /query. The shard_dispatcher
 // decides which connection to open and what to send on it; this adapter only
 // carries that out and reports what happened.
 //
@@ -15,9 +15,12 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "app/http_client.h"
 #include "bilberrycourse/types.h"
 
 namespace bilberrycourse {
@@ -50,17 +53,12 @@
                               const backend_reply& reply) = 0;
 };
 
-struct backend_client_options {
-  std::chrono::milliseconds connect_timeout{1000};
-  std::uint64_t max_reply_bytes = 16 << 20;
-};
-
-class backend_client {
+class backend_client : private http_client_handler {
  public:
   backend_client(boost::asio::any_io_executor executor,
-                 backend_client_options options,
+                 const http_client_options& options,
                  backend_client_handler* handler);
-  ~backend_client();
+  ~backend_client() override;
 
   void Open(connection_id connection, const std::string& address);
   // Closes without a report to the handler.
@@ -68,13 +66,27 @@
   void SendAttempt(connection_id connection, const backend_attempt& attempt);
   void Cancel(const std::string& address, const std::string& wire_id);
   void CloseAll();
-  std::size_t connections() const;
+  std::size_t connections() const { return http_.connections(); }
 
  private:
-  class impl;
-  class connection;
+  struct open_connection {
+    std::string address;
+    std::optional<attempt_id> attempt;
+  };
   class cancel_channel;
-  std::shared_ptr<impl> impl_;
+
+  void OnConnectionOpened(connection_id connection) override;
+  void OnConnectionClosed(connection_id connection, bool was_open) override;
+  bool Answers(connection_id connection,
+               const client_response& response) override;
+  void OnResponse(connection_id connection, client_response response,
+                  bool keep_alive) override;
+
+  boost::asio::any_io_executor executor_;
+  backend_client_handler* handler_;
+  std::map<connection_id, open_connection> open_;
+  std::map<std::string, std::shared_ptr<cancel_channel>> cancels_;
+  http_client http_;
 };
 
 }  // namespace bilberrycourse
--- /dev/null
+++ b/app/http_client.h
@@ -0,0 +1,80 @@
+#ifndef APP_HTTP_CLIENT_H_
+#define APP_HTTP_CLIENT_H_
+
+// Outgoing HTTP/1.1 keep-alive connections, one request at a time on each.
+// What to open and send is decided elsewhere; clients of one kind of server
+// build their requests and read its replies.
+//
+//   http_client client(executor, options, handler);
+//   client.Open(connection, "10.0.0.7:8080");
+//   client.Send(connection, std::move(request));
+//
+// A reply counts only if it is complete: a body without a length must end with
+// an orderly close. A connection always has one read outstanding, so that a
+// close by the server is noticed while the connection is idle, too. Bytes that
+// no request asked for close the connection.
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "bilberrycourse/types.h"
+
+namespace bilberrycourse {
+
+using client_request =
+    boost::beast::http::request<boost::beast::http::string_body>;
+using client_response =
+    boost::beast::http::response<boost::beast::http::string_body>;
+
+// Receives the events of all connections, on the client's executor. A handler
+// may open, close and use connections during any of its calls.
+class http_client_handler {
+ public:
+  virtual ~http_client_handler() = default;
+  virtual void OnConnectionOpened(connection_id connection) = 0;
+  // The connection failed to open (`was_open` is false then) or broke; it is
+  // gone.
+  virtual void OnConnectionClosed(connection_id connection, bool was_open) = 0;
+  // True if `response` belongs to the request that waits; otherwise it is
+  // dropped, and the connection waits on.
+  virtual bool Answers(connection_id connection,
+                       const client_response& response) = 0;
+  // The connection can carry another request if `keep_alive`; otherwise it
+  // stays until Close().
+  virtual void OnResponse(connection_id connection, client_response response,
+                          bool keep_alive) = 0;
+};
+
+struct http_client_options {
+  std::chrono::milliseconds connect_timeout{400};
+  std::uint64_t max_reply_bytes = 4 << 20;
+};
+
+class http_client {
+ public:
+  http_client(boost::asio::any_io_executor executor,
+              const http_client_options& options, http_client_handler* handler);
+  ~http_client();
+
+  void Open(connection_id connection, const std::string& address);
+  // Closes without a report to the handler.
+  void Close(connection_id connection);
+  // The connection must be open and have no request under way.
+  void Send(connection_id connection, client_request request);
+  void CloseAll();
+  std::size_t connections() const;
+
+ private:
+  class impl;
+  class connection;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace bilberrycourse
+
+#endif  // APP_HTTP_CLIENT_H_
--- a/app/query_service.cc
+++ b/app/query_service.cc
@@ -64,6 +64,12 @@
   return out;
 }
 
+// Results of a backend server may be much larger than a routed reply.
+constexpr http_client_options kBackendConnections = {
+    .connect_timeout = std::chrono::milliseconds(1000),
+    .max_reply_bytes = 16 << 20,
+};
+
 std::uint32_t WholeWeight(double weight) {
   return static_cast<std::uint32_t>(std::max(1.0, weight));
 }
@@ -81,7 +87,7 @@
       metrics_(counters),
       coordinator_(&directory_, CoordinatorOptions(incarnation)),
       dispatcher_(DispatchOptions(config), &evidence_),
-      backend_(std::move(executor), {}, this) {}
+      backend_(std::move(executor), kBackendConnections, this) {}
 
 query_service::~query_service() = default;
 
--- a/app/searcher_client.h
+++ b/app/searcher_client.h
@@ -1,25 +1,25 @@
 #ifndef APP_SEARCHER_CLIENT_H_
 #define APP_SEARCHER_CLIENT_H_
 
-// HTTP/1.1 keep-alive connections that forward requests to searchers. The
-// route_engine decides what to open and send; this adapter carries it out.
+// Forwards requests to searchers. The route_engine decides what to open and
+// send; this adapter carries it out.
 //
 //   searcher_client client(executor, options, names, handler);
 //   client.Open(connection, "10.0.0.7:8080");
 //   client.Send(connection, request);
 //
-// A reply counts only if it is complete: a body without a length must end with
-// an orderly close. A reply that carries the id of another request is dropped,
-// and the connection goes on reading. Bytes that no request asked for close
-// the connection.
+// A reply that carries the id of another request is dropped, and the
+// connection goes on reading.
 
 #include <boost/asio/any_io_executor.hpp>
 #include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 
 #include "app/edge_protocol.h"
+#include "app/http_client.h"
 #include "app/http_server.h"
 #include "bilberrycourse/route_effects.h"
 #include "bilberrycourse/types.h"
@@ -49,29 +49,33 @@
                                std::optional<duration> idle_limit) = 0;
 };
 
-struct searcher_client_options {
-  std::chrono::milliseconds connect_timeout{400};
-  std::uint64_t max_reply_bytes = 4 << 20;
-};
-
-class searcher_client {
+class searcher_client : private http_client_handler {
  public:
   searcher_client(boost::asio::any_io_executor executor,
-                  searcher_client_options options, const edge_headers& names,
+                  const http_client_options& options, edge_headers names,
                   searcher_client_handler* handler);
-  ~searcher_client();
 
   void Open(connection_id connection, const std::string& address);
   // Closes without a report to the handler.
   void Close(connection_id connection);
   void Send(connection_id connection, const forwarded_request& request);
   void CloseAll();
-  std::size_t connections() const;
+  std::size_t connections() const { return http_.connections(); }
 
  private:
-  class impl;
-  class connection;
-  std::shared_ptr<impl> impl_;
+  void OnConnectionOpened(connection_id connection) override;
+  void OnConnectionClosed(connection_id connection, bool was_open) override;
+  bool Answers(connection_id connection,
+               const client_response& response) override;
+  void OnResponse(connection_id connection, client_response response,
+                  bool keep_alive) override;
+  searcher_reply_pointer MakeReply(client_response* response) const;
+
+  edge_headers names_;
+  searcher_client_handler* handler_;
+  // Id of the last request on each connection.
+  std::unordered_map<connection_id, std::string> request_ids_;
+  http_client http_;
 };
 
 }  // namespace bilberrycourse
--- a/app/testing/searcher_client_test.cc
+++ b/app/testing/searcher_client_test.cc
@@ -26,7 +26,7 @@
 
   void SetUp() override {
     client_ = std::make_unique<searcher_client>(context_.get_executor(),
-                                                searcher_client_options{},
+                                                http_client_options{},
                                                 protocol_->headers(), this);
     const std::uint16_t port = acceptor_.local_endpoint().port();
     client_->Open(kConnection, "127.0.0.1:" + std::to_string(port));
