--- /dev/null
+++ b/bilberrycourse/shard_dispatcher_connections.cc
@@ -0,0 +1,160 @@
+#include <algorithm>
+#include <vector>
+
+#include "bilberrycourse/shard_dispatcher_implementation.h"
+
+namespace bilberrycourse {
+
+dispatch_shard& shard_dispatcher::implementation::ShardOf(
+    const shard_key& key) {
+  const auto [found, is_new] = shards_.try_emplace(key);
+  if (is_new) found->second.key = key;
+  return found->second;
+}
+
+dispatch_server* shard_dispatcher::implementation::ServerOf(connection_id id) {
+  const auto found = connections_.find(id);
+  return found == connections_.end() ? nullptr : found->second.server;
+}
+
+bool shard_dispatcher::implementation::Contains(
+    const std::vector<index_version>& versions, index_version version) {
+  return std::find(versions.begin(), versions.end(), version) != versions.end();
+}
+
+bool shard_dispatcher::implementation::Serves(const dispatch_server& server,
+                                              index_version version) {
+  return server.record.state == backend_server_state::kServing &&
+         Contains(server.record.versions, version) &&
+         !Contains(server.gone, version);
+}
+
+bool shard_dispatcher::implementation::Cold(
+    const dispatch_server& server) const {
+  return server.successes < options_.ramp_successes;
+}
+
+std::uint32_t shard_dispatcher::implementation::ConnectionLimit(
+    const dispatch_server& server) {
+  return std::max<std::uint32_t>(server.record.connection_limit, 2) - 1;
+}
+
+std::uint32_t shard_dispatcher::implementation::Slots(
+    const dispatch_server& server) const {
+  if (Cold(server)) return std::min<std::uint32_t>(server.record.slots, 1);
+  return std::min(server.record.slots, ConnectionLimit(server));
+}
+
+bool shard_dispatcher::implementation::Reachable(
+    const dispatch_server& server) const {
+  return server.record.slots > 0 &&
+         (server.pool.open_count() > 0 ||
+          server.pool.failures() < options_.unreachable_after);
+}
+
+bool shard_dispatcher::implementation::Wanted(
+    const dispatch_server& server) const {
+  return server.record.state == backend_server_state::kServing &&
+         (server.shard->owned || now_ < server.shard->wanted_until);
+}
+
+bool shard_dispatcher::implementation::Available(
+    const dispatch_server& server) const {
+  return server.in_flight < Slots(server) && now_ >= server.paused_until &&
+         server.pool.idle_count() > 0;
+}
+
+void shard_dispatcher::implementation::Want(dispatch_shard* shard) {
+  shard->wanted_until = now_ + options_.idle_connection_timeout;
+  if (!shard->unused_timer.active()) WatchUnused(shard);
+  MaintainShard(shard);
+}
+
+void shard_dispatcher::implementation::WatchUnused(dispatch_shard* shard) {
+  timers_.SubscribeOnce(
+      shard->wanted_until,
+      [this, shard](time_point) {
+        if (shard->owned) return;
+        if (now_ < shard->wanted_until) {
+          WatchUnused(shard);
+          return;
+        }
+        for (dispatch_server* server : shard->servers) CloseUnused(server);
+      },
+      &shard->unused_timer);
+}
+
+void shard_dispatcher::implementation::MaintainShard(dispatch_shard* shard) {
+  for (dispatch_server* server : shard->servers) Maintain(server);
+}
+
+void shard_dispatcher::implementation::Maintain(dispatch_server* server) {
+  if (!Wanted(*server)) {
+    CloseUnused(server);
+    return;
+  }
+  const std::uint32_t target =
+      std::min(server->record.slots + options_.spare_connections,
+               ConnectionLimit(*server));
+  scratch_ids_.clear();
+  server->pool.Open(target, now_, &next_connection_id_, &scratch_ids_);
+  for (const connection_id id : scratch_ids_) {
+    connections_[id] = {server, nullptr};
+    out_->push_back(
+        open_connection{id, server->record.key, server->record.address});
+  }
+  const std::uint32_t have =
+      server->pool.open_count() + server->pool.opening_count();
+  if (have < target && server->pool.open_after() > now_) {
+    timers_.SubscribeOnce(
+        server->pool.open_after(),
+        [this, server](time_point) { Maintain(server); },
+        &server->reconnect_timer);
+  }
+}
+
+void shard_dispatcher::implementation::CloseUnused(dispatch_server* server) {
+  scratch_ids_.clear();
+  server->pool.ForgetUnused(&scratch_ids_);
+  for (const connection_id id : scratch_ids_) {
+    connections_.erase(id);
+    out_->push_back(close_connection{id});
+  }
+}
+
+void shard_dispatcher::implementation::Restarted(dispatch_server* server) {
+  CloseUnused(server);
+  server->in_flight = 0;
+  server->successes = 0;
+  server->estimator.Reset();
+  server->paused_until = time_point::min();
+  server->shed_pause = duration{0};
+  server->pool.ForgetFailures();
+}
+
+void shard_dispatcher::implementation::EraseIfGone(dispatch_server* server) {
+  if (server->record.state != backend_server_state::kLost ||
+      !server->attempts.empty() || !server->pool.empty()) {
+    return;
+  }
+  std::erase(server->shard->servers, server);
+  const backend_server_key key = server->record.key;
+  servers_.erase(key);
+}
+
+void shard_dispatcher::implementation::Pause(dispatch_server* server) {
+  server->shed_pause = std::clamp(server->shed_pause * 2, options_.shed_pause,
+                                  options_.max_shed_pause);
+  PauseUntil(server, now_ + server->shed_pause);
+}
+
+void shard_dispatcher::implementation::PauseUntil(dispatch_server* server,
+                                                  time_point until) {
+  server->paused_until = std::max(server->paused_until, until);
+  timers_.SubscribeOnce(
+      server->paused_until,
+      [this, shard = server->shard](time_point) { Pump(shard); },
+      &server->pause_timer);
+}
+
+}  // namespace bilberrycourse
--- /dev/null
+++ b/bilberrycourse/shard_dispatcher_queue.cc
@@ -0,0 +1,179 @@
+#include <algorithm>
+#include <optional>
+
+#include "bilberrycourse/shard_dispatcher_implementation.h"
+
+namespace bilberrycourse {
+namespace {
+
+// Longest time between two choices for a queue that is not empty.
+constexpr duration kQueueReview = std::chrono::milliseconds(10);
+
+}  // namespace
+
+double shard_dispatcher::implementation::WeightOf(
+    const caller_name& caller) const {
+  const auto found = weights_.find(caller);
+  return found == weights_.end() ? 1 : found->second;
+}
+
+void shard_dispatcher::implementation::Enqueue(dispatch_request* request) {
+  request->shard->queue.Push(request, request->message->caller,
+                             WeightOf(request->message->caller));
+}
+
+std::optional<shard_dispatcher::implementation::failure>
+shard_dispatcher::implementation::RefusalOf(
+    const dispatch_request& request) const {
+  if (!sending_allowed_) {
+    return failure{result_code::kControlLeaseExpired,
+                   dispatch_reason::kSendingForbidden};
+  }
+  if (request.deadline <= now_) {
+    return failure{result_code::kQueueDeadline,
+                   dispatch_reason::kDeadlineInQueue};
+  }
+  if (Refused(*request.message)) {
+    return failure{result_code::kSuspectedCrasher,
+                   dispatch_reason::kContentCondemned};
+  }
+  return Impossible(request);
+}
+
+bool shard_dispatcher::implementation::Refused(
+    const shard_request& request) const {
+  if (evidence_ == nullptr) return false;
+  const crash_verdict verdict = evidence_->Verdict(request.content, now_);
+  return verdict == crash_verdict::kCondemned ||
+         (verdict == crash_verdict::kSuspect && !request.proven &&
+          !request.canary);
+}
+
+std::optional<shard_dispatcher::implementation::failure>
+shard_dispatcher::implementation::Impossible(
+    const dispatch_request& request) const {
+  const failure no_replica{result_code::kNoServingReplica,
+                           dispatch_reason::kNoReplica};
+  if (request.shard == nullptr) return no_replica;
+  bool other_version = false;
+  for (const dispatch_server* server : request.shard->servers) {
+    if (server->record.state != backend_server_state::kServing ||
+        !Reachable(*server)) {
+      continue;
+    }
+    if (Serves(*server, request.version)) return std::nullopt;
+    other_version = true;
+  }
+  if (!other_version) return no_replica;
+  return failure{result_code::kVersionGone, dispatch_reason::kVersionNotServed};
+}
+
+void shard_dispatcher::implementation::FailImpossible(dispatch_shard* shard) {
+  if (shard->queue.empty()) return;
+  FailQueued(shard, [&](const dispatch_request& request) {
+    return Impossible(request);
+  });
+}
+
+void shard_dispatcher::implementation::Pump(dispatch_shard* shard) {
+  while (sending_allowed_ && !shard->queue.empty()) {
+    // Callers usually ask for one version, so the last choice is kept.
+    std::optional<index_version> chosen_version;
+    dispatch_server* chosen = nullptr;
+    fair_queue_entry* entry = shard->queue.Pop([&](index_version version) {
+      if (chosen_version != version) {
+        chosen_version = version;
+        chosen = Choose(*shard, version, nullptr, /*may_hold=*/true);
+      }
+      return chosen != nullptr;
+    });
+    if (entry == nullptr) {
+      WatchQueue(shard);
+      return;
+    }
+    auto* request = static_cast<dispatch_request*>(entry);
+    if (const auto refused = RefusalOf(*request)) {
+      Fail(request, *refused);
+      continue;
+    }
+    if (!request->tried.empty() || chosen_version != request->version) {
+      chosen = Choose(*shard, request->version, request, /*may_hold=*/false);
+    }
+    Start(request, chosen);
+  }
+}
+
+void shard_dispatcher::implementation::WatchQueue(dispatch_shard* shard) {
+  if (shard->queue_timer.active()) return;
+  timers_.SubscribeOnce(
+      now_ + kQueueReview, [this, shard](time_point) { Pump(shard); },
+      &shard->queue_timer);
+}
+
+duration shard_dispatcher::implementation::PriorServiceTime(
+    const dispatch_shard& shard) const {
+  std::optional<duration> least;
+  for (const dispatch_server* server : shard.servers) {
+    const auto recent = server->estimator.recent();
+    if (recent && (!least || *recent < *least)) least = recent;
+  }
+  return least.value_or(options_.initial_service_time);
+}
+
+replica_load shard_dispatcher::implementation::LoadOf(
+    const dispatch_server& server, duration prior,
+    const dispatch_request* request) const {
+  replica_load load;
+  load.in_flight = server.in_flight;
+  load.slots = Slots(server);
+  load.service_time = prior;
+  const auto recent = server.estimator.recent();
+  if (recent &&
+      now_ - server.estimator.last_sample() < options_.estimate_expiry) {
+    load.service_time = *recent;
+  }
+  if (!server.attempts.empty()) {
+    load.oldest_age = now_ - server.attempts.front().sent_at;
+    if (load.oldest_age < load.service_time * options_.age_evidence_factor) {
+      load.oldest_age = duration{0};
+    }
+  }
+  load.available = Available(server);
+  load.reachable = Reachable(server) && server.pool.open_count() > 0 &&
+                   now_ >= server.paused_until;
+  load.same_zone = server.record.zone == options_.zone;
+  load.last_used = server.last_used;
+  load.tried = request != nullptr &&
+               std::find(request->tried.begin(), request->tried.end(),
+                         &server) != request->tried.end();
+  return load;
+}
+
+dispatch_server* shard_dispatcher::implementation::Choose(
+    const dispatch_shard& shard, index_version version,
+    const dispatch_request* request, bool may_hold) {
+  loads_.clear();
+  candidates_.clear();
+  const duration prior = PriorServiceTime(shard);
+  for (dispatch_server* server : shard.servers) {
+    if (!Serves(*server, version)) continue;
+    if (request != nullptr && RunsOn(*request, *server)) continue;
+    candidates_.push_back(server);
+    loads_.push_back(LoadOf(*server, prior, request));
+  }
+  if (!may_hold) {
+    for (replica_load& load : loads_) load.reachable = load.available;
+  }
+  const auto index = choice_.Choose(loads_, shard.queue.size());
+  return index ? candidates_[*index] : nullptr;
+}
+
+bool shard_dispatcher::implementation::RunsOn(const dispatch_request& request,
+                                              const dispatch_server& server) {
+  return std::any_of(request.in_flight.begin(), request.in_flight.end(),
+                     [&](const dispatch_attempt& attempt) {
+                       return attempt.server == &server;
+                     });
+}
+
+}  // namespace bilberrycourse
