Send one request at a time to a searcher that sheds

Cause: eight instances with two requests each fill the queue of a searcher with two slots (14 places).

Change: for 300 ms after a searcher has shed, an instance keeps one request in flight there.

The test fails before.

--- a/bilberrycourse/route_engine_attempts.cc
+++ b/bilberrycourse/route_engine_attempts.cc
@@ -17,6 +17,10 @@
 // Searchers tried for one part beyond those that may have run it.
 constexpr std::size_t kMaxRefusals = 3;
 
+// How long a searcher that shed a request counts as full: several times the
+// wait in a full queue, so that the next look comes after it had time to drain.
+constexpr duration kFullFor = std::chrono::milliseconds(300);
+
 bool IsSuccess(unsigned status) { return status >= 200 && status < 300; }
 
 }  // namespace
@@ -110,6 +114,9 @@
 std::optional<connection_id> route_engine::TakeConnection(searcher_entry* entry,
                                                           time_point now,
                                                           route_effects* out) {
+  // Where a searcher's queue is full, more would be shed and use up the retry
+  // budget; one request of each instance keeps all its slots busy.
+  if (now < entry->full_until && !entry->in_flight.empty()) return std::nullopt;
   while (const auto id = entry->connections.Take()) {
     const connection_row& row = connections_[*id];
     const bool stale = row.idle_limit.has_value() &&
@@ -354,6 +361,11 @@
   }
   if (not_run) {
     ++counters_.not_executed;
+    if (reply->not_executed) {
+      if (searcher_entry* full = pool_.Find(ended.searcher, ended.serial)) {
+        full->full_until = now + kFullFor;
+      }
+    }
     --each.may_have_run;
     return RepeatOrFail(row, ended.part, send_reason::kNotExecuted,
                         result_code::kBackendServerShed, now, out);
--- a/bilberrycourse/searcher_pool.h
+++ b/bilberrycourse/searcher_pool.h
@@ -81,6 +81,8 @@
   // Set aside until then; failures in a row decide how long.
   time_point suspect_until = time_point::min();
   std::uint32_t failures = 0;
+  // It shed a request lately; until then it gets one at a time.
+  time_point full_until = time_point::min();
   // The address answered as another searcher; unused until the record changes.
   bool misdirected = false;
   // One of the replicas that this instance uses as a rule; see SetLimit().
--- a/bilberrycourse/testing/route_engine_test.cc
+++ b/bilberrycourse/testing/route_engine_test.cc
@@ -122,6 +122,24 @@
   EXPECT_EQ(rig_.sends.back().request, late);
 }
 
+// Guards against a full searcher that is sent more than it takes: each request
+// that it sheds draws on the retry budget and meets the next full queue
+// (coldline-search, abuse-and-slow-machines: 7.5% of the requests failed).
+TEST_F(route_engine_test, OnReply_SearcherSheds_GetsOneAtATime) {
+  rig_.AddRoute("full", 0, true);
+  rig_.AddSearcher("full", "f1");
+  rig_.Begin(1, "full");
+  rig_.Shed(rig_.sends.at(0));
+  const std::size_t sent = rig_.sends.size();
+  for (std::uint64_t id = 2; id < 6; ++id) rig_.Begin(id, "full");
+  EXPECT_EQ(rig_.sends.size(), sent + 1);
+  rig_.Answer(rig_.sends.back());
+  EXPECT_EQ(rig_.sends.size(), sent + 2);
+  rig_.now += milliseconds(400);
+  rig_.Begin(6, "full");
+  EXPECT_EQ(rig_.sends.size(), sent + 5);
+}
+
 // Guards against hedges of requests that must run once at most, and against
 // idempotent ones that wait out a searcher that stands still.
 TEST_F(route_engine_test, Tick_SlowAttempt_HedgesOnlyIdempotentOnes) {
