Elect a leader at once after a restart of the whole group

Cause: a member that has just started waited 300 to 600 ms for the silence of a leader that it never had.

Change: the first election is due 50 to 300 ms after the start. Followers of a live leader refuse the pre-vote as before.

Tests: AllMembersRestart_LeaderWithinShortestTimeout fails before; OneMemberRestarts_LeaderStays guards the other side.

--- a/bilberrycourse/consensus_member.cc
+++ b/bilberrycourse/consensus_member.cc
@@ -61,7 +61,12 @@
   started_us_ = Microseconds(now);
   clock_offset_ = static_cast<std::int64_t>(random_() >> 3);
   discover_due_ = now;
-  ResetElectionTimer(now);
+  // No leader has been heard since the start, so there is no silence to wait
+  // for. A leader that lives is not disturbed: its followers refuse pre-votes.
+  std::uniform_int_distribution<std::int64_t> spread(
+      settings_.first_election_min.count(),
+      settings_.election_timeout_min.count());
+  election_due_ = now + duration(spread(random_));
 }
 
 const group_membership& consensus_member::membership() const {
--- a/bilberrycourse/consensus_member.h
+++ b/bilberrycourse/consensus_member.h
@@ -89,6 +89,9 @@
   duration heartbeat = std::chrono::milliseconds(75);
   duration election_timeout_min = std::chrono::milliseconds(300);
   duration election_timeout_max = std::chrono::milliseconds(600);
+  // Least wait of a member that has just started; the links of its instance
+  // need about 20 ms.
+  duration first_election_min = std::chrono::milliseconds(50);
   duration discover_interval = std::chrono::milliseconds(200);
   // Bounds of one message and of what is in flight to one follower.
   std::size_t max_append_entries = 64;
--- a/bilberrycourse/testing/consensus_member_test.cc
+++ b/bilberrycourse/testing/consensus_member_test.cc
@@ -106,6 +106,31 @@
   EXPECT_LE(ticks, 100u);
 }
 
+// Guards against a group that waits for the silence of a leader which it never
+// had: after the loss of all machines the entry instances can serve nobody
+// before the group has a leader.
+TEST_F(consensus_member_test, AllMembersRestart_LeaderWithinShortestTimeout) {
+  ASSERT_LT(Elect(), cluster_.size());
+  for (std::size_t i = 0; i < cluster_.size(); ++i) cluster_.Crash(i, 0);
+  for (std::size_t i = 0; i < cluster_.size(); ++i) cluster_.Start(i);
+  cluster_.Run(30);
+  EXPECT_LT(cluster_.leader(), cluster_.size());
+}
+
+// Guards against a member that restarts alone and deposes the leader, because
+// it asks for votes sooner than others.
+TEST_F(consensus_member_test, OneMemberRestarts_LeaderStays) {
+  const std::size_t leader = Elect();
+  ASSERT_LT(leader, cluster_.size());
+  const std::size_t other = leader == 0 ? 1 : 0;
+  const auto term = cluster_.at(leader).member->term();
+  cluster_.Crash(other, 0);
+  cluster_.Start(other);
+  cluster_.Run(100);
+  EXPECT_EQ(cluster_.leader(), leader);
+  EXPECT_EQ(cluster_.at(leader).member->term(), term);
+}
+
 // Guards against a cut-off leader that confirms changes or reads.
 TEST_F(consensus_member_test, LeaderCutOff_StepsDownAndConfirmsNothing) {
   const std::size_t leader = Elect();
