Stop searching shards of a lost relay a third time

While entry instances were stopped in turn, links to relays closed, and the origin searched the relay's shards itself if its own hedge delay had not passed. The relay may have used both attempts before that: it hedges by its own estimate, and retries at once when an attempt breaks.

Change: a relay is granted max_attempts, or one less if the route has more than two; only then the origin searches shards of a lost relay, with exactly the attempt that it kept. An entry instance that shuts down tells its peers (entry_hello.leaving), so that it gets no further relay requests and ends those in flight within its grace period.

--- a/app/peer_frame_generated.h
+++ b/app/peer_frame_generated.h
@@ -2980,6 +2980,7 @@
   typedef entry_hello TableType;
   std::string address{};
   std::string availability_zone{};
+  bool leaving = false;
 };
 
 struct entry_hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2987,7 +2988,8 @@
   typedef entry_helloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ADDRESS = 4,
-    VT_AVAILABILITY_ZONE = 6
+    VT_AVAILABILITY_ZONE = 6,
+    VT_LEAVING = 8
   };
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
@@ -2995,12 +2997,16 @@
   const flatbuffers::String *availability_zone() const {
     return GetPointer<const flatbuffers::String *>(VT_AVAILABILITY_ZONE);
   }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ADDRESS) &&
            verifier.VerifyString(address()) &&
            VerifyOffset(verifier, VT_AVAILABILITY_ZONE) &&
            verifier.VerifyString(availability_zone()) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            verifier.EndTable();
   }
   entry_helloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3018,6 +3024,9 @@
   void add_availability_zone(flatbuffers::Offset<flatbuffers::String> availability_zone) {
     fbb_.AddOffset(entry_hello::VT_AVAILABILITY_ZONE, availability_zone);
   }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(entry_hello::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
   explicit entry_helloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3032,23 +3041,27 @@
 inline flatbuffers::Offset<entry_hello> Createentry_hello(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> address = 0,
-    flatbuffers::Offset<flatbuffers::String> availability_zone = 0) {
+    flatbuffers::Offset<flatbuffers::String> availability_zone = 0,
+    bool leaving = false) {
   entry_helloBuilder builder_(_fbb);
   builder_.add_availability_zone(availability_zone);
   builder_.add_address(address);
+  builder_.add_leaving(leaving);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<entry_hello> Createentry_helloDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *address = nullptr,
-    const char *availability_zone = nullptr) {
+    const char *availability_zone = nullptr,
+    bool leaving = false) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto availability_zone__ = availability_zone ? _fbb.CreateString(availability_zone) : 0;
   return bilberrycourse::wire::Createentry_hello(
       _fbb,
       address__,
-      availability_zone__);
+      availability_zone__,
+      leaving);
 }
 
 flatbuffers::Offset<entry_hello> Createentry_hello(flatbuffers::FlatBufferBuilder &_fbb, const entry_helloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4828,6 +4841,7 @@
   (void)_resolver;
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = availability_zone(); if (_e) _o->availability_zone = _e->str(); }
+  { auto _e = leaving(); _o->leaving = _e; }
 }
 
 inline flatbuffers::Offset<entry_hello> entry_hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const entry_helloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4840,10 +4854,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const entry_helloT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
   auto _availability_zone = _o->availability_zone.empty() ? 0 : _fbb.CreateString(_o->availability_zone);
+  auto _leaving = _o->leaving;
   return bilberrycourse::wire::Createentry_hello(
       _fbb,
       _address,
-      _availability_zone);
+      _availability_zone,
+      _leaving);
 }
 
 inline entry_instanceT *entry_instance::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -273,13 +273,19 @@
 void route_daemon::OnPeerConnected(const instance_name& peer) {
   LogEvent(log_level::kInfo, "peer_connected", {{"peer", peer}});
   if (gateway_ == nullptr) return;
+  gateway_->OnPeerConnected(peer);
+  SendHello(peer);
+  if (group_.empty() || group_.contains(peer)) {
+    control_client_.OnPeerConnected(peer, Now());
+  }
+}
+
+void route_daemon::SendHello(const instance_name& peer) {
   wire::entry_helloT hello;
   hello.address = config_.peer_advertised.ToText();
   hello.availability_zone = config_.zone;
+  hello.leaving = shutting_down_;
   transport_.Send(peer, MakeFrame(std::move(hello)));
-  if (group_.empty() || group_.contains(peer)) {
-    control_client_.OnPeerConnected(peer, Now());
-  }
 }
 
 void route_daemon::OnPeerDisconnected(const instance_name& peer) {
@@ -294,6 +300,9 @@
   if (const auto* hello = frame.payload_as_entry_hello()) {
     entries_[peer] = {peer, ToText(hello->address()),
                       ToText(hello->availability_zone())};
+    if (hello->leaving() && gateway_ != nullptr) {
+      gateway_->OnRelayLeaving(peer, Now());
+    }
     return;
   }
   const time_point now = Now();
@@ -361,6 +370,11 @@
   LogEvent(log_level::kInfo, "shutdown_started",
            {{"in_flight", gateway_ == nullptr ? 0 : gateway_->in_flight()}});
   main_server_.BeginDrain();
+  if (gateway_ != nullptr) {
+    for (const instance_name& peer : transport_.connected_peers()) {
+      SendHello(peer);
+    }
+  }
   if (control_service_ != nullptr)
     control_service_->TransferLeadership(shutdown_started_);
 }
--- a/app/route_daemon.h
+++ b/app/route_daemon.h
@@ -63,6 +63,7 @@
   void ArmTimer();
   void Tick(time_point now);
   void DialPeers(time_point now);
+  void SendHello(const instance_name& peer);
   void CountEntryInstances(time_point now);
   void BeginShutdown();
   void CheckShutdown(time_point now);
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -48,7 +48,10 @@
   // Handles relay frames. Returns false for any other frame.
   bool OnPeerFrame(const instance_name& peer, const wire::peer_frame& frame,
                    time_point now);
+  void OnPeerConnected(const instance_name& peer);
   void OnPeerDisconnected(const instance_name& peer, time_point now);
+  // Called when the peer shuts down and should get no further relay requests.
+  void OnRelayLeaving(const instance_name& peer, time_point now);
 
   void Tick(time_point now);
   std::optional<time_point> next_due() const { return engine_.next_due(); }
--- a/app/route_gateway_relays.cc
+++ b/app/route_gateway_relays.cc
@@ -16,6 +16,9 @@
 
 // A relay that did not report in time is not used for this long.
 constexpr duration kSilentRelayPause = std::chrono::seconds(3);
+// A relay that shuts down is not used before it connects again. The limit
+// applies if its shutdown takes unusually long.
+constexpr duration kLeavingRelayPause = std::chrono::seconds(30);
 
 duration FromMicros(std::uint64_t micros) {
   constexpr std::uint64_t kDay = 24ULL * 3600 * 1'000'000;
@@ -113,6 +116,16 @@
   return false;
 }
 
+void route_gateway::OnRelayLeaving(const instance_name& peer, time_point now) {
+  silent_until_[peer] = now + kLeavingRelayPause;
+  LogEvent(log_level::kInfo, "relay_leaving", {{"relay", peer}});
+}
+
+void route_gateway::OnPeerConnected(const instance_name& peer) {
+  // The relay has restarted, or was only cut off.
+  silent_until_.erase(peer);
+}
+
 void route_gateway::OnPeerDisconnected(const instance_name& peer,
                                        time_point now) {
   route_effects effects;
@@ -156,7 +169,7 @@
   }
   request.shards = std::move(effect.shards);
   request.top_records = call.matched_route->top_records;
-  request.max_attempts = call.matched_route->max_attempts;
+  request.max_attempts = effect.max_attempts;
   request.objective_us = ToMicros(call.matched_route->latency_objective);
   request.answer_in_us = ToMicros(effect.answer_in);
   request.time_left_us = ToMicros(effect.time_left);
--- a/bilberrycourse/route_effects.h
+++ b/bilberrycourse/route_effects.h
@@ -111,6 +111,8 @@
   std::size_t group = 0;
   instance_name relay;
   std::vector<std::string> shards;
+  // Searchers that the relay may use for each shard.
+  std::uint32_t max_attempts = 1;
   // Time until the relay's first report is due, and until it stops searching.
   duration answer_in{0};
   duration time_left{0};
--- a/bilberrycourse/route_engine_relays.cc
+++ b/bilberrycourse/route_engine_relays.cc
@@ -8,6 +8,17 @@
 // the relay.
 
 namespace bilberrycourse {
+namespace {
+
+// The relay gets all attempts of a route with up to this many, because hedging
+// needs two. With more, the origin keeps one for shards of a lost relay.
+constexpr std::uint32_t kMaxAttemptsWithoutReserve = 2;
+
+bool HasReservedAttempt(const route& matched_route) {
+  return matched_route.max_attempts > kMaxAttemptsWithoutReserve;
+}
+
+}  // namespace
 
 void route_engine::StartRelays(request_state* request, time_point now,
                                route_effects* out) {
@@ -19,6 +30,9 @@
     effect.request = request->call.id;
     effect.group = i;
     effect.relay = groups[i].relay;
+    const route& matched_route = *request->call.matched_route;
+    effect.max_attempts = matched_route.max_attempts -
+                          (HasReservedAttempt(matched_route) ? 1 : 0);
     effect.answer_in = std::max(
         request->answer_at - now - options_.relay_report_margin, duration{0});
     effect.time_left = request->expires_at - now;
@@ -97,21 +111,21 @@
   }
 }
 
-// The relay may have sent the request, so each shard is charged to the retry
-// budget. Once the relay may also have hedged, a further attempt could exceed
-// max_attempts.
+// The relay may have used all attempts that it was granted at any moment before
+// its link was lost: a reset of its connections ends attempts and link at once,
+// and it retries before it notices the loss. So the origin searches a shard
+// only if it has kept an attempt, and charges it to the retry budget.
 void route_engine::SearchInsteadOfRelay(request_state* request,
                                         std::size_t group, time_point now,
                                         route_effects* out) {
   request->relay_done[group] = true;
   const route& matched_route = *request->call.matched_route;
-  const bool may_search =
-      matched_route.max_attempts > 2 ||
-      now - request->received < HedgeDelay(matched_route, now);
+  const bool may_search = HasReservedAttempt(matched_route);
   for (const std::size_t index : request->call.relays[group].parts) {
     part_state& part = request->parts[index];
     if (part.reply != nullptr || part.failed) continue;
     part.relayed = false;
+    part.may_have_run = matched_route.max_attempts - 1;
     const bool started =
         may_search && FindOrCreateService(part.service).budget.TryTake() &&
         StartAttempt(request, index, send_reason::kFailed, now, out);
