Answer requests that cross the end of a graceful stop

Beside load the process is often not scheduled for milliseconds, so that requests queue up at this moment.

Change: the queue is accepted before the acceptor closes; a session with input or without a first request for less than 300 ms is not idle; pending() counts them, so that the daemon waits. Idle connections close with an orderly end. Requests are read by http_message_reader, which bounds the wire bytes of a request and the buffer for chunk extensions and trailers.

--- /dev/null
+++ b/app/http_message_reader.h
@@ -0,0 +1,184 @@
+#ifndef APP_HTTP_MESSAGE_READER_H_
+#define APP_HTTP_MESSAGE_READER_H_
+
+// Reads HTTP/1.1 messages from a stream with bounds on memory and on bytes.
+//
+//   http_message_reader<false> reader(limits);
+//   reader.BeginExchange();
+//   reader.BeginMessage();
+//   reader.AsyncRead(stream, [this](const error_code& error) { ... });
+//   auto message = reader.parser().release();
+//
+// The limits of Beast's parser cover the head and the decoded body, but not
+// chunk extensions, trailer fields or further messages, which a faulty peer can
+// send without end. This reader therefore also limits the buffer in which Beast
+// collects an incomplete element, and counts all bytes of an exchange: heads,
+// interim and foreign messages, chunk framing and trailers.
+//
+// Reading stops at the first byte beyond a limit; IsSizeLimit() is true for the
+// error. The caller then closes the connection.
+
+#include <algorithm>
+#include <boost/asio/error.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace bilberrycourse {
+
+struct http_read_limits {
+  std::uint32_t max_head_bytes = 8192;
+  std::uint64_t max_body_bytes = 1 << 20;
+  // All bytes from BeginExchange() on.
+  std::uint64_t max_exchange_bytes = 2 << 20;
+};
+
+// Bounds the memory of a group of readers. Beyond `max_bytes`, a reader that
+// holds more than an equal share of it fails, so that one faulty peer can't
+// end the reads of all others.
+struct http_read_budget {
+  std::uint64_t max_bytes = 0;
+  std::uint64_t used_bytes = 0;
+  std::size_t readers = 0;
+};
+
+// Returns true if `error` reports that a message exceeds its limits.
+inline bool IsSizeLimit(const boost::beast::error_code& error) {
+  namespace http = boost::beast::http;
+  return error == http::error::body_limit ||
+         error == http::error::header_limit ||
+         error == http::error::buffer_overflow;
+}
+
+template <bool is_request>
+class http_message_reader {
+ public:
+  using message_parser =
+      boost::beast::http::parser<is_request, boost::beast::http::string_body>;
+
+  // `budget` may be null.
+  explicit http_message_reader(
+      const http_read_limits& limits,
+      std::shared_ptr<http_read_budget> budget = nullptr)
+      : limits_(limits),
+        budget_(std::move(budget)),
+        buffer_(std::size_t{limits.max_head_bytes} + kMaxReadBytes) {
+    if (budget_ != nullptr) ++budget_->readers;
+    BeginMessage();
+  }
+  http_message_reader(const http_message_reader&) = delete;
+  http_message_reader& operator=(const http_message_reader&) = delete;
+  ~http_message_reader() {
+    if (budget_ == nullptr) return;
+    --budget_->readers;
+    budget_->used_bytes -= charged_bytes_;
+  }
+
+  // Starts counting the bytes of the next exchange.
+  void BeginExchange() { exchange_bytes_ = 0; }
+  // Discards the current message. Bytes received after it are kept.
+  void BeginMessage() {
+    parser_.emplace();
+    parser_->header_limit(limits_.max_head_bytes);
+    parser_->body_limit(limits_.max_body_bytes);
+    parser_->eager(true);
+  }
+
+  // Reads until the message is complete or an error occurs, then calls
+  // `handler(error_code)`. Returns without calling it if `handler` must wait
+  // for the stream. The reader must live until the handler is called. The error
+  // is http::error::end_of_stream if the peer closed before a message.
+  template <typename Stream, typename Handler>
+  void AsyncRead(Stream& stream, Handler handler) {
+    const boost::beast::error_code parsed = Parse();
+    if (parsed != boost::beast::http::error::need_more) return handler(parsed);
+    const std::size_t size = boost::beast::read_size(buffer_, kMaxReadBytes);
+    if (size == 0) {
+      return handler(
+          make_error_code(boost::beast::http::error::buffer_overflow));
+    }
+    stream.async_read_some(
+        buffer_.prepare(size), [this, &stream, handler = std::move(handler)](
+                                   const boost::beast::error_code& error,
+                                   std::size_t received) mutable {
+          buffer_.commit(received);
+          exchange_bytes_ += received;
+          if (error == boost::asio::error::eof) return handler(OnEndOfStream());
+          if (error) return handler(error);
+          if (exchange_bytes_ > limits_.max_exchange_bytes) {
+            return handler(
+                make_error_code(boost::beast::http::error::body_limit));
+          }
+          if (!ChargeMemory()) {
+            return handler(
+                make_error_code(boost::beast::http::error::buffer_overflow));
+          }
+          AsyncRead(stream, std::move(handler));
+        });
+  }
+
+  message_parser& parser() { return *parser_; }
+  // Returns true if bytes were received after the current message.
+  bool has_unread_bytes() const { return buffer_.size() > 0; }
+  // Memory in bytes that the reader holds for the connection.
+  std::size_t held_bytes() const {
+    return buffer_.capacity() + parser_->get().body().capacity();
+  }
+  void Clear() {
+    buffer_.clear();
+    BeginMessage();
+  }
+
+ private:
+  static constexpr std::size_t kMaxReadBytes = 64 * 1024;
+
+  // Returns false if the budget is exceeded and this reader holds more than its
+  // share.
+  bool ChargeMemory() {
+    if (budget_ == nullptr) return true;
+    budget_->used_bytes += held_bytes() - charged_bytes_;
+    charged_bytes_ = held_bytes();
+    return budget_->used_bytes <= budget_->max_bytes ||
+           charged_bytes_ <= budget_->max_bytes / budget_->readers;
+  }
+
+  // Returns need_more if the message is incomplete.
+  boost::beast::error_code Parse() {
+    boost::beast::error_code error;
+    while (!parser_->is_done()) {
+      if (buffer_.size() == 0) return boost::beast::http::error::need_more;
+      buffer_.consume(parser_->put(buffer_.data(), error));
+      if (error) return error;
+    }
+    return error;
+  }
+
+  // A message without a length ends with the stream.
+  boost::beast::error_code OnEndOfStream() {
+    boost::beast::error_code error = Parse();
+    if (error != boost::beast::http::error::need_more) return error;
+    if (!parser_->got_some()) return boost::beast::http::error::end_of_stream;
+    error = {};
+    parser_->put_eof(error);
+    return error;
+  }
+
+  http_read_limits limits_;
+  std::shared_ptr<http_read_budget> budget_;
+  // Part of budget_->used_bytes.
+  std::uint64_t charged_bytes_ = 0;
+  boost::beast::flat_buffer buffer_;
+  std::optional<message_parser> parser_;
+  std::uint64_t exchange_bytes_ = 0;
+};
+
+}  // namespace bilberrycourse
+
+#endif  // APP_HTTP_MESSAGE_READER_H_
--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -8,9 +8,9 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 #include <cstdio>
-#include <optional>
 #include <set>
 
+#include "app/http_message_reader.h"
 #include "app/problem_details.h"
 #include "bilberrycourse/result_code.h"
 
@@ -24,10 +24,18 @@
 
 constexpr std::chrono::seconds kDrainTimeout{1};
 
+http_read_limits ReadLimits(const http_server_options& options) {
+  http_read_limits limits;
+  limits.max_head_bytes = options.max_header_bytes;
+  limits.max_body_bytes = options.max_request_bytes;
+  limits.max_exchange_bytes = options.max_header_bytes +
+                              options.max_request_bytes +
+                              options.max_framing_bytes;
+  return limits;
+}
+
 result_code ReadErrorCode(const beast::error_code& error) {
-  if (error == http::error::body_limit || error == http::error::header_limit) {
-    return result_code::kRequestTooLarge;
-  }
+  if (IsSizeLimit(error)) return result_code::kRequestTooLarge;
   if (error == beast::error::timeout) return result_code::kRequestTimeout;
   return result_code::kMalformedRequest;
 }
@@ -89,6 +97,8 @@
 
   boost::leaf::result<void> Listen();
   void Accept();
+  void AcceptQueued();
+  void Start(tcp::socket socket);
 
   asio::any_io_executor executor;
   tcp::acceptor acceptor;
@@ -98,6 +108,7 @@
   std::size_t pending = 0;
   bool draining = false;
   bool stopping = false;
+  bool closed = false;
 };
 
 class http_server::session : public std::enable_shared_from_this<session> {
@@ -105,35 +116,63 @@
   session(std::shared_ptr<impl> server, tcp::socket socket)
       : server_(std::move(server)),
         stream_(std::move(socket)),
-        timer_(server_->executor) {
+        timer_(server_->executor),
+        reader_(ReadLimits(server_->options)),
+        accepted_at_(std::chrono::steady_clock::now()) {
     boost::system::error_code ignored;
     stream_.socket().set_option(tcp::no_delay(true), ignored);
   }
 
   void Read() {
-    parser_.emplace();
-    parser_->body_limit(server_->options.max_request_bytes);
-    parser_->header_limit(server_->options.max_header_bytes);
-    reading_request_ = true;
+    reader_.BeginExchange();
+    reader_.BeginMessage();
     // An idle keep-alive connection may stay open; the timeout starts with
     // the first byte of a request.
     stream_.expires_never();
-    if (buffer_.size() > 0) return ReadRequest();
+    if (reader_.has_unread_bytes()) return ReadRequest();
+    SetState(session_state::kIdle);
     stream_.socket().async_wait(
         tcp::socket::wait_read,
         [self = shared_from_this()](const beast::error_code& error) {
+          if (self->state_ != session_state::kIdle &&
+              self->state_ != session_state::kLastRequest) {
+            return;
+          }
           if (error) return self->Close();
           self->ReadRequest();
         });
   }
 
+  // Closes the connection unless a request has arrived or is expected. Called
+  // in a shutdown, when the request may be in the socket's buffer already: a
+  // close would then reset the connection, although the caller has kept to the
+  // protocol.
   void CloseIfIdle() {
-    if (reading_request_) Close();
+    if (state_ != session_state::kIdle) return;
+    beast::error_code ignored;
+    if (stream_.socket().available(ignored) > 0) {
+      // The wait for the first byte, which is outstanding, reads the request.
+      SetState(session_state::kLastRequest);
+      return;
+    }
+    const auto first_request_due =
+        accepted_at_ + server_->options.first_request_timeout;
+    if (request_received_ ||
+        std::chrono::steady_clock::now() >= first_request_due) {
+      return CloseGracefully();
+    }
+    SetState(session_state::kLastRequest);
+    timer_.expires_at(first_request_due);
+    timer_.async_wait([self = shared_from_this()](const beast::error_code& e) {
+      if (!e && self->state_ == session_state::kLastRequest)
+        self->CloseGracefully();
+    });
   }
 
   void Close() {
-    if (closed_) return;
-    closed_ = true;
+    if (state_ == session_state::kClosed) return;
+    SetState(session_state::kClosed);
+    timer_.cancel();
     beast::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
     stream_.close();
@@ -141,29 +180,54 @@
   }
 
  private:
+  enum class session_state : std::uint8_t {
+    // Waiting for the first byte of a request.
+    kIdle = 0,
+    // As kIdle, in a shutdown: the connection closes after this request.
+    kLastRequest = 1,
+    kReading = 2,
+    kHandling = 3,
+    // Our side is closed; the caller's input is read and dropped.
+    kDraining = 4,
+    kClosed = 5,
+  };
+
+  static bool IsPending(session_state state) {
+    return state == session_state::kLastRequest ||
+           state == session_state::kReading ||
+           state == session_state::kHandling;
+  }
+
+  void SetState(session_state state) {
+    if (IsPending(state)) ++server_->pending;
+    if (IsPending(state_)) --server_->pending;
+    state_ = state;
+  }
+
   // The timeout of tcp_stream would close the socket before a slow caller gets
   // an error response. A separate timer that only cancels the read keeps the
   // socket open for the response.
   void ReadRequest() {
+    SetState(session_state::kReading);
     received_at_ = std::chrono::steady_clock::now();
     timed_out_ = false;
     timer_.expires_after(server_->options.read_timeout);
     timer_.async_wait([self = shared_from_this()](const beast::error_code& e) {
-      if (e || !self->reading_request_ || self->closed_) return;
+      if (e || self->state_ != session_state::kReading) return;
       self->timed_out_ = true;
       beast::error_code ignored;
       self->stream_.socket().cancel(ignored);
     });
-    http::async_read(
-        stream_, buffer_, *parser_,
-        [self = shared_from_this()](const beast::error_code& error,
-                                    std::size_t) { self->ReadDone(error); });
+    reader_.AsyncRead(
+        stream_, [self = shared_from_this()](const beast::error_code& error) {
+          self->ReadDone(error);
+        });
   }
 
   void ReadDone(beast::error_code error) {
-    reading_request_ = false;
+    if (state_ != session_state::kReading) return;
+    SetState(session_state::kHandling);
     timer_.cancel();
-    if (closed_) return;
     if (error == asio::error::operation_aborted && timed_out_) {
       error = beast::error::timeout;
     }
@@ -173,7 +237,6 @@
     }
     if (error) {
       keep_alive_ = false;
-      ++server_->pending;
       return Write(ProblemResponse(ReadErrorCode(error)));
     }
     Handle();
@@ -186,7 +249,7 @@
   }
 
   void Handle() {
-    auto message = parser_->release();
+    auto message = reader_.parser().release();
     keep_alive_ = message.keep_alive();
     http_request request;
     request.method = std::string(message.method_string());
@@ -210,7 +273,6 @@
     request.body = std::move(message.body());
     request.on_disconnect = std::make_shared<std::function<void()>>();
     on_disconnect_ = request.on_disconnect;
-    ++server_->pending;
     WatchDisconnect();
     server_->handler(std::move(request),
                      [self = shared_from_this()](http_response response) {
@@ -234,10 +296,8 @@
 
   void Write(http_response response) {
     on_disconnect_.reset();
-    if (closed_ || response.abort) {
-      --server_->pending;
-      return Close();
-    }
+    if (state_ == session_state::kClosed) return;
+    if (response.abort) return Close();
     response_ = {};
     response_.result(response.status);
     response_.version(11);
@@ -268,16 +328,17 @@
   }
 
   void WriteDone(const beast::error_code& error) {
-    --server_->pending;
     if (error) return Close();
     if (!response_.keep_alive()) return CloseGracefully();
     Read();
+    if (server_->stopping) CloseIfIdle();
   }
 
   // Closing a socket with unread input resets the connection, and the caller
   // could lose the response. Further input is read and dropped, within limits
   // of time and size.
   void CloseGracefully() {
+    SetState(session_state::kDraining);
     beast::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
     stream_.expires_after(kDrainTimeout);
@@ -285,7 +346,7 @@
   }
 
   void Drain(std::size_t remaining) {
-    if (closed_) return;
+    if (state_ == session_state::kClosed) return;
     stream_.async_read_some(
         asio::buffer(discard_buffer_),
         [self = shared_from_this(), remaining](const beast::error_code& error,
@@ -298,18 +359,17 @@
   std::shared_ptr<impl> server_;
   beast::tcp_stream stream_;
   asio::steady_timer timer_;
-  beast::flat_buffer buffer_;
+  http_message_reader<true> reader_;
+  const std::chrono::steady_clock::time_point accepted_at_;
   std::array<char, 4096> discard_buffer_{};
-  std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> response_;
   std::shared_ptr<std::function<void()>> on_disconnect_;
   std::chrono::steady_clock::time_point received_at_;
   bool request_received_ = false;
   bool head_request_ = false;
   bool keep_alive_ = true;
-  bool reading_request_ = false;
   bool timed_out_ = false;
-  bool closed_ = false;
+  session_state state_ = session_state::kIdle;
 };
 
 boost::leaf::result<void> http_server::impl::Listen() {
@@ -334,16 +394,33 @@
   acceptor.async_accept(
       [self = shared_from_this()](const boost::system::error_code& error,
                                   tcp::socket socket) {
-        if (self->stopping) return;
-        if (!error && self->sessions.size() < self->options.max_connections) {
-          auto new_session = std::make_shared<session>(self, std::move(socket));
-          self->sessions.insert(new_session);
-          new_session->Read();
-        }
-        self->Accept();
+        // The connection may have been accepted just before StopAccepting().
+        if (!error && !self->closed) self->Start(std::move(socket));
+        if (!self->stopping) self->Accept();
       });
 }
 
+void http_server::impl::Start(tcp::socket socket) {
+  if (sessions.size() >= options.max_connections) return;
+  auto new_session =
+      std::make_shared<session>(shared_from_this(), std::move(socket));
+  sessions.insert(new_session);
+  new_session->Read();
+  if (stopping) new_session->CloseIfIdle();
+}
+
+// Accepts the connections in the listen queue. Closing the acceptor would reset
+// them, although their callers may have sent requests already.
+void http_server::impl::AcceptQueued() {
+  boost::system::error_code error;
+  acceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(executor);
+    acceptor.accept(socket, error);
+    if (!error) Start(std::move(socket));
+  }
+}
+
 http_server::http_server(asio::any_io_executor executor,
                          http_server_options options, http_handler handler)
     : impl_(std::make_shared<impl>(std::move(executor), std::move(options),
@@ -356,8 +433,10 @@
 void http_server::BeginDrain() { impl_->draining = true; }
 
 void http_server::StopAccepting() {
+  if (impl_->stopping) return;
   impl_->draining = true;
   impl_->stopping = true;
+  impl_->AcceptQueued();
   boost::system::error_code ignored;
   impl_->acceptor.close(ignored);
   const auto sessions = impl_->sessions;
@@ -367,6 +446,7 @@
 std::size_t http_server::pending() const { return impl_->pending; }
 
 void http_server::Close() {
+  impl_->closed = true;
   StopAccepting();
   const auto sessions = impl_->sessions;
   for (const auto& open_session : sessions) open_session->Close();
--- a/app/http_server.h
+++ b/app/http_server.h
@@ -84,6 +84,12 @@
   std::chrono::milliseconds read_timeout{10000};
   bool keep_headers = false;
   std::uint32_t max_header_bytes = 8192;
+  // A request may have this many bytes on the wire beyond the limits of its
+  // head and body, for chunk framing and trailers.
+  std::uint64_t max_framing_bytes = 1 << 20;
+  // Time after accepting a connection for which StopAccepting() waits for its
+  // first request.
+  std::chrono::milliseconds first_request_timeout{300};
 };
 
 class http_server {
@@ -97,9 +103,13 @@
   // StopAccepting(), so that no connection is closed while its caller sends the
   // next request on it.
   void BeginDrain();
-  // Stops accepting connections and closes idle ones.
+  // Stops accepting connections and closes idle ones. Requests whose first byte
+  // has arrived are still answered, also those on connections that the system
+  // has accepted but this class has not, and a caller that has just connected
+  // may still send its first request for `first_request_timeout`.
   void StopAccepting();
-  // Returns the number of requests whose response is not completely written.
+  // Returns the number of connections with a request that is being read, runs
+  // or is being answered, or whose first request is awaited in a shutdown.
   std::size_t pending() const;
   void Close();
 
--- a/app/testing/http_server_test.cc
+++ b/app/testing/http_server_test.cc
@@ -5,7 +5,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <functional>
 #include <future>
 #include <memory>
 #include <string>
@@ -159,6 +161,96 @@
   EXPECT_NE(answer.find("Connection: close"), std::string::npos);
 }
 
+// A shutdown that crosses what callers send. Each step runs on the server's
+// thread, so that the server can't read between it and StopAccepting().
+class http_server_stop_test : public http_server_test {
+ protected:
+  const std::string kRequest = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+
+  void Connect() {
+    caller_.connect({asio::ip::make_address("127.0.0.1"), port_});
+  }
+  void RunOnServer(const std::function<void()>& step) {
+    std::promise<void> done;
+    asio::post(context_, [&] {
+      step();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+  std::string ReadUntilClosed() {
+    std::string received;
+    boost::system::error_code error;
+    asio::read(caller_, asio::dynamic_buffer(received), error);
+    EXPECT_EQ(error, asio::error::eof);
+    return received;
+  }
+  void ExpectAnswered() {
+    const std::string answer = ReadUntilClosed();
+    EXPECT_NE(answer.find("200 OK"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+  }
+
+  asio::io_context caller_context_;
+  tcp::socket caller_{caller_context_};
+};
+
+// Guards against resetting a connection in the listen queue
+// (graceful_stop_cuts_off_nothing: 1 of 580 requests beside load).
+TEST_F(http_server_stop_test, StopAccepting_ConnectionInQueue_IsAnswered) {
+  RunOnServer([&] {
+    Connect();
+    asio::write(caller_, asio::buffer(kRequest));
+    server_->StopAccepting();
+  });
+  ExpectAnswered();
+}
+
+// Guards against closing a connection as idle although its next request is in
+// the socket's buffer.
+TEST_F(http_server_stop_test, StopAccepting_RequestInBuffer_IsAnswered) {
+  Connect();
+  asio::write(caller_, asio::buffer(kRequest));
+  std::string first;
+  asio::read_until(caller_, asio::dynamic_buffer(first), "GET");
+  RunOnServer([&] {
+    asio::write(caller_, asio::buffer(kRequest));
+    server_->StopAccepting();
+  });
+  ExpectAnswered();
+}
+
+// Guards against closing a connection as idle while a request arrives on it.
+TEST_F(http_server_stop_test, StopAccepting_HalfOfRequest_IsAnswered) {
+  Connect();
+  asio::write(caller_, asio::buffer(kRequest.substr(0, 10)));
+  RunOnServer([&] { server_->StopAccepting(); });
+  asio::write(caller_, asio::buffer(kRequest.substr(10)));
+  ExpectAnswered();
+}
+
+// Guards against closing a connection between its handshake and its first
+// request.
+TEST_F(http_server_stop_test, StopAccepting_NewConnection_WaitsForRequest) {
+  RunOnServer([&] {
+    Connect();
+    server_->StopAccepting();
+    EXPECT_EQ(server_->pending(), 1u);
+  });
+  asio::write(caller_, asio::buffer(kRequest));
+  ExpectAnswered();
+}
+
+// Guards against a shutdown that waits for a caller that sends nothing.
+TEST_F(http_server_stop_test, StopAccepting_SilentConnection_CloseInTime) {
+  RunOnServer([&] {
+    Connect();
+    server_->StopAccepting();
+  });
+  EXPECT_EQ(ReadUntilClosed(), "");
+  RunOnServer([&] { EXPECT_EQ(server_->pending(), 0u); });
+}
+
 // Guards against passing on hop-by-hop headers and against losing or joining
 // end-to-end headers.
 TEST_F(http_server_test, Read_Headers_EndToEndOnesReachHandler) {
