Limit all bytes that a searcher may send for one request

Cause: a chunk extension, trailers, interim responses and replies with another request's id were read without end: before, a server that sends them made the client hold 700 MB to 1 GB after 4 s or occupied a core.

Change: http_message_reader limits the buffer for incomplete elements and counts the bytes of an exchange; http_client limits skipped replies and the memory of all its connections, and closes an idle connection at its first byte. Past a limit the attempt fails with code 311, reply_too_large, the searcher is quarantined, and a rate-limited log line and a counter tell it. The cancellation channel and the command line use the same reader.

--- a/app/backend_client.cc
+++ b/app/backend_client.cc
@@ -7,6 +7,7 @@
 #include <deque>
 #include <utility>
 
+#include "app/http_message_reader.h"
 #include "app/settings.h"
 
 namespace bilberrycourse {
@@ -22,6 +23,9 @@
 constexpr std::chrono::seconds kCancelTimeout{2};
 constexpr std::size_t kMaxQueuedCancels = 1000;
 constexpr unsigned kHttp11 = 11;
+constexpr unsigned kBadGateway = 502;
+// The answer to a cancellation has no content that is used.
+constexpr http_read_limits kCancelReplyLimits{8192, 16 * 1024, 64 * 1024};
 
 client_request MakePost(const std::string& path, const std::string& host) {
   client_request request(http::verb::post, path, kHttp11);
@@ -88,23 +92,23 @@
   }
 
   void Read() {
-    response_ = {};
-    http::async_read(stream_, buffer_, response_,
-                     [self = shared_from_this()](const beast::error_code& error,
-                                                 std::size_t) {
-                       if (error || !self->response_.keep_alive())
-                         return self->Reset();
-                       self->queue_.pop_front();
-                       self->busy_ = false;
-                       // No timeout applies while no cancellation is queued.
-                       self->stream_.expires_never();
-                       self->SendNext();
-                     });
+    reader_.BeginExchange();
+    reader_.BeginMessage();
+    reader_.AsyncRead(
+        stream_, [self = shared_from_this()](const beast::error_code& error) {
+          if (error || !self->reader_.parser().get().keep_alive())
+            return self->Reset();
+          self->queue_.pop_front();
+          self->busy_ = false;
+          // No timeout applies while no cancellation is queued.
+          self->stream_.expires_never();
+          self->SendNext();
+        });
   }
 
   void Reset() {
     stream_.close();
-    buffer_.clear();
+    reader_.Clear();
     connected_ = false;
     busy_ = false;
     queue_.clear();
@@ -112,9 +116,8 @@
 
   const std::string address_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  http_message_reader<false> reader_{kCancelReplyLimits};
   client_request request_;
-  client_response response_;
   std::deque<std::string> queue_;
   bool connected_ = false;
   bool busy_ = false;
@@ -179,9 +182,22 @@
   handler_->OnBackendOpened(id);
 }
 
-void backend_client::OnConnectionClosed(connection_id id, bool was_open) {
-  open_connections_.erase(id);
-  handler_->OnBackendClosed(id, was_open);
+void backend_client::OnConnectionClosed(connection_id id, connection_end end) {
+  const auto found = open_connections_.find(id);
+  std::optional<attempt_id> attempt;
+  if (found != open_connections_.end()) {
+    attempt = found->second.attempt;
+    open_connections_.erase(found);
+  }
+  if (end == connection_end::kReplyLimit && attempt.has_value()) {
+    // The server has failed, but it did not crash: a lost connection would
+    // count as evidence against the content of the request.
+    backend_reply reply;
+    reply.status = kBadGateway;
+    reply.body = std::make_shared<const std::string>();
+    handler_->OnBackendReply(id, *attempt, reply);
+  }
+  handler_->OnBackendClosed(id, end != connection_end::kNotOpened);
 }
 
 bool backend_client::IsExpectedResponse(connection_id, const client_response&) {
--- a/app/backend_client.h
+++ b/app/backend_client.h
@@ -68,6 +68,7 @@
   void Cancel(const std::string& address, const std::string& wire_id);
   void CloseAll();
   std::size_t connections() const { return http_.connections(); }
+  std::uint64_t limit_closes() const { return http_.limit_closes(); }
 
  private:
   struct open_connection {
@@ -77,7 +78,8 @@
   class cancel_channel;
 
   void OnConnectionOpened(connection_id connection) override;
-  void OnConnectionClosed(connection_id connection, bool was_open) override;
+  void OnConnectionClosed(connection_id connection,
+                          connection_end end) override;
   bool IsExpectedResponse(connection_id connection,
                           const client_response& response) override;
   void OnResponse(connection_id connection, client_response response,
--- a/app/cli_http.cc
+++ b/app/cli_http.cc
@@ -6,6 +6,8 @@
 #include <boost/beast/http.hpp>
 #include <utility>
 
+#include "app/http_message_reader.h"
+
 namespace bilberrycourse {
 namespace {
 
@@ -15,15 +17,15 @@
 
 // The largest response is the history of configuration documents.
 constexpr std::uint64_t kMaxResponseBytes = 256 << 20;
+constexpr http_read_limits kResponseLimits{8192, kMaxResponseBytes,
+                                           kMaxResponseBytes + (1 << 20)};
 
 // Sends one request and reads its response. The steps are asynchronous because
 // the timeout of a tcp_stream applies only to asynchronous operations.
 class http_exchange {
  public:
   http_exchange(const socket_address& address, const cli_http_request& request)
-      : stream_(context_), message_(MakeMessage(address, request)) {
-    parser_.body_limit(kMaxResponseBytes);
-  }
+      : stream_(context_), message_(MakeMessage(address, request)) {}
 
   cli_http_result Run(const socket_address& address,
                       std::chrono::milliseconds timeout) {
@@ -73,22 +75,21 @@
 
   void OnWritten(beast::error_code error) {
     if (error) return Fail(http_failure::kResponseLost, error);
-    http::async_read(
-        stream_, buffer_, parser_,
-        [this](beast::error_code failed, std::size_t) { OnRead(failed); });
+    reader_.AsyncRead(
+        stream_, [this](const beast::error_code& failed) { OnRead(failed); });
   }
 
   void OnRead(beast::error_code error) {
     if (error) return Fail(http_failure::kResponseLost, error);
-    result_.status = parser_.get().result_int();
-    result_.body = std::move(parser_.get().body());
+    auto response = reader_.parser().release();
+    result_.status = response.result_int();
+    result_.body = std::move(response.body());
   }
 
   asio::io_context context_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
   http::request<http::string_body> message_;
-  http::response_parser<http::string_body> parser_;
+  http_message_reader<false> reader_{kResponseLimits};
   cli_http_result result_;
 };
 
--- a/app/http_client.cc
+++ b/app/http_client.cc
@@ -4,10 +4,10 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <optional>
 #include <unordered_map>
 #include <utility>
 
+#include "app/http_message_reader.h"
 #include "app/settings.h"
 
 namespace bilberrycourse {
@@ -20,6 +20,14 @@
 
 constexpr unsigned kFirstFinalStatus = 200;
 
+http_read_limits ReadLimits(const http_client_options& options) {
+  http_read_limits limits;
+  limits.max_head_bytes = options.max_head_bytes;
+  limits.max_body_bytes = options.max_reply_bytes;
+  limits.max_exchange_bytes = options.max_exchange_bytes;
+  return limits;
+}
+
 }  // namespace
 
 class http_client::impl : public std::enable_shared_from_this<impl> {
@@ -29,12 +37,17 @@
        http_client_handler* event_handler)
       : executor(std::move(io_executor)),
         options(client_options),
-        handler(event_handler) {}
+        handler(event_handler),
+        read_budget(std::make_shared<http_read_budget>()) {
+    read_budget->max_bytes = options.max_buffered_bytes;
+  }
 
   asio::any_io_executor executor;
   http_client_options options;
   http_client_handler* handler;
   std::unordered_map<connection_id, std::shared_ptr<connection>> connections;
+  std::shared_ptr<http_read_budget> read_budget;
+  std::uint64_t limit_closes = 0;
 };
 
 class http_client::connection
@@ -45,20 +58,22 @@
       : client_(std::move(client)),
         id_(id),
         address_(std::move(address)),
-        stream_(client_->executor) {}
+        stream_(client_->executor),
+        reader_(ReadLimits(client_->options), client_->read_budget) {}
 
   void Open() {
     socket_address parsed;
     if (!ParseSocketAddress(address_, &parsed)) {
-      asio::post(client_->executor,
-                 [self = shared_from_this()] { self->Fail(); });
+      asio::post(client_->executor, [self = shared_from_this()] {
+        self->Fail(connection_end::kNotOpened);
+      });
       return;
     }
     stream_.expires_after(client_->options.connect_timeout);
     stream_.async_connect(
         tcp::endpoint(asio::ip::make_address(parsed.ip), parsed.port),
         [self = shared_from_this()](const beast::error_code& error) {
-          if (error) return self->Fail();
+          if (error) return self->Fail(connection_end::kNotOpened);
           self->OnOpened();
         });
   }
@@ -67,6 +82,8 @@
     request_ = std::move(request);
     head_request_ = request_.method() == http::verb::head;
     awaiting_response_ = true;
+    skipped_replies_ = 0;
+    reader_.BeginExchange();
     writing_ = true;
     http::async_write(stream_, request_,
                       [self = shared_from_this()](
@@ -74,7 +91,8 @@
                         self->writing_ = false;
                         // The reply may still arrive although the request
                         // could not be written completely.
-                        if (error && !self->awaiting_response_) self->Fail();
+                        if (error && !self->awaiting_response_)
+                          self->Fail(connection_end::kLost);
                       });
   }
 
@@ -86,7 +104,6 @@
  private:
   void OnOpened() {
     if (closed_) return;
-    opened_ = true;
     stream_.expires_never();
     beast::error_code ignored;
     stream_.socket().set_option(tcp::no_delay(true), ignored);
@@ -94,63 +111,71 @@
     client_->handler->OnConnectionOpened(id_);
   }
 
+  // Waits for the first byte of a message, so that unsolicited bytes close an
+  // idle connection even if they never make up a message.
   void Read() {
-    parser_.emplace();
-    parser_->body_limit(client_->options.max_reply_bytes);
-    http::async_read_header(
-        stream_, buffer_, *parser_,
-        [self = shared_from_this()](const beast::error_code& error,
-                                    std::size_t) { self->HeaderDone(error); });
+    reader_.BeginMessage();
+    if (reader_.has_unread_bytes()) return ReadMessage();
+    stream_.socket().async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this()](const beast::error_code& error) {
+          if (self->closed_) return;
+          if (error || !self->awaiting_response_)
+            return self->Fail(connection_end::kLost);
+          self->ReadMessage();
+        });
   }
 
-  void HeaderDone(const beast::error_code& error) {
-    if (closed_) return;
-    if (error || !awaiting_response_) return Fail();
-    if (head_request_) parser_->skip(true);
-    if (parser_->get().result_int() < kFirstFinalStatus) return Read();
-    if (parser_->is_done()) return ReadDone({});
-    http::async_read(
-        stream_, buffer_, *parser_,
-        [self = shared_from_this()](const beast::error_code& failed,
-                                    std::size_t) { self->ReadDone(failed); });
+  void ReadMessage() {
+    if (head_request_) reader_.parser().skip(true);
+    reader_.AsyncRead(
+        stream_, [self = shared_from_this()](const beast::error_code& error) {
+          self->ReadDone(error);
+        });
   }
 
   void ReadDone(const beast::error_code& error) {
     if (closed_) return;
-    if (error) return Fail();
-    const bool ends_at_close = parser_->need_eof();
-    client_response response = parser_->release();
-    if (!client_->handler->IsExpectedResponse(id_, response)) return Read();
+    if (IsSizeLimit(error)) return Fail(connection_end::kReplyLimit);
+    if (error) return Fail(connection_end::kLost);
+    const bool ends_at_close = reader_.parser().need_eof();
+    client_response response = reader_.parser().release();
+    if (response.result_int() < kFirstFinalStatus ||
+        !client_->handler->IsExpectedResponse(id_, response)) {
+      if (++skipped_replies_ > client_->options.max_skipped_replies)
+        return Fail(connection_end::kReplyLimit);
+      return Read();
+    }
     awaiting_response_ = false;
     // The connection can't be reused if unsolicited bytes follow the reply or
     // if the request is still being written.
     const bool keep_alive = response.keep_alive() && !ends_at_close &&
-                            !writing_ && buffer_.size() == 0;
+                            !writing_ && !reader_.has_unread_bytes();
     const auto self = shared_from_this();
     if (keep_alive) Read();
     client_->handler->OnResponse(id_, std::move(response), keep_alive);
   }
 
-  void Fail() {
+  void Fail(connection_end end) {
     if (closed_) return;
     closed_ = true;
     const auto self = shared_from_this();
     stream_.close();
+    if (end == connection_end::kReplyLimit) ++client_->limit_closes;
     client_->connections.erase(id_);
-    client_->handler->OnConnectionClosed(id_, opened_);
+    client_->handler->OnConnectionClosed(id_, end);
   }
 
   std::shared_ptr<impl> client_;
   const connection_id id_;
   const std::string address_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  http_message_reader<false> reader_;
+  std::uint32_t skipped_replies_ = 0;
   client_request request_;
   bool head_request_ = false;
   bool awaiting_response_ = false;
   bool writing_ = false;
-  bool opened_ = false;
   bool closed_ = false;
 };
 
@@ -191,4 +216,6 @@
   return impl_->connections.size();
 }
 
+std::uint64_t http_client::limit_closes() const { return impl_->limit_closes; }
+
 }  // namespace bilberrycourse
--- a/app/http_client.h
+++ b/app/http_client.h
@@ -13,6 +13,11 @@
 // an orderly close. A connection always has one read outstanding, so that a
 // close by the server is also detected while the connection is idle.
 // Unsolicited bytes close the connection.
+//
+// A server in trouble may send bytes without end. Every form of it (head, body,
+// chunk framing, trailers, interim and foreign replies) ends at a limit of
+// http_client_options, which closes the connection with kReplyLimit. The user
+// of the class limits the time.
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/beast/http/message.hpp>
@@ -37,9 +42,9 @@
  public:
   virtual ~http_client_handler() = default;
   virtual void OnConnectionOpened(connection_id connection) = 0;
-  // The connection failed to open (`was_open` is false then) or broke; it is
-  // gone.
-  virtual void OnConnectionClosed(connection_id connection, bool was_open) = 0;
+  // The connection failed to open, broke or exceeded a limit; it is gone.
+  virtual void OnConnectionClosed(connection_id connection,
+                                  connection_end end) = 0;
   // Returns true if `response` belongs to the outstanding request. Otherwise it
   // is dropped, and the connection reads the next one.
   virtual bool IsExpectedResponse(connection_id connection,
@@ -52,7 +57,18 @@
 
 struct http_client_options {
   std::chrono::milliseconds connect_timeout{400};
+  std::uint32_t max_head_bytes = 8192;
+  // Body of one reply.
   std::uint64_t max_reply_bytes = 4 << 20;
+  // All bytes received for one request. The excess over `max_reply_bytes` is
+  // for heads, chunk framing and replies to other requests.
+  std::uint64_t max_exchange_bytes = 6 << 20;
+  // Interim replies and replies to other requests before the expected one. A
+  // searcher sends at most a few.
+  std::uint32_t max_skipped_replies = 16;
+  // Memory for the replies on all connections. Beyond it, connections that hold
+  // more than an equal share are closed.
+  std::uint64_t max_buffered_bytes = 32 << 20;
 };
 
 class http_client {
@@ -68,6 +84,8 @@
   void Send(connection_id connection, client_request request);
   void CloseAll();
   std::size_t connections() const;
+  // Returns how many connections were closed because of a limit.
+  std::uint64_t limit_closes() const;
 
  private:
   class impl;
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -15,6 +15,8 @@
 constexpr double kFailureLogsPerSecond = 40;
 // Log lines per second about attempts after a refusal or a failure.
 constexpr double kRetryLogsPerSecond = 20;
+// Log lines per second about replies beyond a limit.
+constexpr double kLimitLogsPerSecond = 5;
 // Missing shards listed in one log line; their total is always logged. A line
 // must stay below 4 KB, the size up to which writes to a pipe are atomic.
 constexpr std::size_t kMaxMissingListed = 12;
@@ -72,6 +74,7 @@
       wake_(std::move(wake)),
       log_limiter_(kFailureLogsPerSecond),
       retry_log_limiter_(kRetryLogsPerSecond),
+      limit_log_limiter_(kLimitLogsPerSecond),
       engine_(EngineOptions(config), config.name, config.zone),
       client_(std::move(executor), {}, protocol->headers(), this),
       transport_(transport),
@@ -246,9 +249,19 @@
   Execute(&effects);
 }
 
-void route_gateway::OnSearcherClosed(connection_id connection) {
+void route_gateway::OnSearcherClosed(connection_id connection,
+                                     connection_end end) {
+  const time_point now = Now();
+  if (end == connection_end::kReplyLimit && limit_log_limiter_.Allow(now)) {
+    const result_code code = result_code::kReplyTooLarge;
+    LogEvent(log_level::kWarning, "reply_limit_exceeded",
+             {{"searcher", engine_.SearcherOf(connection)},
+              {"code", Describe(code).number},
+              {"reason", Describe(code).name},
+              {"left_out", limit_log_limiter_.TakeSuppressedCount()}});
+  }
   route_effects effects;
-  engine_.OnClosed(connection, Now(), &effects);
+  engine_.OnClosed(connection, end, now, &effects);
   Execute(&effects);
 }
 
@@ -410,6 +423,9 @@
        engine_.pool().size()},
       {"bilberrycourse_searcher_connections", "Connections to searchers.",
        client_.connections()},
+      {"bilberrycourse_reply_limit_closes",
+       "Connections closed because a searcher sent too many bytes.",
+       client_.limit_closes()},
   };
   for (const auto& gauge : gauges) {
     metrics_->SetGauge(gauge.name, gauge.help,
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -62,7 +62,7 @@
   void UpdateMetrics();
 
   void OnSearcherOpened(connection_id connection) override;
-  void OnSearcherClosed(connection_id connection) override;
+  void OnSearcherClosed(connection_id connection, connection_end end) override;
   void OnSearcherReply(connection_id connection, searcher_reply_pointer reply,
                        bool keep_alive,
                        std::optional<duration> idle_limit) override;
@@ -123,6 +123,7 @@
   std::function<void()> wake_;
   log_limiter log_limiter_;
   log_limiter retry_log_limiter_;
+  log_limiter limit_log_limiter_;
   route_engine engine_;
   searcher_client client_;
   std::shared_ptr<const route_table> table_;
--- a/app/searcher_client.cc
+++ b/app/searcher_client.cc
@@ -92,9 +92,9 @@
   handler_->OnSearcherOpened(id);
 }
 
-void searcher_client::OnConnectionClosed(connection_id id, bool) {
+void searcher_client::OnConnectionClosed(connection_id id, connection_end end) {
   request_ids_.erase(id);
-  handler_->OnSearcherClosed(id);
+  handler_->OnSearcherClosed(id, end);
 }
 
 // Returns false for a late duplicate reply to an earlier request.
--- a/app/searcher_client.h
+++ b/app/searcher_client.h
@@ -43,7 +43,8 @@
  public:
   virtual ~searcher_client_handler() = default;
   virtual void OnSearcherOpened(connection_id connection) = 0;
-  virtual void OnSearcherClosed(connection_id connection) = 0;
+  virtual void OnSearcherClosed(connection_id connection,
+                                connection_end end) = 0;
   virtual void OnSearcherReply(connection_id connection,
                                searcher_reply_pointer reply, bool keep_alive,
                                std::optional<duration> idle_limit) = 0;
@@ -61,10 +62,12 @@
   void Send(connection_id connection, const forwarded_request& request);
   void CloseAll();
   std::size_t connections() const { return http_.connections(); }
+  std::uint64_t limit_closes() const { return http_.limit_closes(); }
 
  private:
   void OnConnectionOpened(connection_id connection) override;
-  void OnConnectionClosed(connection_id connection, bool was_open) override;
+  void OnConnectionClosed(connection_id connection,
+                          connection_end end) override;
   bool IsExpectedResponse(connection_id connection,
                           const client_response& response) override;
   void OnResponse(connection_id connection, client_response response,
--- a/app/testing/searcher_client_test.cc
+++ b/app/testing/searcher_client_test.cc
@@ -35,7 +35,10 @@
   }
 
   void OnSearcherOpened(connection_id) override { ++opened_; }
-  void OnSearcherClosed(connection_id) override { ++closed_; }
+  void OnSearcherClosed(connection_id, connection_end end) override {
+    ++closed_;
+    end_ = end;
+  }
   void OnSearcherReply(connection_id, searcher_reply_pointer reply,
                        bool keep_alive, std::optional<duration> idle) override {
     replies_.push_back(std::move(reply));
@@ -88,6 +91,7 @@
   std::unique_ptr<searcher_client> client_;
   int opened_ = 0;
   int closed_ = 0;
+  connection_end end_{};
   std::vector<searcher_reply_pointer> replies_;
   bool keep_alive_ = false;
   std::optional<duration> idle_limit_;
--- a/bilberrycourse/result_code.cc
+++ b/bilberrycourse/result_code.cc
@@ -77,6 +77,8 @@
     {result_code::kCanaryNotPassed, 310, "canary_not_passed", 29, 502, true,
      "The first shard failed while running this content, so the other shards "
      "were not tried."},
+    {result_code::kReplyTooLarge, 311, "reply_too_large", 19, 502, false,
+     "The backend server sent more bytes than one reply may have."},
     {result_code::kVersionConflict, 401, "version_conflict", 30, 409, true,
      "Another change was accepted on the same base version."},
     {result_code::kInvalidDocument, 402, "invalid_document", 31, 422, true,
--- a/bilberrycourse/result_code.h
+++ b/bilberrycourse/result_code.h
@@ -48,6 +48,7 @@
   kCoverageTooLow = 308,
   kCancelled = 309,
   kCanaryNotPassed = 310,
+  kReplyTooLarge = 311,
   // 4xx: configuration and operators.
   kVersionConflict = 401,
   kInvalidDocument = 402,
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -144,9 +144,12 @@
   void Abandon(route_request_id id);
 
   void OnOpened(connection_id connection, time_point now, route_effects* out);
-  // Called when the connection failed to open or was closed. An attempt on it,
-  // if any, may have run.
-  void OnClosed(connection_id connection, time_point now, route_effects* out);
+  // Called when the connection has ended. An attempt on it, if any, may have
+  // run. A searcher that exceeded a limit is quarantined.
+  void OnClosed(connection_id connection, connection_end end, time_point now,
+                route_effects* out);
+  // Returns the id of the connection's searcher; empty if it is unknown.
+  std::string SearcherOf(connection_id connection) const;
   // The searcher closes the connection once it is idle for `idle_limit`.
   void OnReply(connection_id connection, searcher_reply_pointer reply,
                bool keep_alive, std::optional<duration> idle_limit,
--- a/bilberrycourse/route_engine_attempts.cc
+++ b/bilberrycourse/route_engine_attempts.cc
@@ -281,11 +281,17 @@
   Dispatch(entry, now, out);
 }
 
-void route_engine::OnClosed(connection_id connection, time_point now,
-                            route_effects* out) {
+std::string route_engine::SearcherOf(connection_id connection) const {
+  const auto found = connections_.find(connection);
+  return found == connections_.end() ? std::string() : found->second.searcher;
+}
+
+void route_engine::OnClosed(connection_id connection, connection_end end,
+                            time_point now, route_effects* out) {
   const auto found = connections_.find(connection);
   if (found == connections_.end()) return;
   const connection_state closed = found->second;
+  const bool limit_exceeded = end == connection_end::kReplyLimit;
   connections_.erase(found);
   searcher_entry* entry = pool_.Find(closed.searcher, closed.serial);
   if (entry != nullptr) {
@@ -308,12 +314,19 @@
   ++counters_.broken_attempts;
   EndAttempt(attempt.id);
   if (entry != nullptr) {
-    pool_.OnAnswered(entry, attempt.sent_at, attempt.expected, true, now);
+    if (limit_exceeded) {
+      pool_.OnEnded(entry, attempt.sent_at);
+      pool_.OnUnreachable(entry, now);
+    } else {
+      pool_.OnAnswered(entry, attempt.sent_at, attempt.expected, true, now);
+    }
   }
   request_state* request = FindRequest(attempt.request);
   if (request == nullptr) return;
   RetryOrFail(request, attempt.part, send_reason::kFailed,
-              result_code::kBackendServerCrashed, now, out);
+              limit_exceeded ? result_code::kReplyTooLarge
+                             : result_code::kBackendServerCrashed,
+              now, out);
 }
 
 void route_engine::OnReply(connection_id connection,
--- a/bilberrycourse/testing/route_engine_rig.h
+++ b/bilberrycourse/testing/route_engine_rig.h
@@ -137,9 +137,10 @@
     reply.not_executed = true;
     AnswerWith(to, std::move(reply));
   }
-  void Break(const sent_request& to) {
+  void Break(const sent_request& to,
+             connection_end end = connection_end::kLost) {
     route_effects effects;
-    engine.OnClosed(to.connection, now, &effects);
+    engine.OnClosed(to.connection, end, now, &effects);
     Execute(&effects);
   }
   void Cancel(std::uint64_t id) {
--- a/bilberrycourse/types.h
+++ b/bilberrycourse/types.h
@@ -41,6 +41,14 @@
 enum class attempt_id : std::uint64_t {};
 // One TCP connection to a searcher, unique within the process.
 enum class connection_id : std::uint64_t {};
+// How a connection to a searcher ended.
+enum class connection_end : std::uint8_t {
+  // It could not be opened.
+  kNotOpened = 0,
+  kLost = 1,
+  // The searcher sent more bytes than one exchange may have.
+  kReplyLimit = 2,
+};
 // An index version; versions of a service grow with time.
 enum class index_version : std::uint64_t {};
 // Hash of a request's content, excluding caller and request id.
