--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -267,7 +267,7 @@
 
 void route_daemon::OnEntryInstances(
     const std::vector<entry_instance>& entries) {
-  if (gateway_ != nullptr) gateway_->SetEntryInstances(entries);
+  if (gateway_ != nullptr) gateway_->SetEntryInstances(entries, Now());
 }
 
 void route_daemon::OnPeerConnected(const instance_name& peer) {
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -199,7 +199,7 @@
       table_ = std::make_shared<const route_table>(
           std::make_shared<const route_config>(*std::move(config)));
       engine_.SetRoutes(table_, now, &effects);
-      UpdateRelays();
+      UpdateRelays(now);
     } else {
       LogEvent(log_level::kError, "routes_unreadable",
                {{"version", update.routes.version}, {"problem", problem}});
@@ -208,6 +208,7 @@
   const bool full_list = update.base_revision == 0;
   LogSearchers(update, full_list);
   engine_.UpdateSearchers(update.searchers, full_list, now, &effects);
+  if (full_list || !update.searchers.empty()) searchers_changed_ = true;
   Execute(&effects);
 }
 
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -42,7 +42,8 @@
   // Applies a change of the routes or of the searcher directory.
   void OnRouteUpdate(const route_update& update, time_point now);
   void SetInstances(std::uint32_t instances);
-  void SetEntryInstances(const std::vector<entry_instance>& entries);
+  void SetEntryInstances(const std::vector<entry_instance>& entries,
+                         time_point now);
   // Returns the entry instances that this instance keeps a link to as relays.
   const std::vector<entry_instance>& Relays() const { return relays_; }
   // Handles relay frames. Returns false for any other frame.
@@ -104,7 +105,7 @@
                      const wire::relay_cancel& cancel, time_point now);
   std::vector<relay_group> ReachableGroups(const route& matched_route,
                                            time_point now);
-  void UpdateRelays();
+  void UpdateRelays(time_point now);
   std::shared_ptr<const header_list> ForwardedHeaders(
       const header_list& headers) const;
   http_response MakeResponse(const finish_route_request& finish) const;
@@ -132,6 +133,10 @@
   peer_transport* transport_;
   relay_plan plan_;
   std::vector<entry_instance> relays_;
+  // True if searchers have changed since the last UpdateRelays(), which may run
+  // again at relays_due_.
+  bool searchers_changed_ = false;
+  time_point relays_due_{};
   // Relays that did not report in time, and when they may be used again.
   std::map<instance_name, time_point> silent_until_;
   // Groups of shards that relays are searching, by relay id.
--- a/app/route_gateway_relays.cc
+++ b/app/route_gateway_relays.cc
@@ -19,6 +19,11 @@
 // A relay that shuts down is not used before it connects again. The limit
 // applies if its shutdown takes unusually long.
 constexpr duration kLeavingRelayPause = std::chrono::seconds(30);
+// A zone holds replicas of a route if this share of its shards has a usable
+// searcher there. A release or a few crashes must not move the relays.
+constexpr double kMinReplicaShare = 0.75;
+// Searchers change in bursts, when all of them start or a release runs.
+constexpr duration kMinRelayUpdatePeriod = std::chrono::seconds(1);
 
 duration FromMicros(std::uint64_t micros) {
   constexpr std::uint64_t kDay = 24ULL * 3600 * 1'000'000;
@@ -58,26 +63,37 @@
 }  // namespace
 
 void route_gateway::SetEntryInstances(
-    const std::vector<entry_instance>& entries) {
+    const std::vector<entry_instance>& entries, time_point now) {
   plan_.SetInstances(entries);
-  UpdateRelays();
+  UpdateRelays(now);
 }
 
 // Collects the relays of all routes, so that links to them are kept, and
 // sets how many instances use each shard, which is fewer with relays.
-void route_gateway::UpdateRelays() {
+void route_gateway::UpdateRelays(time_point now) {
+  searchers_changed_ = false;
+  relays_due_ = now + kMinRelayUpdatePeriod;
   relays_.clear();
   if (table_ == nullptr) return;
   std::set<instance_name> names;
   for (const route& configured_route : table_->config().routes) {
+    const std::vector<std::string>& shards = configured_route.shards;
+    if (shards.empty()) continue;
+    const std::vector<availability_zone> before = plan_.Zones(shards);
+    plan_.SetReplicaZones(shards,
+                          engine_.ReplicaZones(shards, kMinReplicaShare));
+    const std::vector<availability_zone> zones = plan_.Zones(shards);
+    if (zones != before) {
+      LogDecision("relay_zones_chosen",
+                  {{"route", configured_route.name},
+                   {"zones", boost::json::value_from(zones)}});
+    }
     const std::uint32_t sharing_instances =
-        plan_.UsesRelays(configured_route.shards.size())
-            ? plan_.InstancesPerShard(configured_route.shards.size())
-            : 0;
-    for (const std::string& shard : configured_route.shards) {
+        plan_.UsesRelays(shards.size()) ? plan_.InstancesPerShard(shards) : 0;
+    for (const std::string& shard : shards) {
       engine_.SetSharingInstances(shard, sharing_instances);
     }
-    for (entry_instance& relay : plan_.Relays(configured_route.shards.size())) {
+    for (entry_instance& relay : plan_.Relays(shards)) {
       if (names.insert(relay.name).second) relays_.push_back(std::move(relay));
     }
   }
@@ -87,16 +103,15 @@
 // groups itself.
 std::vector<relay_group> route_gateway::ReachableGroups(
     const route& matched_route, time_point now) {
-  std::vector<relay_group> usable;
-  if (matched_route.shards.empty()) return usable;
-  for (const relay_group& group : plan_.Groups(matched_route.shards)) {
-    const auto silent = silent_until_.find(group.relay);
-    const bool responsive =
-        silent == silent_until_.end() || now >= silent->second;
-    if (responsive && transport_->Connected(group.relay))
-      usable.push_back(group);
-  }
-  return usable;
+  if (matched_route.shards.empty()) return {};
+  if (searchers_changed_ && now >= relays_due_) UpdateRelays(now);
+  return plan_.UsableGroups(
+      matched_route.shards, [&](const instance_name& relay) {
+        const auto silent = silent_until_.find(relay);
+        const bool responsive =
+            silent == silent_until_.end() || now >= silent->second;
+        return responsive && transport_->Connected(relay);
+      });
 }
 
 bool route_gateway::OnPeerFrame(const instance_name& peer,
--- a/bilberrycourse/testing/relay_plan_test.cc
+++ b/bilberrycourse/testing/relay_plan_test.cc
@@ -73,7 +73,7 @@
   for (const entry_instance& origin : entries) {
     relay_plan plan({}, origin.name, origin.zone);
     plan.SetInstances(entries);
-    stated = plan.InstancesPerShard(shards.size());
+    stated = plan.InstancesPerShard(shards);
     for (const relay_group& group : plan.Groups(shards)) {
       for (const std::size_t part : group.parts) {
         relays_by_shard[part].insert(group.relay);
@@ -83,6 +83,119 @@
   for (const auto& relays : relays_by_shard) EXPECT_LE(relays.size(), stated);
 }
 
+// Searchers run in zones 0 to 2 only, as in coldline-search-large.
+class relay_plan_replica_test : public relay_plan_test {
+ protected:
+  static constexpr int kZones = 6;
+
+  relay_plan MakePlan(const entry_instance& origin) const {
+    relay_plan plan({}, origin.name, origin.zone);
+    plan.SetInstances(entries_);
+    plan.SetReplicaZones(shards_, {"z0", "z1", "z2"});
+    return plan;
+  }
+
+  const std::vector<entry_instance> entries_ = Entries(49, kZones);
+  const std::vector<std::string> shards_ = Shards(180);
+};
+
+// Guards against an origin in a zone without searchers that fetches the replies
+// of all shards over zones: in coldline-search-large these bytes cost more than
+// all late and failed requests.
+TEST_F(relay_plan_replica_test, Groups_EveryOrigin_RelaysAreBesideReplicas) {
+  std::map<availability_zone, int> origins_by_relay_zone;
+  for (const entry_instance& origin : entries_) {
+    relay_plan plan = MakePlan(origin);
+    const availability_zone zone = plan.Zones(shards_).front();
+    EXPECT_TRUE(zone == "z0" || zone == "z1" || zone == "z2") << zone;
+    if (origin.zone < "z3") {
+      EXPECT_EQ(zone, origin.zone);
+    }
+    ++origins_by_relay_zone[zone];
+    std::set<std::size_t> seen;
+    for (const relay_group& group : plan.Groups(shards_)) {
+      EXPECT_TRUE(group.relay.starts_with(zone));
+      for (const std::size_t part : group.parts) seen.insert(part);
+    }
+    EXPECT_EQ(seen.size(), shards_.size());
+  }
+  // No zone serves many more origins than the others.
+  for (const auto& [zone, origins] : origins_by_relay_zone) {
+    EXPECT_LE(origins, 2 * 49 * 5 / 4) << zone;
+  }
+}
+
+// Guards against connections to a searcher from more instances than its
+// connection limit is divided by.
+TEST_F(relay_plan_replica_test, InstancesPerShard_AllOrigins_IsUpperBound) {
+  std::vector<std::set<instance_name>> relays_by_shard(shards_.size());
+  std::uint32_t stated = 0;
+  for (const entry_instance& origin : entries_) {
+    relay_plan plan = MakePlan(origin);
+    stated = plan.InstancesPerShard(shards_);
+    for (const relay_group& group : plan.Groups(shards_)) {
+      for (const std::size_t part : group.parts) {
+        relays_by_shard[part].insert(group.relay);
+      }
+    }
+  }
+  for (const auto& relays : relays_by_shard) EXPECT_LE(relays.size(), stated);
+  EXPECT_LE(stated, 9u);
+}
+
+// Guards against origins that search all shards themselves while the zone of
+// their relays is cut off.
+TEST_F(relay_plan_replica_test, UsableGroups_ZoneCutOff_UsesOtherZone) {
+  const entry_instance origin{"z4-e7", "z4-e7:1", "z4"};
+  relay_plan plan = MakePlan(origin);
+  const std::vector<availability_zone> zones = plan.Zones(shards_);
+  ASSERT_EQ(zones.size(), 2u);
+  const auto usable = [&](const instance_name& relay) {
+    return !relay.starts_with(zones[0]);
+  };
+  const auto groups = plan.UsableGroups(shards_, usable);
+  ASSERT_FALSE(groups.empty());
+  for (const relay_group& group : groups) {
+    EXPECT_TRUE(group.relay.starts_with(zones[1]));
+  }
+  // All relays must be linked, also those of the other zone.
+  std::set<instance_name> linked;
+  for (const entry_instance& relay : plan.Relays(shards_)) {
+    linked.insert(relay.name);
+  }
+  for (const relay_group& group : groups) {
+    EXPECT_TRUE(linked.contains(group.relay));
+  }
+}
+
+// Guards against leaving a zone because of one relay, which would spread the
+// load of its origins to cold connections.
+TEST_F(relay_plan_replica_test, UsableGroups_OneRelayLost_StaysInZone) {
+  const entry_instance origin{"z4-e7", "z4-e7:1", "z4"};
+  relay_plan plan = MakePlan(origin);
+  const std::vector<relay_group> all = plan.Groups(shards_);
+  const auto groups = plan.UsableGroups(
+      shards_,
+      [&](const instance_name& relay) { return relay != all.front().relay; });
+  EXPECT_EQ(groups.size(), all.size() - 1);
+  EXPECT_EQ(groups.front().relay, all[1].relay);
+}
+
+// Guards against having no relays at all where the zones with searchers have
+// too few entry instances, and against a plan from before they were known.
+TEST_F(relay_plan_replica_test, Zones_FewInstancesBesideReplicas_UsesOwnZone) {
+  relay_plan plan({}, "z4-e7", "z4");
+  plan.SetReplicaZones(shards_, {"z0"});
+  EXPECT_TRUE(plan.Groups(shards_).empty());
+  std::vector<entry_instance> entries = entries_;
+  std::erase_if(entries, [](const auto& entry) { return entry.zone == "z0"; });
+  plan.SetInstances(entries);
+  EXPECT_EQ(plan.Zones(shards_), (std::vector<availability_zone>{"z4"}));
+  EXPECT_FALSE(plan.Groups(shards_).empty());
+  plan.SetInstances(entries_);
+  EXPECT_EQ(plan.Zones(shards_), (std::vector<availability_zone>{"z0"}));
+}
+
 // Guards against a plan that reassigns all shards when one relay is lost, so
 // that the whole zone would have to open new connections.
 TEST_F(relay_plan_test, Groups_OneRelayLost_MovesFewShards) {
