--- a/bilberrycourse/route_engine_attempts.cc
+++ b/bilberrycourse/route_engine_attempts.cc
@@ -188,7 +188,11 @@
   const route& matched_route = *request.call.matched_route;
   if (part.tried.size() >= matched_route.max_attempts + kMaxRefusals)
     return false;
-  if (part.may_have_run >= matched_route.max_attempts) return false;
+  // An attempt that waits for a connection will run as well.
+  const auto unsent = static_cast<std::uint32_t>(
+      std::count_if(part.running.begin(), part.running.end(),
+                    [&](attempt_id id) { return !attempts_.at(id).sent; }));
+  if (part.may_have_run + unsent >= matched_route.max_attempts) return false;
   if (matched_route.idempotent) return true;
   return reason == send_reason::kNotExecuted && part.may_have_run == 0;
 }
--- a/bilberrycourse/testing/route_engine_test.cc
+++ b/bilberrycourse/testing/route_engine_test.cc
@@ -337,6 +337,35 @@
   EXPECT_EQ(rig.finished.size(), 100u);
 }
 
+// Guards against more searchers than the route allows: a hedge that becomes due
+// while a retry waits for its connection (BUDGET in ghisg-search-grown
+// trouble-3: 14 requests ran on 3 searchers of a shard).
+TEST_F(route_engine_test, OnHedgeDue_RetryNotYetSent_IsWithinMaxAttempts) {
+  rig_.AddRoute("cold", 0, true);
+  rig_.connect = false;
+  rig_.AddSearcher("cold", "c1", "a");
+  rig_.AddSearcher("cold", "c2", "b");
+  rig_.AddSearcher("cold", "c3", "b");
+  rig_.Begin(1, "cold");
+  // Only the connection to the searcher in the own zone opens at once.
+  const auto first =
+      std::find_if(rig_.opened.begin(), rig_.opened.end(),
+                   [](const auto& open) { return open.address == "c1:80"; });
+  ASSERT_NE(first, rig_.opened.end());
+  const connection_id connection = first->connection;
+  rig_.opened.erase(first);
+  route_effects effects;
+  rig_.engine.OnOpened(connection, rig_.now, &effects);
+  rig_.Execute(&effects);
+  ASSERT_EQ(rig_.sends.size(), 1u);
+  rig_.AnswerWith(rig_.sends[0], route_engine_rig::Reply(500, "s"));
+  rig_.Advance(milliseconds(60));
+  rig_.connect = true;
+  route_effects none;
+  rig_.Execute(&none);
+  EXPECT_EQ(rig_.sends.size(), 2u);
+}
+
 class route_engine_relay_test : public route_engine_test {
  protected:
   // Shards 0 and 1 are searched here, 2 and 3 by a relay.
