Send changes of the entry instances, from a member in the own zone

Change: entry_instance_log keeps the latest lists and answers a poll with the change since the poller's digest; the client checks the digest of the result and asks for the whole list if it differs. Pollers that don't state entry_changes still get the whole list. An entry instance prefers a control member in its own zone while that answers.

--- a/app/control_client.cc
+++ b/app/control_client.cc
@@ -22,6 +22,10 @@
 // leader, and another one is polled. Members confirm with every heartbeat of
 // the leader; an election may take twice the longest election timeout.
 constexpr duration kMaxConfirmationAge = std::chrono::milliseconds(1200);
+// After an unanswered poll the target does not change to a preferred one for
+// this long: a member that is slow or partitioned would be polled in turn with
+// the next one.
+constexpr duration kPreferencePause = std::chrono::seconds(5);
 constexpr std::size_t kMaxOutstandingPolls = 16;
 // Delay before an unanswered call is sent to another member.
 constexpr duration kCallResendDelay = std::chrono::milliseconds(500);
@@ -59,7 +63,12 @@
 
 void control_client::Tick(time_point now) {
   if (now >= poll_due_) {
-    if (!poll_answered_) poll_target_ = NextTarget(poll_target_);
+    if (poll_answered_) {
+      poll_target_ = PreferredTarget(now);
+    } else {
+      keep_target_until_ = now + kPreferencePause;
+      poll_target_ = NextTarget(poll_target_);
+    }
     PollCurrentTarget(now);
   }
   std::vector<std::uint64_t> due;
@@ -104,6 +113,7 @@
   poll.searcher_revision = known.searcher_revision;
   poll.entry_digest = entry_digest_;
   poll.group_digest = group_digest_;
+  poll.entry_changes = true;
   const std::uint64_t id = poll.poll_id;
   if (!transport_->Send(to, MakeFrame(std::move(poll)))) return;
   polls_[id] = {to, now};
@@ -126,6 +136,7 @@
   if (found == polls_.end() || found->second.target != from) return;
   const time_point sent_at = found->second.sent_at;
   polls_.erase(found);
+  member_zones_[from] = ToText(reply.availability_zone());
   control_poll_reply poll_reply;
   poll_reply.confirmed = reply.confirmed();
   poll_reply.age = duration(static_cast<duration::rep>(
@@ -161,15 +172,43 @@
     group_digest_ = reply.group_digest();
     handler_->OnControlGroup(group);
   }
-  if (reply.entry_digest() != entry_digest_ && reply.entries() != nullptr) {
-    std::vector<entry_instance> entries;
+  ApplyEntries(reply);
+}
+
+void control_client::ApplyEntries(const wire::control_news& reply) {
+  if (reply.entry_digest() == entry_digest_) return;
+  // A change of an older list crosses a reply that has been applied since.
+  if (reply.entry_base_digest() != 0 &&
+      reply.entry_base_digest() != entry_digest_) {
+    return;
+  }
+  if (reply.entries() == nullptr && reply.removed_entries() == nullptr) return;
+  entry_list_change change;
+  change.base_digest = reply.entry_base_digest();
+  change.digest = reply.entry_digest();
+  if (reply.entries() != nullptr) {
     for (const wire::entry_instance* entry : *reply.entries()) {
-      entries.push_back({ToText(entry->instance()), ToText(entry->address()),
-                         ToText(entry->availability_zone())});
+      change.added.push_back({ToText(entry->instance()),
+                              ToText(entry->address()),
+                              ToText(entry->availability_zone())});
+    }
+  }
+  if (reply.removed_entries() != nullptr) {
+    for (const flatbuffers::String* name : *reply.removed_entries()) {
+      change.removed.push_back(ToText(name));
     }
-    entry_digest_ = reply.entry_digest();
-    handler_->OnEntryInstances(entries);
   }
+  auto entries = ApplyChange(entries_, change);
+  if (!entries.has_value()) {
+    LogEvent(log_level::kWarning, "entry_change_refused",
+             {{"base_digest", change.base_digest}, {"digest", change.digest}});
+    // The next poll asks for the whole list.
+    entry_digest_ = 0;
+    return;
+  }
+  entries_ = *std::move(entries);
+  entry_digest_ = change.digest;
+  handler_->OnEntryInstances(entries_);
 }
 
 // Versions never decrease: routes of a member that lags behind are ignored.
@@ -273,6 +312,25 @@
   return peers.empty() ? names.front() : peers.front();
 }
 
+instance_name control_client::PreferredTarget(time_point now) const {
+  if (local_ != nullptr || now < keep_target_until_ ||
+      config_.interface != serving_interface::kRoutes) {
+    return poll_target_;
+  }
+  const auto zone_of = [&](const instance_name& member) {
+    const auto found = member_zones_.find(member);
+    return found == member_zones_.end() ? availability_zone() : found->second;
+  };
+  if (zone_of(poll_target_) == config_.zone) return poll_target_;
+  instance_name unknown = poll_target_;
+  for (const instance_name& name : ControlNames()) {
+    if (!transport_->Connected(name)) continue;
+    if (zone_of(name) == config_.zone) return name;
+    if (!member_zones_.contains(name)) unknown = name;
+  }
+  return unknown;
+}
+
 void control_client::Propose(const std::string& command, time_point deadline,
                              control_callback callback) {
   control_call new_call;
--- a/app/control_client.h
+++ b/app/control_client.h
@@ -9,6 +9,9 @@
 //   client.Tick(now);                       // every 10 ms
 //   client.Propose(command, deadline, [](const control_reply& r) { ... });
 //
+// An instance of the routed interface prefers a member in its own zone, because
+// the replies, above all whole configurations, are billed between zones.
+//
 // A proposal is resent with the same bytes until it is answered or its deadline
 // passes; every command carries an id that makes it idempotent. A reply of
 // kProposalLost means that the outcome is unknown, kNoQuorum that no attempt
@@ -24,7 +27,7 @@
 #include "app/settings.h"
 #include "bilberrycourse/control_lease.h"
 #include "bilberrycourse/control_state.h"
-#include "bilberrycourse/relay_plan.h"
+#include "bilberrycourse/entry_instance_log.h"
 
 namespace bilberrycourse {
 
@@ -103,6 +106,10 @@
   known_versions KnownVersions() const;
   void ApplyRouteUpdate(const control_poll_reply& reply);
   void ApplyInstances(const wire::control_news& reply);
+  void ApplyEntries(const wire::control_news& reply);
+  // Returns the target of the next poll if the current one answers: a member in
+  // the own zone, or one whose zone is unknown.
+  instance_name PreferredTarget(time_point now) const;
   void Poll(const instance_name& to, time_point now);
   void PollCurrentTarget(time_point now);
   void ApplyPollReply(time_point sent_at, const control_poll_reply& reply);
@@ -124,6 +131,8 @@
   instance_name leader_;
   std::uint64_t route_version_ = 0;
   std::uint64_t searcher_revision_ = 0;
+  entry_list entries_;
+  // Digest of entries_; 0 while it is unknown.
   std::uint64_t entry_digest_ = 0;
   std::uint64_t group_digest_ = 0;
   std::uint32_t entry_instances_ = 0;
@@ -136,6 +145,10 @@
   std::uint64_t next_poll_id_ = 1;
   std::map<std::uint64_t, outstanding_poll> polls_;
   bool poll_answered_;
+  // Zones of the control instances that have answered a poll.
+  std::map<instance_name, availability_zone> member_zones_;
+  // Until then no other member is preferred, because one has not answered.
+  time_point keep_target_until_{};
   std::uint64_t next_call_id_ = 1;
   std::map<std::uint64_t, control_call> calls_;
 };
--- a/app/control_frames.cc
+++ b/app/control_frames.cc
@@ -10,15 +10,7 @@
 namespace bilberrycourse {
 namespace {
 
-std::uint64_t DigestOf(const std::vector<entry_instance>& entries) {
-  std::string text;
-  for (const entry_instance& entry : entries) {
-    text += entry.name + " " + entry.address + " " + entry.zone + "\n";
-  }
-  return name_hash()(text);
-}
-
-std::uint64_t DigestOf(const std::vector<log_member>& group) {
+std::uint64_t GroupDigest(const std::vector<log_member>& group) {
   std::string text;
   for (const log_member& member : group) {
     text += member.instance + " " + member.address + "\n";
@@ -43,9 +35,8 @@
 // differ.
 void AddInstances(const wire::control_poll& poll,
                   const control_poll_reply& reply,
-                  const std::vector<entry_instance>& entries,
-                  wire::control_newsT* out) {
-  out->group_digest = DigestOf(reply.group);
+                  const entry_instance_log& entries, wire::control_newsT* out) {
+  out->group_digest = GroupDigest(reply.group);
   if (poll.group_digest() != out->group_digest) {
     for (const log_member& member : reply.group) {
       auto address = std::make_unique<wire::control_addressT>();
@@ -54,8 +45,13 @@
       out->group.push_back(std::move(address));
     }
   }
+  out->entry_digest = entries.digest();
   if (poll.entry_digest() == out->entry_digest) return;
-  for (const entry_instance& entry : entries) {
+  const entry_list_change change =
+      entries.ChangeSince(poll.entry_changes() ? poll.entry_digest() : 0);
+  out->entry_base_digest = change.base_digest;
+  out->removed_entries = change.removed;
+  for (const entry_instance& entry : change.added) {
     auto out_entry = std::make_unique<wire::entry_instanceT>();
     out_entry->instance = entry.name;
     out_entry->address = entry.address;
@@ -77,8 +73,12 @@
 };
 
 control_frames::control_frames(peer_transport* transport,
-                               control_service* local, control_client* client)
-    : transport_(transport), local_(local), client_(client) {}
+                               control_service* local, control_client* client,
+                               availability_zone zone)
+    : transport_(transport),
+      local_(local),
+      client_(client),
+      zone_(std::move(zone)) {}
 
 bool control_frames::Handle(const instance_name& peer,
                             const wire::peer_frame& frame, time_point now) {
@@ -112,7 +112,7 @@
   }
   wire::control_newsT reply = ToWire(confirmed, poll->poll_id());
   reply.entry_instances = entry_instances_;
-  reply.entry_digest = entry_digest_;
+  reply.availability_zone = zone_;
   if (known.routed) AddInstances(*poll, confirmed, entries_, &reply);
   transport_->Send(peer, MakeFrame(std::move(reply)));
 }
@@ -120,9 +120,7 @@
 void control_frames::SetEntryInstances(std::uint32_t count,
                                        std::vector<entry_instance> entries) {
   entry_instances_ = count;
-  if (entries == entries_) return;
-  entries_ = std::move(entries);
-  entry_digest_ = DigestOf(entries_);
+  entries_.Set(std::move(entries));
 }
 
 void control_frames::OnPollReply(const instance_name& peer,
--- a/app/control_frames.h
+++ b/app/control_frames.h
@@ -13,7 +13,7 @@
 #include "app/control_client.h"
 #include "app/control_service.h"
 #include "app/peer_transport.h"
-#include "bilberrycourse/relay_plan.h"
+#include "bilberrycourse/entry_instance_log.h"
 
 namespace bilberrycourse {
 
@@ -21,7 +21,7 @@
  public:
   // `local` is the member of this process, or nullptr.
   control_frames(peer_transport* transport, control_service* local,
-                 control_client* client);
+                 control_client* client, availability_zone zone);
 
   // Returns false if the frame is of another kind.
   bool Handle(const instance_name& peer, const wire::peer_frame& frame,
@@ -60,8 +60,8 @@
   control_service* local_;
   control_client* client_;
   std::uint32_t entry_instances_ = 0;
-  std::vector<entry_instance> entries_;
-  std::uint64_t entry_digest_ = 0;
+  entry_instance_log entries_;
+  const availability_zone zone_;
 };
 
 }  // namespace bilberrycourse
--- a/app/peer_frame_generated.h
+++ b/app/peer_frame_generated.h
@@ -962,6 +962,7 @@
   bool routed = false;
   uint64_t entry_digest = 0;
   uint64_t group_digest = 0;
+  bool entry_changes = false;
 };
 
 struct control_poll FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -974,7 +975,8 @@
     VT_SEARCHER_REVISION = 10,
     VT_ROUTED = 12,
     VT_ENTRY_DIGEST = 14,
-    VT_GROUP_DIGEST = 16
+    VT_GROUP_DIGEST = 16,
+    VT_ENTRY_CHANGES = 18
   };
   uint64_t poll_id() const {
     return GetField<uint64_t>(VT_POLL_ID, 0);
@@ -997,6 +999,9 @@
   uint64_t group_digest() const {
     return GetField<uint64_t>(VT_GROUP_DIGEST, 0);
   }
+  bool entry_changes() const {
+    return GetField<uint8_t>(VT_ENTRY_CHANGES, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_POLL_ID, 8) &&
@@ -1006,6 +1011,7 @@
            VerifyField<uint8_t>(verifier, VT_ROUTED, 1) &&
            VerifyField<uint64_t>(verifier, VT_ENTRY_DIGEST, 8) &&
            VerifyField<uint64_t>(verifier, VT_GROUP_DIGEST, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ENTRY_CHANGES, 1) &&
            verifier.EndTable();
   }
   control_pollT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1038,6 +1044,9 @@
   void add_group_digest(uint64_t group_digest) {
     fbb_.AddElement<uint64_t>(control_poll::VT_GROUP_DIGEST, group_digest, 0);
   }
+  void add_entry_changes(bool entry_changes) {
+    fbb_.AddElement<uint8_t>(control_poll::VT_ENTRY_CHANGES, static_cast<uint8_t>(entry_changes), 0);
+  }
   explicit control_pollBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1057,7 +1066,8 @@
     uint64_t searcher_revision = 0,
     bool routed = false,
     uint64_t entry_digest = 0,
-    uint64_t group_digest = 0) {
+    uint64_t group_digest = 0,
+    bool entry_changes = false) {
   control_pollBuilder builder_(_fbb);
   builder_.add_group_digest(group_digest);
   builder_.add_entry_digest(entry_digest);
@@ -1065,6 +1075,7 @@
   builder_.add_route_version(route_version);
   builder_.add_published_version(published_version);
   builder_.add_poll_id(poll_id);
+  builder_.add_entry_changes(entry_changes);
   builder_.add_routed(routed);
   return builder_.Finish();
 }
@@ -1162,6 +1173,9 @@
   uint64_t entry_digest = 0;
   uint64_t group_digest = 0;
   std::vector<std::unique_ptr<bilberrycourse::wire::entry_instanceT>> entries{};
+  uint64_t entry_base_digest = 0;
+  std::vector<std::string> removed_entries{};
+  std::string availability_zone{};
   control_newsT() = default;
   control_newsT(const control_newsT &o);
   control_newsT(control_newsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1183,7 +1197,10 @@
     VT_ENTRY_INSTANCES = 20,
     VT_ENTRY_DIGEST = 22,
     VT_GROUP_DIGEST = 24,
-    VT_ENTRIES = 26
+    VT_ENTRIES = 26,
+    VT_ENTRY_BASE_DIGEST = 28,
+    VT_REMOVED_ENTRIES = 30,
+    VT_AVAILABILITY_ZONE = 32
   };
   uint64_t poll_id() const {
     return GetField<uint64_t>(VT_POLL_ID, 0);
@@ -1221,6 +1238,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>> *>(VT_ENTRIES);
   }
+  uint64_t entry_base_digest() const {
+    return GetField<uint64_t>(VT_ENTRY_BASE_DIGEST, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *removed_entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_REMOVED_ENTRIES);
+  }
+  const flatbuffers::String *availability_zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_AVAILABILITY_ZONE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_POLL_ID, 8) &&
@@ -1242,6 +1268,12 @@
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfTables(entries()) &&
+           VerifyField<uint64_t>(verifier, VT_ENTRY_BASE_DIGEST, 8) &&
+           VerifyOffset(verifier, VT_REMOVED_ENTRIES) &&
+           verifier.VerifyVector(removed_entries()) &&
+           verifier.VerifyVectorOfStrings(removed_entries()) &&
+           VerifyOffset(verifier, VT_AVAILABILITY_ZONE) &&
+           verifier.VerifyString(availability_zone()) &&
            verifier.EndTable();
   }
   control_newsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1289,6 +1321,15 @@
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>>> entries) {
     fbb_.AddOffset(control_news::VT_ENTRIES, entries);
   }
+  void add_entry_base_digest(uint64_t entry_base_digest) {
+    fbb_.AddElement<uint64_t>(control_news::VT_ENTRY_BASE_DIGEST, entry_base_digest, 0);
+  }
+  void add_removed_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed_entries) {
+    fbb_.AddOffset(control_news::VT_REMOVED_ENTRIES, removed_entries);
+  }
+  void add_availability_zone(flatbuffers::Offset<flatbuffers::String> availability_zone) {
+    fbb_.AddOffset(control_news::VT_AVAILABILITY_ZONE, availability_zone);
+  }
   explicit control_newsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1313,13 +1354,19 @@
     uint32_t entry_instances = 0,
     uint64_t entry_digest = 0,
     uint64_t group_digest = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>>> entries = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>>> entries = 0,
+    uint64_t entry_base_digest = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed_entries = 0,
+    flatbuffers::Offset<flatbuffers::String> availability_zone = 0) {
   control_newsBuilder builder_(_fbb);
+  builder_.add_entry_base_digest(entry_base_digest);
   builder_.add_group_digest(group_digest);
   builder_.add_entry_digest(entry_digest);
   builder_.add_published_version(published_version);
   builder_.add_confirmed_age_us(confirmed_age_us);
   builder_.add_poll_id(poll_id);
+  builder_.add_availability_zone(availability_zone);
+  builder_.add_removed_entries(removed_entries);
   builder_.add_entries(entries);
   builder_.add_entry_instances(entry_instances);
   builder_.add_group(group);
@@ -1343,12 +1390,17 @@
     uint32_t entry_instances = 0,
     uint64_t entry_digest = 0,
     uint64_t group_digest = 0,
-    const std::vector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>> *entries = nullptr) {
+    const std::vector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>> *entries = nullptr,
+    uint64_t entry_base_digest = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed_entries = nullptr,
+    const char *availability_zone = nullptr) {
   auto state__ = state ? _fbb.CreateVector<uint8_t>(*state) : 0;
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   auto routes__ = routes ? _fbb.CreateVector<uint8_t>(*routes) : 0;
   auto group__ = group ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::control_address>>(*group) : 0;
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>>(*entries) : 0;
+  auto removed_entries__ = removed_entries ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed_entries) : 0;
+  auto availability_zone__ = availability_zone ? _fbb.CreateString(availability_zone) : 0;
   return bilberrycourse::wire::Createcontrol_news(
       _fbb,
       poll_id,
@@ -1362,7 +1414,10 @@
       entry_instances,
       entry_digest,
       group_digest,
-      entries__);
+      entries__,
+      entry_base_digest,
+      removed_entries__,
+      availability_zone__);
 }
 
 flatbuffers::Offset<control_news> Createcontrol_news(flatbuffers::FlatBufferBuilder &_fbb, const control_newsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4091,6 +4146,7 @@
   { auto _e = routed(); _o->routed = _e; }
   { auto _e = entry_digest(); _o->entry_digest = _e; }
   { auto _e = group_digest(); _o->group_digest = _e; }
+  { auto _e = entry_changes(); _o->entry_changes = _e; }
 }
 
 inline flatbuffers::Offset<control_poll> control_poll::Pack(flatbuffers::FlatBufferBuilder &_fbb, const control_pollT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4108,6 +4164,7 @@
   auto _routed = _o->routed;
   auto _entry_digest = _o->entry_digest;
   auto _group_digest = _o->group_digest;
+  auto _entry_changes = _o->entry_changes;
   return bilberrycourse::wire::Createcontrol_poll(
       _fbb,
       _poll_id,
@@ -4116,7 +4173,8 @@
       _searcher_revision,
       _routed,
       _entry_digest,
-      _group_digest);
+      _group_digest,
+      _entry_changes);
 }
 
 inline control_addressT *control_address::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4158,7 +4216,10 @@
         routes(o.routes),
         entry_instances(o.entry_instances),
         entry_digest(o.entry_digest),
-        group_digest(o.group_digest) {
+        group_digest(o.group_digest),
+        entry_base_digest(o.entry_base_digest),
+        removed_entries(o.removed_entries),
+        availability_zone(o.availability_zone) {
   group.reserve(o.group.size());
   for (const auto &group_ : o.group) { group.emplace_back((group_) ? new bilberrycourse::wire::control_addressT(*group_) : nullptr); }
   entries.reserve(o.entries.size());
@@ -4178,6 +4239,9 @@
   std::swap(entry_digest, o.entry_digest);
   std::swap(group_digest, o.group_digest);
   std::swap(entries, o.entries);
+  std::swap(entry_base_digest, o.entry_base_digest);
+  std::swap(removed_entries, o.removed_entries);
+  std::swap(availability_zone, o.availability_zone);
   return *this;
 }
 
@@ -4202,6 +4266,9 @@
   { auto _e = entry_digest(); _o->entry_digest = _e; }
   { auto _e = group_digest(); _o->group_digest = _e; }
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<bilberrycourse::wire::entry_instanceT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = entry_base_digest(); _o->entry_base_digest = _e; }
+  { auto _e = removed_entries(); if (_e) { _o->removed_entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->removed_entries[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = availability_zone(); if (_e) _o->availability_zone = _e->str(); }
 }
 
 inline flatbuffers::Offset<control_news> control_news::Pack(flatbuffers::FlatBufferBuilder &_fbb, const control_newsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4224,6 +4291,9 @@
   auto _entry_digest = _o->entry_digest;
   auto _group_digest = _o->group_digest;
   auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::entry_instance>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return Createentry_instance(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _entry_base_digest = _o->entry_base_digest;
+  auto _removed_entries = _o->removed_entries.size() ? _fbb.CreateVectorOfStrings(_o->removed_entries) : 0;
+  auto _availability_zone = _o->availability_zone.empty() ? 0 : _fbb.CreateString(_o->availability_zone);
   return bilberrycourse::wire::Createcontrol_news(
       _fbb,
       _poll_id,
@@ -4237,7 +4307,10 @@
       _entry_instances,
       _entry_digest,
       _group_digest,
-      _entries);
+      _entries,
+      _entry_base_digest,
+      _removed_entries,
+      _availability_zone);
 }
 
 inline proposeT *propose::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -81,7 +81,8 @@
       transport_(context_.get_executor(), TransportOptions(config_), this),
       control_service_(MakeControlService(&context_, config_, &transport_)),
       control_client_(config_, &transport_, control_service_.get(), this),
-      control_frames_(&transport_, control_service_.get(), &control_client_),
+      control_frames_(&transport_, control_service_.get(), &control_client_,
+                      config_.zone),
       main_server_(context_.get_executor(), MainOptions(config_),
                    [this](http_request request, http_responder respond) {
                      HandleMain(std::move(request), std::move(respond));
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -106,6 +106,7 @@
   std::vector<relay_group> ReachableGroups(const route& matched_route,
                                            time_point now);
   void UpdateRelays(time_point now);
+  void LogRelays(const route& configured_route);
   std::shared_ptr<const header_list> ForwardedHeaders(
       const header_list& headers) const;
   http_response MakeResponse(const finish_route_request& finish) const;
--- a/app/route_gateway_relays.cc
+++ b/app/route_gateway_relays.cc
@@ -19,9 +19,6 @@
 // A relay that shuts down is not used before it connects again. The limit
 // applies if its shutdown takes unusually long.
 constexpr duration kLeavingRelayPause = std::chrono::seconds(30);
-// A zone holds replicas of a route if this share of its shards has a usable
-// searcher there. A release or a few crashes must not move the relays.
-constexpr double kMinReplicaShare = 0.75;
 // Searchers change in bursts, when all of them start or a release runs.
 constexpr duration kMinRelayUpdatePeriod = std::chrono::seconds(1);
 
@@ -79,14 +76,8 @@
   for (const route& configured_route : table_->config().routes) {
     const std::vector<std::string>& shards = configured_route.shards;
     if (shards.empty()) continue;
-    const std::vector<availability_zone> before = plan_.Zones(shards);
-    plan_.SetReplicaZones(shards,
-                          engine_.ReplicaZones(shards, kMinReplicaShare));
-    const std::vector<availability_zone> zones = plan_.Zones(shards);
-    if (zones != before) {
-      LogDecision("relay_zones_chosen",
-                  {{"route", configured_route.name},
-                   {"zones", boost::json::value_from(zones)}});
+    if (plan_.SetReplicaZones(shards, engine_.ReplicaZones(shards))) {
+      LogRelays(configured_route);
     }
     const std::uint32_t sharing_instances =
         plan_.UsesRelays(shards.size()) ? plan_.InstancesPerShard(shards) : 0;
@@ -99,6 +90,18 @@
   }
 }
 
+// Logs how many shards the relays of each zone search.
+void route_gateway::LogRelays(const route& configured_route) {
+  boost::json::object shards_by_zone;
+  for (const auto& [zone, groups] : plan_.Groups(configured_route.shards)) {
+    std::size_t shards = 0;
+    for (const relay_group& group : groups) shards += group.parts.size();
+    shards_by_zone[zone] = shards;
+  }
+  LogDecision("relays_assigned", {{"route", configured_route.name},
+                                  {"shards_by_zone", shards_by_zone}});
+}
+
 // Returns the groups whose relays can be reached. The origin searches the other
 // groups itself.
 std::vector<relay_group> route_gateway::ReachableGroups(
--- a/app/testing/control_client_test.cc
+++ b/app/testing/control_client_test.cc
@@ -41,6 +41,22 @@
     reply.poll_id = poll->poll_id();
     reply.confirmed = true;
     reply.confirmed_age_us = static_cast<std::uint64_t>(age.count());
+    reply.availability_zone = zone;
+    reply.entry_digest = entries.digest();
+    const entry_list_change change =
+        entries.ChangeSince(poll->entry_changes() ? poll->entry_digest() : 0);
+    if (poll->entry_digest() != change.digest) {
+      sent_entries += change.added.size();
+      reply.entry_base_digest = change.base_digest;
+      reply.removed_entries = change.removed;
+      for (const entry_instance& entry : change.added) {
+        auto added = std::make_unique<wire::entry_instanceT>();
+        added->instance = entry.name;
+        added->address = entry.address;
+        added->availability_zone = entry.zone;
+        reply.entries.push_back(std::move(added));
+      }
+    }
     control_state state;
     state.Apply(1, 1, route_document{version, "document"});
     reply.routes = ToBytes(state.SaveRouteUpdate(poll->route_version(),
@@ -53,6 +69,9 @@
   duration age{0};
   std::uint64_t version = 1;
   int polls = 0;
+  availability_zone zone;
+  entry_instance_log entries;
+  std::size_t sent_entries = 0;
 };
 
 class control_client_test : public ::testing::Test,
@@ -88,6 +107,9 @@
     }
   }
   void OnPublished(const published_state&) override {}
+  void OnEntryInstances(const entry_list& entries) override {
+    entries_ = entries;
+  }
   void OnRouteUpdate(const route_update& update) override {
     if (update.routes.version > 0) versions_.push_back(update.routes.version);
   }
@@ -105,6 +127,7 @@
   std::unique_ptr<peer_transport> transport_;
   std::unique_ptr<control_client> client_;
   std::vector<std::uint64_t> versions_;
+  entry_list entries_;
 };
 
 // Guards against an entry instance that keeps polling a member that is
@@ -137,5 +160,45 @@
   EXPECT_EQ(versions_, (std::vector<std::uint64_t>{7}));
 }
 
+// Guards against replies that cross zones although a member in the own zone
+// could answer, and against staying with that member once it is partitioned.
+TEST_F(control_client_test, Tick_MemberInOwnZone_IsPreferredWhileItAnswers) {
+  config_.zone = "a";
+  for (const bool first_is_near : {true, false}) {
+    fake_member& near = first_is_near ? first_ : second_;
+    fake_member& far = first_is_near ? second_ : first_;
+    near.zone = "a";
+    far.zone = "b";
+    near.age = far.age = duration{0};
+    client_ = std::make_unique<control_client>(config_, transport_.get(),
+                                               nullptr, this);
+    int near_polls = near.polls;
+    ASSERT_TRUE(RunUntil([&] { return near.polls >= near_polls + 2; }));
+    const int far_polls = far.polls;
+    near_polls = near.polls;
+    ASSERT_TRUE(RunUntil([&] { return near.polls >= near_polls + 3; }));
+    EXPECT_EQ(far.polls, far_polls);
+    near.age = std::chrono::seconds(3);
+    ASSERT_TRUE(RunUntil([&] { return far.polls >= far_polls + 3; }));
+  }
+}
+
+// Guards against a list of entry instances that is sent whole with each change,
+// and against one that differs between members.
+TEST_F(control_client_test, OnPollReply_EntryChanges_AreAppliedAndFew) {
+  entry_list entries;
+  for (int i = 100; i < 300; ++i) {
+    const std::string name = "e" + std::to_string(i);
+    entries.push_back({name, name + ":1", "z"});
+  }
+  for (int round = 0; round < 5; ++round) {
+    for (fake_member* member : {&first_, &second_})
+      member->entries.Set(entries);
+    ASSERT_TRUE(RunUntil([&] { return entries_ == entries; }));
+    entries.erase(entries.begin() + round);
+  }
+  EXPECT_LE(first_.sent_entries + second_.sent_entries, 2 * 200u);
+}
+
 }  // namespace
 }  // namespace bilberrycourse
--- a/bilberrycourse/relay_plan.h
+++ b/bilberrycourse/relay_plan.h
@@ -5,7 +5,7 @@
 //
 //   relay_plan plan(options, self, zone);
 //   plan.SetInstances(entries);
-//   plan.SetReplicaZones(route.shards, zones);
+//   plan.SetReplicaZones(route.shards, zones_of_shards);
 //   for (const relay_group& group : plan.UsableGroups(route.shards, usable))
 //     ...
 //
@@ -16,19 +16,19 @@
 // sqrt(n) shards each, so that requests are sent in parallel and connections
 // stay warm.
 //
-// Relays are in an availability zone that holds a replica of the shards, the
-// origin's own one if possible. A relay merges the replies of its shards into
-// one report, so that an origin in a zone without searchers receives a few
-// reports from another zone in place of the replies of all shards. Each such
-// origin has a second zone, which it uses while too few relays of the first one
-// are reachable. Without replicas in any zone with relays, the origin's own
-// zone is used.
+// A shard is searched by a relay in an availability zone that holds a replica
+// of it: the origin's own zone, or else the zone that holds most of the shards
+// that the origin's zone lacks. A relay merges the replies of its shards into
+// one report, so that few reports cross zones in place of the replies and heads
+// of many shards. While too few relays of another zone are usable, the relays
+// of the own zone search its shards as well.
 //
 // The instances of a zone are divided into sets by a hash of their names, and
 // an origin uses the relays of the set with the hash of its own name. Within
-// the set the shards are divided by bounded-load rendezvous hashing
-// (shard_ownership), so that the loss of one relay reassigns its own shards and
-// few others.
+// the set all shards that the zone holds are divided by bounded-load rendezvous
+// hashing (shard_ownership), so that the loss of one relay reassigns its own
+// shards and few others, and origins in all zones use the same relay for a
+// shard.
 
 #include <cstddef>
 #include <functional>
@@ -47,9 +47,7 @@
   std::size_t min_shards = 40;
   // Relays are used only in zones with at least this many entry instances.
   std::size_t min_instances = 4;
-  // Zones whose relays an origin in a zone without replicas keeps links to.
-  std::size_t max_zones = 2;
-  // A zone's relays are preferred if at least this share of them is usable.
+  // Share of its relays that must be usable in another zone.
   double min_usable_share = 0.75;
 };
 
@@ -69,65 +67,65 @@
 
 class relay_plan {
  public:
+  using shard_list = std::vector<std::string>;
+  // For each shard of a list, the zones that hold a replica of it, sorted.
+  using replica_zones = std::vector<std::vector<availability_zone>>;
+  // Groups of relays by their zone.
+  using zone_groups = std::map<availability_zone, std::vector<relay_group>>;
+
   relay_plan(relay_plan_options options, instance_name self,
              availability_zone zone);
 
   // Sets all entry instances, including this one.
   void SetInstances(const std::vector<entry_instance>& entries);
 
-  // Sets the zones that hold replicas of nearly all of these shards. Without
-  // any, every origin uses its own zone.
-  void SetReplicaZones(const std::vector<std::string>& shards,
-                       std::vector<availability_zone> zones);
-
-  // Returns the zones whose relays this instance may use, preferred ones first.
-  std::vector<availability_zone> Zones(
-      const std::vector<std::string>& shards) const;
+  // Sets where replicas of these shards run; `zones` has an entry for each. A
+  // list of shards without it is taken to be held by every zone. Returns true
+  // if it has changed.
+  bool SetReplicaZones(const shard_list& shards, replica_zones zones);
 
-  // Returns the relays that this instance may use for requests over these
-  // shards, excluding itself.
-  std::vector<entry_instance> Relays(
-      const std::vector<std::string>& shards) const;
+  // Returns the relays that this instance uses for requests over these shards,
+  // excluding itself.
+  std::vector<entry_instance> Relays(const shard_list& shards);
 
   // Returns how many entry instances of the whole tier normally search the same
-  // one of these shards.
-  std::uint32_t InstancesPerShard(const std::vector<std::string>& shards) const;
+  // one of these shards, at most.
+  std::uint32_t InstancesPerShard(const shard_list& shards) const;
 
   // Returns true if some zone uses relays for requests over this many shards.
   bool UsesRelays(std::size_t shards) const;
 
-  // Assigns the shards to groups of relays in the preferred zone; one group may
-  // name this instance itself. Returns an empty list if the origin searches all
-  // shards.
-  const std::vector<relay_group>& Groups(
-      const std::vector<std::string>& shards);
+  // Assigns the shards to groups; one group may name this instance itself.
+  // Returns an empty map if the origin searches all shards.
+  const zone_groups& Groups(const shard_list& shards);
 
-  // As above, without the groups of relays for which `usable` is false, and in
-  // the first zone with enough usable relays, or else in the zone with most.
+  // Returns the groups of the relays for which `usable` is true. The origin
+  // searches the shards in no group itself.
   std::vector<relay_group> UsableGroups(
-      const std::vector<std::string>& shards,
+      const shard_list& shards,
       const std::function<bool(const instance_name&)>& usable);
 
  private:
-  using plan_key = std::pair<availability_zone, std::vector<std::string>>;
-
-  const std::vector<relay_group>& GroupsIn(
-      const availability_zone& zone, const std::vector<std::string>& shards);
-  std::vector<entry_instance> RelaySet(std::size_t shards,
+  const replica_zones& ReplicaZones(const shard_list& shards) const;
+  // Returns the positions of the shards that the zone holds.
+  std::vector<std::size_t> HeldShards(const shard_list& shards,
+                                      const availability_zone& zone) const;
+  // Returns the zone whose relays search each shard; empty if there is none.
+  std::vector<availability_zone> AssignZones(const shard_list& shards) const;
+  // Returns the set of relays in `zone`, which holds `held` shards.
+  std::vector<entry_instance> RelaySet(std::size_t held,
                                        const availability_zone& zone) const;
-  const std::vector<availability_zone>& ReplicaZones(
-      const std::vector<std::string>& shards) const;
-  std::size_t ZoneSize(const availability_zone& zone) const;
-  bool UsesRelays(std::size_t shards, std::size_t instances) const;
+  std::size_t RelaySetCount(std::size_t held,
+                            const availability_zone& zone) const;
+  bool UsesRelays(std::size_t shards, const availability_zone& zone) const;
 
   relay_plan_options options_;
   instance_name self_;
   availability_zone zone_;
   // Entry instances of each zone, by name.
   std::map<availability_zone, std::vector<entry_instance>> entries_;
-  std::map<std::vector<std::string>, std::vector<availability_zone>>
-      replica_zones_;
-  std::map<plan_key, std::vector<relay_group>> plans_;
+  std::map<shard_list, replica_zones> replica_zones_;
+  std::map<shard_list, zone_groups> plans_;
 };
 
 }  // namespace bilberrycourse
--- a/bilberrycourse/route_engine.cc
+++ b/bilberrycourse/route_engine.cc
@@ -109,24 +109,18 @@
   }
 }
 
-std::vector<availability_zone> route_engine::ReplicaZones(
-    const std::vector<std::string>& shards, double min_share) const {
-  std::map<availability_zone, std::size_t> covered;
+relay_plan::replica_zones route_engine::ReplicaZones(
+    const std::vector<std::string>& shards) const {
+  relay_plan::replica_zones all;
+  all.reserve(shards.size());
   for (const std::string& shard : shards) {
     std::set<availability_zone> zones;
     for (const searcher_entry* entry : pool_.OfService(shard)) {
       if (entry->usable()) zones.insert(entry->report.zone);
     }
-    for (const availability_zone& zone : zones) ++covered[zone];
+    all.emplace_back(zones.begin(), zones.end());
   }
-  std::vector<availability_zone> enough;
-  for (const auto& [zone, count] : covered) {
-    if (static_cast<double>(count) >=
-        min_share * static_cast<double>(shards.size())) {
-      enough.push_back(zone);
-    }
-  }
-  return enough;
+  return all;
 }
 
 duration route_engine::ExpectedServiceTime(const route& matched_route) const {
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -134,10 +134,10 @@
   void UpdateSearchers(const std::vector<searcher_record>& changes,
                        bool complete_list, time_point now, route_effects* out);
 
-  // Returns the zones in which at least `min_share` of the shards have a usable
-  // searcher.
-  std::vector<availability_zone> ReplicaZones(
-      const std::vector<std::string>& shards, double min_share) const;
+  // Returns, for each shard, the zones in which it has a usable searcher,
+  // sorted.
+  relay_plan::replica_zones ReplicaZones(
+      const std::vector<std::string>& shards) const;
 
   void Begin(route_call call, time_point now, route_effects* out);
   // Called when the caller has disconnected or cancelled. Aborts all attempts
--- a/bilberrycourse/testing/relay_plan_test.cc
+++ b/bilberrycourse/testing/relay_plan_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 namespace bilberrycourse {
@@ -37,7 +38,8 @@
       plan.SetInstances(Entries(per_zone, 3));
       std::set<std::size_t> seen;
       std::size_t largest = 0;
-      const auto& groups = plan.Groups(Shards(shards));
+      ASSERT_EQ(plan.Groups(Shards(shards)).size(), 1u);
+      const auto& groups = plan.Groups(Shards(shards)).at("z1");
       for (const relay_group& group : groups) {
         EXPECT_TRUE(group.relay.starts_with("z1-"));
         largest = std::max(largest, group.parts.size());
@@ -74,7 +76,7 @@
     relay_plan plan({}, origin.name, origin.zone);
     plan.SetInstances(entries);
     stated = plan.InstancesPerShard(shards);
-    for (const relay_group& group : plan.Groups(shards)) {
+    for (const relay_group& group : plan.Groups(shards).at(origin.zone)) {
       for (const std::size_t part : group.parts) {
         relays_by_shard[part].insert(group.relay);
       }
@@ -83,46 +85,67 @@
   for (const auto& relays : relays_by_shard) EXPECT_LE(relays.size(), stated);
 }
 
-// Searchers run in zones 0 to 2 only, as in coldline-search-large.
+// Six zones, each shard with replicas in three of them, as in
+// coldline-search-large: every zone holds half of the shards.
 class relay_plan_replica_test : public relay_plan_test {
  protected:
-  static constexpr int kZones = 6;
+  static constexpr std::size_t kZones = 6;
+
+  relay_plan_replica_test() {
+    for (std::size_t i = 0; i < shards_.size(); ++i) {
+      std::set<availability_zone> zones;
+      for (std::size_t k = 0; k < 3; ++k) {
+        zones.insert("z" + std::to_string((i + k) % kZones));
+      }
+      zones_.emplace_back(zones.begin(), zones.end());
+    }
+  }
 
   relay_plan MakePlan(const entry_instance& origin) const {
     relay_plan plan({}, origin.name, origin.zone);
     plan.SetInstances(entries_);
-    plan.SetReplicaZones(shards_, {"z0", "z1", "z2"});
+    plan.SetReplicaZones(shards_, zones_);
     return plan;
   }
+  bool Holds(const instance_name& relay, std::size_t part) const {
+    const auto& zones = zones_[part];
+    return std::find(zones.begin(), zones.end(), relay.substr(0, 2)) !=
+           zones.end();
+  }
 
-  const std::vector<entry_instance> entries_ = Entries(49, kZones);
+  const std::vector<entry_instance> entries_ =
+      Entries(49, static_cast<int>(kZones));
   const std::vector<std::string> shards_ = Shards(180);
+  relay_plan::replica_zones zones_;
 };
 
-// Guards against an origin in a zone without searchers that fetches the replies
-// of all shards over zones: in coldline-search-large these bytes cost more than
-// all late and failed requests.
+// Guards against relays that fetch replies over zones: in coldline-search-large
+// these bytes cost more than all late and failed requests.
 TEST_F(relay_plan_replica_test, Groups_EveryOrigin_RelaysAreBesideReplicas) {
-  std::map<availability_zone, int> origins_by_relay_zone;
+  std::map<instance_name, std::size_t> load;
   for (const entry_instance& origin : entries_) {
     relay_plan plan = MakePlan(origin);
-    const availability_zone zone = plan.Zones(shards_).front();
-    EXPECT_TRUE(zone == "z0" || zone == "z1" || zone == "z2") << zone;
-    if (origin.zone < "z3") {
-      EXPECT_EQ(zone, origin.zone);
-    }
-    ++origins_by_relay_zone[zone];
     std::set<std::size_t> seen;
-    for (const relay_group& group : plan.Groups(shards_)) {
-      EXPECT_TRUE(group.relay.starts_with(zone));
-      for (const std::size_t part : group.parts) seen.insert(part);
+    std::size_t groups_count = 0;
+    for (const auto& [zone, groups] : plan.Groups(shards_)) {
+      groups_count += groups.size();
+      for (const relay_group& group : groups) {
+        EXPECT_TRUE(group.relay.starts_with(zone));
+        load[group.relay] += group.parts.size();
+        for (const std::size_t part : group.parts) {
+          EXPECT_TRUE(Holds(group.relay, part));
+          EXPECT_TRUE(seen.insert(part).second);
+          EXPECT_TRUE(zone == origin.zone || !Holds(origin.zone, part));
+        }
+      }
     }
     EXPECT_EQ(seen.size(), shards_.size());
+    // Twice the relays of a request whose shards are all in the own zone.
+    EXPECT_LE(groups_count, 30u);
   }
-  // No zone serves many more origins than the others.
-  for (const auto& [zone, origins] : origins_by_relay_zone) {
-    EXPECT_LE(origins, 2 * 49 * 5 / 4) << zone;
-  }
+  // The tier searches 180 shards for each of 294 origins; no relay has more
+  // than twice the mean.
+  for (const auto& [relay, parts] : load) EXPECT_LE(parts, 2 * 180u) << relay;
 }
 
 // Guards against connections to a searcher from more instances than its
@@ -133,67 +156,71 @@
   for (const entry_instance& origin : entries_) {
     relay_plan plan = MakePlan(origin);
     stated = plan.InstancesPerShard(shards_);
-    for (const relay_group& group : plan.Groups(shards_)) {
-      for (const std::size_t part : group.parts) {
-        relays_by_shard[part].insert(group.relay);
+    for (const auto& [zone, groups] : plan.Groups(shards_)) {
+      for (const relay_group& group : groups) {
+        for (const std::size_t part : group.parts) {
+          relays_by_shard[part].insert(group.relay);
+        }
       }
     }
   }
   for (const auto& relays : relays_by_shard) EXPECT_LE(relays.size(), stated);
-  EXPECT_LE(stated, 9u);
+  EXPECT_LE(stated, 3 * 49u / 9);
 }
 
-// Guards against origins that search all shards themselves while the zone of
-// their relays is cut off.
-TEST_F(relay_plan_replica_test, UsableGroups_ZoneCutOff_UsesOtherZone) {
+// Guards against origins that search the shards of another zone themselves
+// while that zone is cut off, and against shards that nobody searches.
+TEST_F(relay_plan_replica_test, UsableGroups_ZoneCutOff_OwnRelaysTakeOver) {
   const entry_instance origin{"z4-e7", "z4-e7:1", "z4"};
   relay_plan plan = MakePlan(origin);
-  const std::vector<availability_zone> zones = plan.Zones(shards_);
-  ASSERT_EQ(zones.size(), 2u);
-  const auto usable = [&](const instance_name& relay) {
-    return !relay.starts_with(zones[0]);
-  };
-  const auto groups = plan.UsableGroups(shards_, usable);
-  ASSERT_FALSE(groups.empty());
-  for (const relay_group& group : groups) {
-    EXPECT_TRUE(group.relay.starts_with(zones[1]));
-  }
-  // All relays must be linked, also those of the other zone.
-  std::set<instance_name> linked;
-  for (const entry_instance& relay : plan.Relays(shards_)) {
-    linked.insert(relay.name);
-  }
+  const auto groups = plan.UsableGroups(
+      shards_,
+      [&](const instance_name& relay) { return relay.starts_with("z4"); });
+  std::set<std::size_t> seen;
+  std::size_t largest = 0;
   for (const relay_group& group : groups) {
-    EXPECT_TRUE(linked.contains(group.relay));
+    EXPECT_TRUE(group.relay.starts_with("z4"));
+    largest = std::max(largest, group.parts.size());
+    seen.insert(group.parts.begin(), group.parts.end());
   }
+  EXPECT_EQ(seen.size(), shards_.size());
+  EXPECT_LE(largest, shards_.size() / groups.size() + 3);
 }
 
-// Guards against leaving a zone because of one relay, which would spread the
-// load of its origins to cold connections.
-TEST_F(relay_plan_replica_test, UsableGroups_OneRelayLost_StaysInZone) {
+// Guards against moving all shards of a zone because of one relay.
+TEST_F(relay_plan_replica_test, UsableGroups_OneRelayLost_KeepsOtherGroups) {
   const entry_instance origin{"z4-e7", "z4-e7:1", "z4"};
   relay_plan plan = MakePlan(origin);
-  const std::vector<relay_group> all = plan.Groups(shards_);
-  const auto groups = plan.UsableGroups(
-      shards_,
-      [&](const instance_name& relay) { return relay != all.front().relay; });
-  EXPECT_EQ(groups.size(), all.size() - 1);
-  EXPECT_EQ(groups.front().relay, all[1].relay);
+  instance_name lost;
+  std::size_t count = 0;
+  for (const auto& [zone, groups] : plan.Groups(shards_)) {
+    count += groups.size();
+    if (zone != "z4") lost = groups.front().relay;
+  }
+  ASSERT_FALSE(lost.empty());
+  const auto usable = plan.UsableGroups(
+      shards_, [&](const instance_name& relay) { return relay != lost; });
+  EXPECT_EQ(usable.size(), count - 1);
+  for (const relay_group& group : usable) {
+    for (const std::size_t part : group.parts) {
+      EXPECT_TRUE(Holds(group.relay, part));
+    }
+  }
 }
 
-// Guards against having no relays at all where the zones with searchers have
-// too few entry instances, and against a plan from before they were known.
-TEST_F(relay_plan_replica_test, Zones_FewInstancesBesideReplicas_UsesOwnZone) {
+// Guards against shards without a relay where zones have no replica or too few
+// entry instances.
+TEST_F(relay_plan_replica_test, Groups_NoReplicaBesideRelays_UsesOwnZone) {
   relay_plan plan({}, "z4-e7", "z4");
-  plan.SetReplicaZones(shards_, {"z0"});
-  EXPECT_TRUE(plan.Groups(shards_).empty());
-  std::vector<entry_instance> entries = entries_;
-  std::erase_if(entries, [](const auto& entry) { return entry.zone == "z0"; });
-  plan.SetInstances(entries);
-  EXPECT_EQ(plan.Zones(shards_), (std::vector<availability_zone>{"z4"}));
-  EXPECT_FALSE(plan.Groups(shards_).empty());
-  plan.SetInstances(entries_);
-  EXPECT_EQ(plan.Zones(shards_), (std::vector<availability_zone>{"z0"}));
+  plan.SetInstances(Entries(49, 5));
+  relay_plan::replica_zones zones(shards_.size(), {"z9"});
+  zones[7].clear();
+  plan.SetReplicaZones(shards_, zones);
+  const auto& groups = plan.Groups(shards_);
+  ASSERT_EQ(groups.size(), 1u);
+  std::size_t parts = 0;
+  for (const relay_group& group : groups.at("z4")) parts += group.parts.size();
+  EXPECT_EQ(parts, shards_.size());
 }
 
 // Guards against a plan that reassigns all shards when one relay is lost, so
@@ -205,14 +232,14 @@
   plan.SetInstances(entries);
   std::map<std::size_t, instance_name> before;
   instance_name lost;
-  for (const relay_group& group : plan.Groups(shards)) {
+  for (const relay_group& group : plan.Groups(shards).at("z0")) {
     if (group.relay != "z0-e0") lost = group.relay;
     for (const std::size_t part : group.parts) before[part] = group.relay;
   }
   std::erase_if(entries, [&](const auto& entry) { return entry.name == lost; });
   plan.SetInstances(entries);
   std::size_t moved = 0;
-  for (const relay_group& group : plan.Groups(shards)) {
+  for (const relay_group& group : plan.Groups(shards).at("z0")) {
     for (const std::size_t part : group.parts) {
       if (before[part] != lost && before[part] != group.relay) ++moved;
     }
