Check the types of what peers send about requests

A control member threw on a view argument that is no pair of strings, and the request ledger on a record with fields of another type; either ended the process. Both are read with checks now. [routes] retry_window_s was read and never used; it is removed, and a file that sets it is refused as with any unknown key. Two error texts of log_store named the step before the failed one.

--- a/app/control_service.cc
+++ b/app/control_service.cc
@@ -417,16 +417,23 @@
   return "{}";
 }
 
-// `argument` is a JSON array of caller and key.
-std::string control_service::RequestView(const std::string& argument) const {
+std::optional<request_key> ParseRequestKey(const std::string& argument) {
   boost::system::error_code error;
   const boost::json::value parsed = boost::json::parse(argument, error);
   if (error || !parsed.is_array() || parsed.get_array().size() != 2) {
-    return "{}";
+    return std::nullopt;
   }
   const auto& pair = parsed.get_array();
-  const request_record* record = state_.FindRequest(
-      std::string(pair[0].as_string()), std::string(pair[1].as_string()));
+  if (!pair[0].is_string() || !pair[1].is_string()) return std::nullopt;
+  return request_key{std::string(pair[0].get_string()),
+                     std::string(pair[1].get_string())};
+}
+
+std::string control_service::RequestView(const std::string& argument) const {
+  const auto key = ParseRequestKey(argument);
+  if (!key.has_value()) return "{}";
+  const request_record* record =
+      state_.FindRequest(key->caller, key->idempotency_key);
   if (record == nullptr) return "{}";
   return boost::json::serialize(boost::json::object{
       {"phase", static_cast<int>(record->phase)},
--- a/app/control_service.h
+++ b/app/control_service.h
@@ -68,6 +68,15 @@
   std::uint64_t searcher_revision = 0;
 };
 
+struct request_key {
+  std::string caller;
+  std::string idempotency_key;
+};
+
+// Reads the argument of the view `request`, a JSON array of caller and key.
+// Returns nullopt for anything else, since peers send it.
+std::optional<request_key> ParseRequestKey(const std::string& argument);
+
 class control_service {
  public:
   control_service(boost::asio::any_io_executor executor, const settings& config,
--- a/app/log_store.cc
+++ b/app/log_store.cc
@@ -226,11 +226,13 @@
   *reason = "cannot write " + temporary;
   result_code code = files_->Write(temporary, 0, bytes);
   if (code != result_code::kOk) return code;
+  *reason = "cannot sync " + temporary;
   code = files_->Sync(temporary);
   if (code != result_code::kOk) return code;
   *reason = "cannot rename " + temporary;
   code = files_->Rename(temporary, name);
   if (code != result_code::kOk) return code;
+  *reason = "cannot sync the data folder";
   code = files_->SyncFolder();
   if (code != result_code::kOk) return code;
   if (generation_ > 0) {
--- a/app/request_ledger.cc
+++ b/app/request_ledger.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <optional>
 #include <utility>
 
 #include "app/daemon_clock.h"
@@ -17,6 +18,28 @@
 constexpr duration kRecordTimeout = std::chrono::minutes(10);
 constexpr duration kRecordPollPeriod = std::chrono::milliseconds(100);
 
+struct finished_record {
+  request_phase phase{};
+  result_code code = result_code::kOk;
+  std::string answer;
+};
+
+// Reads the record of a request as a control instance sent it. Returns nullopt
+// if there is none or a field has another type.
+std::optional<finished_record> ReadRecord(const boost::json::object& record) {
+  const boost::json::value* phase = record.if_contains("phase");
+  const boost::json::value* code = record.if_contains("code");
+  const boost::json::value* answer = record.if_contains("answer");
+  if (phase == nullptr || !phase->is_int64() || code == nullptr ||
+      !code->is_int64() || answer == nullptr || !answer->is_string()) {
+    return std::nullopt;
+  }
+  return finished_record{
+      static_cast<request_phase>(phase->get_int64()),
+      ResultCodeFromNumber(static_cast<std::uint16_t>(code->get_int64())),
+      std::string(answer->get_string())};
+}
+
 }  // namespace
 
 request_ledger::request_ledger(const settings& config,
@@ -88,20 +111,16 @@
   boost::system::error_code error;
   const boost::json::value parsed = boost::json::parse(reply.body, error);
   if (reply.code != result_code::kOk || error || !parsed.is_object()) return;
-  const auto& record = parsed.get_object();
-  if (!record.contains("phase")) return;
-  const auto phase =
-      static_cast<request_phase>(record.at("phase").to_number<int>());
+  const std::optional<finished_record> record = ReadRecord(parsed.get_object());
+  if (!record.has_value()) return;
+  const request_phase phase = record->phase;
   if (phase == request_phase::kRunning) return;
   std::erase(pending_begins_, begin);
   if (phase == request_phase::kAbandoned) {
     // The earlier run recorded that nothing ran, so this one may run.
     return Begin(begin->entry, begin->deadline, begin->callback);
   }
-  begin->callback({false,
-                   ResultCodeFromNumber(static_cast<std::uint16_t>(
-                       record.at("code").to_number<int>())),
-                   true, std::string(record.at("answer").as_string())});
+  begin->callback({false, record->code, true, record->answer});
 }
 
 void request_ledger::Tick(time_point now) {
--- a/app/settings.cc
+++ b/app/settings.cc
@@ -244,8 +244,6 @@
     {"routes", "retry_allowance", setting_requirement::kOptional,
      "0 to 1000000 repeats",
      ParseNumber<&settings::retry_allowance, 0, 1000000>},
-    {"routes", "retry_window_s", setting_requirement::kOptional,
-     "1 to 600 seconds", ParseNumber<&settings::retry_window, 1, 600>},
     {"routes", "caller_one_way_ms", setting_requirement::kOptional,
      "0 to 1000 milliseconds", ParseNumber<&settings::caller_one_way, 0, 1000>},
     {"operator", "token_file", setting_requirement::kRequiredForQuery,
--- a/app/settings.h
+++ b/app/settings.h
@@ -80,13 +80,11 @@
   // directory then joins the existing group and never forms a new one.
   bool bootstrap = true;
   // [routes]
-  // Retry budget of a service: within retry_window, all entry instances
-  // together send at most retry_ratio times the number of its requests plus
-  // retry_allowance retries. The value of retry_window is validated but not
-  // used, because the budget keeps this limit in windows of any length.
+  // Retry budget of a service: within a window of any length, all entry
+  // instances together send at most retry_ratio times the number of its
+  // requests plus retry_allowance retries.
   double retry_ratio = 0.2;
   std::uint64_t retry_allowance = 0;
-  std::chrono::seconds retry_window{10};
   // One-way network delay between callers and entry instances. Latency
   // objectives are measured from the time at which the caller sends a request.
   std::chrono::milliseconds caller_one_way{3};
--- a/app/testing/control_service_test.cc
+++ b/app/testing/control_service_test.cc
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <fstream>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "app/daemon_clock.h"
@@ -90,5 +91,19 @@
   StorageFilesFactory() = original_factory;
 }
 
+// Guards against a frame of a peer that ends the process: the argument of the
+// view `request` is a JSON array of two strings, but a peer may send anything.
+TEST(request_argument_test, ParseRequestKey_WrongTypes_AreRefused) {
+  for (const char* argument :
+       {"", "[", "7", "{}", "[]", "[1,2]", "[\"a\",2]", "[null,\"b\"]",
+        "[[],{}]", "[\"a\",\"b\",\"c\"]"}) {
+    EXPECT_FALSE(ParseRequestKey(argument).has_value()) << argument;
+  }
+  const auto key = ParseRequestKey("[\"a\",\"b\"]");
+  ASSERT_TRUE(key.has_value());
+  EXPECT_EQ(key->caller, "a");
+  EXPECT_EQ(key->idempotency_key, "b");
+}
+
 }  // namespace
 }  // namespace bilberrycourse
