--- a/app/http_client.cc
+++ b/app/http_client.cc
@@ -8,7 +8,6 @@
 #include <utility>
 
 #include "app/http_message_reader.h"
-#include "app/settings.h"
 
 namespace bilberrycourse {
 namespace {
@@ -30,6 +29,16 @@
 
 }  // namespace
 
+http_client_options ClientOptions(const settings& config,
+                                  std::chrono::milliseconds connect_timeout) {
+  http_client_options options;
+  options.connect_timeout = connect_timeout;
+  options.max_reply_bytes = config.max_reply_bytes;
+  options.max_exchange_bytes = config.max_exchange_bytes;
+  options.max_buffered_bytes = config.max_buffered_bytes;
+  return options;
+}
+
 class http_client::impl : public std::enable_shared_from_this<impl> {
  public:
   impl(asio::any_io_executor io_executor,
--- a/app/http_client.h
+++ b/app/http_client.h
@@ -27,6 +27,7 @@
 #include <memory>
 #include <string>
 
+#include "app/settings.h"
 #include "bilberrycourse/types.h"
 
 namespace bilberrycourse {
@@ -71,6 +72,10 @@
   std::uint64_t max_buffered_bytes = 32 << 20;
 };
 
+// Returns options with the limits of [limits].
+http_client_options ClientOptions(const settings& config,
+                                  std::chrono::milliseconds connect_timeout);
+
 class http_client {
  public:
   http_client(boost::asio::any_io_executor executor,
--- a/app/query_service.cc
+++ b/app/query_service.cc
@@ -65,11 +65,7 @@
   return out;
 }
 
-// Results of a backend server may be much larger than a routed reply.
-constexpr http_client_options kBackendClientOptions = {
-    .connect_timeout = std::chrono::milliseconds(1000),
-    .max_reply_bytes = 16 << 20,
-};
+constexpr std::chrono::milliseconds kConnectTimeout{1000};
 
 std::uint32_t IntegerWeight(double weight) {
   return static_cast<std::uint32_t>(std::max(1.0, weight));
@@ -88,7 +84,8 @@
       metrics_(counters),
       coordinator_(&directory_, CoordinatorOptions(incarnation)),
       dispatcher_(DispatchOptions(config), &evidence_),
-      backend_(std::move(executor), kBackendClientOptions, this) {}
+      backend_(std::move(executor), ClientOptions(config, kConnectTimeout),
+               this) {}
 
 query_service::~query_service() = default;
 
--- a/app/settings.h
+++ b/app/settings.h
@@ -97,6 +97,11 @@
   std::uint64_t max_request_bytes = 1 << 20;
   std::uint64_t max_connections = 10000;
   std::chrono::milliseconds read_timeout{10000};
+  // Replies of searchers and backend servers: body of one, all bytes received
+  // for one request, and memory for all that are being received.
+  std::uint64_t max_reply_bytes = 16 << 20;
+  std::uint64_t max_exchange_bytes = 24 << 20;
+  std::uint64_t max_buffered_bytes = 256 << 20;
   std::chrono::milliseconds shutdown_grace{10000};
 };
 
