--- a/bilberrycourse/relay_plan.cc
+++ b/bilberrycourse/relay_plan.cc
@@ -34,9 +34,30 @@
     std::sort(instances.begin(), instances.end(),
               [](const auto& a, const auto& b) { return a.name < b.name; });
   }
-  if (by_zone == entries_) return;
+  // Instances start and stop often, and a plan costs up to a millisecond, so
+  // plans without a changed zone are kept.
+  std::set<availability_zone> changed;
+  bool relay_zones_changed = false;
+  const auto compare = [&](const auto& from, const auto& to) {
+    for (const auto& [zone, instances] : from) {
+      const auto other = to.find(zone);
+      const std::size_t size = other == to.end() ? 0 : other->second.size();
+      if (other != to.end() && other->second == instances) continue;
+      changed.insert(zone);
+      relay_zones_changed = relay_zones_changed ||
+                            (size >= options_.min_instances) !=
+                                (instances.size() >= options_.min_instances);
+    }
+  };
+  compare(entries_, by_zone);
+  compare(by_zone, entries_);
   entries_ = std::move(by_zone);
-  plans_.clear();
+  std::erase_if(plans_, [&](const auto& plan) {
+    return relay_zones_changed || plan.second.empty() ||
+           std::any_of(
+               plan.second.begin(), plan.second.end(),
+               [&](const auto& zone) { return changed.contains(zone.first); });
+  });
 }
 
 bool relay_plan::SetReplicaZones(const shard_list& shards,
--- a/bilberrycourse/testing/relay_plan_test.cc
+++ b/bilberrycourse/testing/relay_plan_test.cc
@@ -208,6 +208,34 @@
   }
 }
 
+// Guards against a plan from before a change: lists in any order of changes
+// give the same groups as a new plan.
+TEST_F(relay_plan_replica_test, SetInstances_ListChanges_GroupsAreCurrent) {
+  const entry_instance origin{"z4-e7", "z4-e7:1", "z4"};
+  relay_plan plan = MakePlan(origin);
+  std::vector<entry_instance> entries = entries_;
+  for (std::size_t step = 0; step < 290; ++step) {
+    const std::size_t position = (step * 37) % entries.size();
+    if (entries[position].name == origin.name) continue;
+    entries.erase(entries.begin() + static_cast<std::ptrdiff_t>(position));
+    plan.SetInstances(entries);
+    relay_plan fresh({}, origin.name, origin.zone);
+    fresh.SetInstances(entries);
+    fresh.SetReplicaZones(shards_, zones_);
+    const auto& expected = fresh.Groups(shards_);
+    const auto& groups = plan.Groups(shards_);
+    ASSERT_EQ(groups.size(), expected.size());
+    for (const auto& [zone, list] : expected) {
+      const auto& kept = groups.at(zone);
+      ASSERT_EQ(kept.size(), list.size());
+      for (std::size_t i = 0; i < list.size(); ++i) {
+        EXPECT_EQ(kept[i].relay, list[i].relay);
+        EXPECT_EQ(kept[i].parts, list[i].parts);
+      }
+    }
+  }
+}
+
 // Guards against shards without a relay where zones have no replica or too few
 // entry instances.
 TEST_F(relay_plan_replica_test, Groups_NoReplicaBesideRelays_UsesOwnZone) {
