Open no connections before the tier's size is known

Cause: until the control group has reported the number of entry instances, each assumed 64 and connected to all 540 searchers.

Change: ShouldPreconnect() holds only once the number is known; SetInstances() then opens what it allows, after the list of instances, because relays reduce the number that shares a searcher.

--- a/app/control_client.cc
+++ b/app/control_client.cc
@@ -157,10 +157,6 @@
           static_cast<std::uint64_t>(kMaxConfirmationAge.count())) {
     return;
   }
-  if (reply.entry_instances() != entry_instances_) {
-    entry_instances_ = reply.entry_instances();
-    handler_->OnEntryCount(entry_instances_);
-  }
   if (reply.group_digest() != group_digest_ && reply.group() != nullptr) {
     std::vector<log_member> group;
     for (const wire::control_address* address : *reply.group()) {
@@ -172,7 +168,13 @@
     group_digest_ = reply.group_digest();
     handler_->OnControlGroup(group);
   }
+  // The list comes first: with relays, fewer instances share a searcher than
+  // the number alone tells.
   ApplyEntries(reply);
+  if (reply.entry_instances() != entry_instances_) {
+    entry_instances_ = reply.entry_instances();
+    handler_->OnEntryCount(entry_instances_);
+  }
 }
 
 void control_client::ApplyEntries(const wire::control_news& reply) {
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -247,7 +247,7 @@
 }
 
 void route_daemon::OnEntryCount(std::uint32_t count) {
-  if (gateway_ != nullptr) gateway_->SetInstances(count);
+  if (gateway_ != nullptr) gateway_->SetInstances(count, Now());
 }
 
 void route_daemon::OnControlGroup(const std::vector<log_member>& group) {
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -11,6 +11,7 @@
 namespace bilberrycourse {
 namespace {
 
+constexpr std::chrono::milliseconds kConnectTimeout{400};
 // Log lines per second about failed and refused requests.
 constexpr double kFailureLogsPerSecond = 40;
 // Log lines per second about attempts after a refusal or a failure.
@@ -76,7 +77,8 @@
       retry_log_limiter_(kRetryLogsPerSecond),
       limit_log_limiter_(kLimitLogsPerSecond),
       engine_(EngineOptions(config), config.name, config.zone),
-      client_(std::move(executor), {}, protocol->headers(), this),
+      client_(std::move(executor), ClientOptions(config, kConnectTimeout),
+              protocol->headers(), this),
       transport_(transport),
       plan_({}, config.name, config.zone) {}
 
@@ -234,8 +236,10 @@
   }
 }
 
-void route_gateway::SetInstances(std::uint32_t instances) {
-  engine_.SetInstances(instances);
+void route_gateway::SetInstances(std::uint32_t instances, time_point now) {
+  route_effects effects;
+  engine_.SetInstances(instances, now, &effects);
+  Execute(&effects);
 }
 
 void route_gateway::Tick(time_point now) {
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -41,7 +41,7 @@
 
   // Applies a change of the routes or of the searcher directory.
   void OnRouteUpdate(const route_update& update, time_point now);
-  void SetInstances(std::uint32_t instances);
+  void SetInstances(std::uint32_t instances, time_point now);
   void SetEntryInstances(const std::vector<entry_instance>& entries,
                          time_point now);
   // Returns the entry instances that this instance keeps a link to as relays.
--- a/bilberrycourse/route_engine.cc
+++ b/bilberrycourse/route_engine.cc
@@ -35,6 +35,13 @@
   for (const auto& [name, service] : table_->config().services) {
     pool_.SetConnectionLimit(
         name, std::max<std::uint32_t>(service.connection_limit, 1));
+  }
+  Preconnect(now, out);
+}
+
+void route_engine::Preconnect(time_point now, route_effects* out) {
+  if (table_ == nullptr) return;
+  for (const auto& [name, service] : table_->config().services) {
     for (searcher_entry* entry : pool_.OfService(name)) {
       if (entry->usable() && pool_.ShouldPreconnect(*entry)) {
         OpenConnections(entry, 1, now, out);
@@ -43,13 +50,15 @@
   }
 }
 
-void route_engine::SetInstances(std::uint32_t instances) {
-  if (instances == 0 || instances == instances_) return;
+void route_engine::SetInstances(std::uint32_t instances, time_point now,
+                                route_effects* out) {
+  if (instances == 0) return;
   instances_ = instances;
   pool_.SetInstances(instances);
   for (auto& [name, service] : services_) {
     if (service.sharing_instances == 0) service.budget.SetInstances(instances);
   }
+  Preconnect(now, out);
 }
 
 void route_engine::SetSharingInstances(const std::string& service,
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -126,7 +126,10 @@
   // searcher of its services for which ShouldPreconnect() holds.
   void SetRoutes(std::shared_ptr<const route_table> table, time_point now,
                  route_effects* out);
-  void SetInstances(std::uint32_t instances);
+  // Sets the number of entry instances, and opens the connections that
+  // ShouldPreconnect() then allows.
+  void SetInstances(std::uint32_t instances, time_point now,
+                    route_effects* out);
   // Number of entry instances that use the searchers of this service and share
   // its connections and its retry budget; 0 stands for all.
   void SetSharingInstances(const std::string& service,
@@ -265,6 +268,7 @@
   // Current weights of a split, for smooth weighted round robin.
   using split_weights = std::map<std::string, std::int64_t>;
 
+  void Preconnect(time_point now, route_effects* out);
   void OnTimer(const timer& due, time_point now, route_effects* out);
   void OnHedgeDue(request_state* request, std::size_t index, time_point now,
                   route_effects* out);
--- a/bilberrycourse/searcher_pool.cc
+++ b/bilberrycourse/searcher_pool.cc
@@ -228,7 +228,8 @@
 
 bool searcher_pool::ShouldPreconnect(const searcher_entry& entry) const {
   const auto found = services_.find(entry.report.service);
-  return found != services_.end() && found->second.sharing_instances == 0 &&
+  return instances_known_ && found != services_.end() &&
+         found->second.sharing_instances == 0 &&
          ConnectionsPerInstance(found->second) >= 1;
 }
 
@@ -242,6 +243,7 @@
 
 void searcher_pool::SetInstances(std::uint32_t instances) {
   instances_ = instances;
+  instances_known_ = true;
   for (auto& [name, service] : services_) UpdatePreferred(&service);
 }
 
--- a/bilberrycourse/searcher_pool.h
+++ b/bilberrycourse/searcher_pool.h
@@ -147,7 +147,9 @@
   // more.
   void SetConnectionLimit(const std::string& service, std::uint32_t limit);
   // Returns true if a connection should be opened before the first request: if
-  // every instance may hold one and uses it often enough.
+  // every instance may hold one and uses it often enough. Never true before
+  // SetInstances(): after a restart of hundreds of instances, each would open
+  // connections to all searchers, far over their limits.
   bool ShouldPreconnect(const searcher_entry& entry) const;
   // Returns the number of connections that this instance may hold to the
   // searcher.
@@ -185,6 +187,7 @@
   // The assumed number keeps connections within their limits until the number
   // is known.
   std::uint32_t instances_ = kAssumedInstances;
+  bool instances_known_ = false;
   std::unordered_map<std::string, std::unique_ptr<searcher_entry>> entries_;
   std::map<std::string, service_state, std::less<>> services_;
   std::uint64_t next_serial_ = 1;
--- a/bilberrycourse/testing/route_engine_rig.h
+++ b/bilberrycourse/testing/route_engine_rig.h
@@ -29,9 +29,16 @@
     time_point at{};
   };
 
-  explicit route_engine_rig(route_engine_options options = Options())
+  // With 0 instances their number is unknown.
+  explicit route_engine_rig(route_engine_options options = Options(),
+                            std::uint32_t instances = 1)
       : engine(options, "e1", "a") {
-    engine.SetInstances(1);
+    SetInstances(instances);
+  }
+  void SetInstances(std::uint32_t instances) {
+    route_effects effects;
+    engine.SetInstances(instances, now, &effects);
+    Execute(&effects);
   }
 
   static route_engine_options Options() {
--- a/bilberrycourse/testing/route_engine_test.cc
+++ b/bilberrycourse/testing/route_engine_test.cc
@@ -322,7 +322,7 @@
   route_engine_options options = route_engine_rig::Options();
   options.budget.allowance = 20;
   route_engine_rig rig(options);
-  rig.engine.SetInstances(1);
+  rig.SetInstances(1);
   rig.AddRoute("lookup", 0, true);
   rig.AddSearcher("lookup", "k1");
   rig.AddSearcher("lookup", "k2");
@@ -366,6 +366,23 @@
   EXPECT_EQ(rig_.sends.size(), 2u);
 }
 
+// Guards against a flood of connections after a restart of the whole tier:
+// before, each instance assumed a tier of 64 and connected to all searchers,
+// and in coldline-search-large they reset 259168 connections over their limits
+// in one day.
+TEST_F(route_engine_test, SetRoutes_InstancesUnknown_OpensNoConnection) {
+  route_engine_rig rig(route_engine_rig::Options(), 0);
+  rig.connect = false;
+  for (const char* id : {"n1", "n2", "n3"}) rig.AddSearcher("near", id);
+  rig.AddRoute("near", 0, true);
+  EXPECT_TRUE(rig.opened.empty());
+  rig.SetInstances(295);
+  EXPECT_TRUE(rig.opened.empty());
+  // A small tier connects before the first request.
+  rig.SetInstances(8);
+  EXPECT_EQ(rig.opened.size(), 3u);
+}
+
 class route_engine_relay_test : public route_engine_test {
  protected:
   // Shards 0 and 1 are searched here, 2 and 3 by a relay.
