--- a/app/http_message_reader.h
+++ b/app/http_message_reader.h
@@ -89,6 +89,8 @@
     parser_->header_limit(limits_.max_head_bytes);
     parser_->body_limit(limits_.max_body_bytes);
     parser_->eager(true);
+    // Returns the share of the previous message to the budget.
+    ChargeMemory();
   }
 
   // Reads until the message is complete or an error occurs, then calls
