--- a/app/testing/http_server_test.cc
+++ b/app/testing/http_server_test.cc
@@ -165,7 +165,7 @@
 // thread, so that the server can't read between it and StopAccepting().
 class http_server_stop_test : public http_server_test {
  protected:
-  const std::string kRequest = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+  const std::string request_ = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
 
   void Connect() {
     caller_.connect({asio::ip::make_address("127.0.0.1"), port_});
@@ -200,7 +200,7 @@
 TEST_F(http_server_stop_test, StopAccepting_ConnectionInQueue_IsAnswered) {
   RunOnServer([&] {
     Connect();
-    asio::write(caller_, asio::buffer(kRequest));
+    asio::write(caller_, asio::buffer(request_));
     server_->StopAccepting();
   });
   ExpectAnswered();
@@ -210,11 +210,11 @@
 // the socket's buffer.
 TEST_F(http_server_stop_test, StopAccepting_RequestInBuffer_IsAnswered) {
   Connect();
-  asio::write(caller_, asio::buffer(kRequest));
+  asio::write(caller_, asio::buffer(request_));
   std::string first;
   asio::read_until(caller_, asio::dynamic_buffer(first), "GET");
   RunOnServer([&] {
-    asio::write(caller_, asio::buffer(kRequest));
+    asio::write(caller_, asio::buffer(request_));
     server_->StopAccepting();
   });
   ExpectAnswered();
@@ -223,9 +223,9 @@
 // Guards against closing a connection as idle while a request arrives on it.
 TEST_F(http_server_stop_test, StopAccepting_HalfOfRequest_IsAnswered) {
   Connect();
-  asio::write(caller_, asio::buffer(kRequest.substr(0, 10)));
+  asio::write(caller_, asio::buffer(request_.substr(0, 10)));
   RunOnServer([&] { server_->StopAccepting(); });
-  asio::write(caller_, asio::buffer(kRequest.substr(10)));
+  asio::write(caller_, asio::buffer(request_.substr(10)));
   ExpectAnswered();
 }
 
@@ -237,7 +237,7 @@
     server_->StopAccepting();
     EXPECT_EQ(server_->pending(), 1u);
   });
-  asio::write(caller_, asio::buffer(kRequest));
+  asio::write(caller_, asio::buffer(request_));
   ExpectAnswered();
 }
 
