Move the refresh of relays off the request path

A change of the searchers was applied to the relays by the next request over shards; at 0.12 of a core that takes several milliseconds of an objective of 40 ms.

Change: the tick applies it, at most every 2 s and only if replicas moved between zones.

--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -193,6 +193,7 @@
 void route_daemon::Tick(time_point now) {
   if (control_service_ != nullptr) control_service_->Tick(now);
   control_client_.Tick(now);
+  if (gateway_ != nullptr) gateway_->RefreshRelays(now);
   if (registry_ != nullptr) registry_->Tick(now);
   if (now >= dial_due_) DialPeers(now);
   if (shutting_down_) CheckShutdown(now);
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -44,6 +44,9 @@
   void SetInstances(std::uint32_t instances, time_point now);
   void SetEntryInstances(const std::vector<entry_instance>& entries,
                          time_point now);
+  // Called each tick. Applies changes of the searchers to the relays, here and
+  // not in Handle(), because it takes milliseconds of a small instance.
+  void RefreshRelays(time_point now);
   // Returns the entry instances that this instance keeps a link to as relays.
   const std::vector<entry_instance>& Relays() const { return relays_; }
   // Handles relay frames. Returns false for any other frame.
--- a/app/route_gateway_relays.cc
+++ b/app/route_gateway_relays.cc
@@ -20,7 +20,7 @@
 // applies if its shutdown takes unusually long.
 constexpr duration kLeavingRelayPause = std::chrono::seconds(30);
 // Searchers change in bursts, when all of them start or a release runs.
-constexpr duration kMinRelayUpdatePeriod = std::chrono::seconds(1);
+constexpr duration kMinRelayUpdatePeriod = std::chrono::seconds(2);
 
 duration FromMicros(std::uint64_t micros) {
   constexpr std::uint64_t kDay = 24ULL * 3600 * 1'000'000;
@@ -65,6 +65,20 @@
   UpdateRelays(now);
 }
 
+void route_gateway::RefreshRelays(time_point now) {
+  if (!searchers_changed_ || now < relays_due_ || table_ == nullptr) return;
+  searchers_changed_ = false;
+  relays_due_ = now + kMinRelayUpdatePeriod;
+  const bool changed = std::any_of(
+      table_->config().routes.begin(), table_->config().routes.end(),
+      [&](const route& configured_route) {
+        const std::vector<std::string>& shards = configured_route.shards;
+        return !shards.empty() &&
+               plan_.ReplicasMoved(shards, engine_.ReplicaZones(shards));
+      });
+  if (changed) UpdateRelays(now);
+}
+
 // Collects the relays of all routes, so that links to them are kept, and
 // sets how many instances use each shard, which is fewer with relays.
 void route_gateway::UpdateRelays(time_point now) {
@@ -107,7 +121,6 @@
 std::vector<relay_group> route_gateway::ReachableGroups(
     const route& matched_route, time_point now) {
   if (matched_route.shards.empty()) return {};
-  if (searchers_changed_ && now >= relays_due_) UpdateRelays(now);
   return plan_.UsableGroups(
       matched_route.shards, [&](const instance_name& relay) {
         const auto silent = silent_until_.find(relay);
--- a/bilberrycourse/relay_plan.cc
+++ b/bilberrycourse/relay_plan.cc
@@ -70,6 +70,11 @@
   return true;
 }
 
+bool relay_plan::ReplicasMoved(const shard_list& shards,
+                               const replica_zones& zones) const {
+  return ReplicaZones(shards) != zones;
+}
+
 const relay_plan::replica_zones& relay_plan::ReplicaZones(
     const shard_list& shards) const {
   static const replica_zones kUnknown;
--- a/bilberrycourse/relay_plan.h
+++ b/bilberrycourse/relay_plan.h
@@ -84,6 +84,10 @@
   // if it has changed.
   bool SetReplicaZones(const shard_list& shards, replica_zones zones);
 
+  // Returns true if `zones` differs from what SetReplicaZones() has set.
+  bool ReplicasMoved(const shard_list& shards,
+                     const replica_zones& zones) const;
+
   // Returns the relays that this instance uses for requests over these shards,
   // excluding itself.
   std::vector<entry_instance> Relays(const shard_list& shards);
