Log the content of attempts whose searcher was lost

The log could not tell copies of one request that crash searchers from a fault that happens to hit searchers: a line named the request's id, which is new for each copy. attempt_lost has the hash of method, host, target and body.

--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -7,6 +7,7 @@
 
 #include "app/daemon_clock.h"
 #include "app/json_log.h"
+#include "bilberrycourse/crash_evidence.h"
 
 namespace bilberrycourse {
 namespace {
@@ -20,6 +21,8 @@
 constexpr double kLimitLogsPerSecond = 5;
 // Log lines per second about request limits that searchers state.
 constexpr double kRequestLimitLogsPerSecond = 10;
+// Log lines per second about attempts whose connection broke.
+constexpr double kCrashLogsPerSecond = 10;
 // Missing shards listed in one log line; their total is always logged. A line
 // must stay below 4 KB, the size up to which writes to a pipe are atomic.
 constexpr std::size_t kMaxMissingListed = 12;
@@ -79,6 +82,7 @@
       retry_log_limiter_(kRetryLogsPerSecond),
       limit_log_limiter_(kLimitLogsPerSecond),
       request_limit_log_limiter_(kRequestLimitLogsPerSecond),
+      crash_log_limiter_(kCrashLogsPerSecond),
       engine_(EngineOptions(config), config.name, config.zone),
       client_(std::move(executor), ClientOptions(config, kConnectTimeout),
               protocol->headers(), this),
@@ -109,6 +113,15 @@
   return out;
 }
 
+// Copies of a request differ in their id, headers and deadline only.
+fingerprint route_gateway::ContentOf(const forwarded_request& forwarded) {
+  const std::string target =
+      forwarded.method + ' ' + forwarded.host + forwarded.target;
+  return MakeFingerprint(target, forwarded.body == nullptr
+                                     ? std::string_view()
+                                     : std::string_view(*forwarded.body));
+}
+
 void route_gateway::Refuse(const http_request& request, result_code code,
                            http_responder respond) {
   const time_point now = Now();
@@ -159,6 +172,7 @@
   call.id = id;
   call.table = table_;
   call.matched_route = matched_route;
+  call.content = ContentOf(state.forwarded);
   call.sent_at = EstimateSendTime(request, now);
   call.time_left = ParseMillis(HeaderValue(request, names.deadline))
                        .value_or(kDefaultDeadline);
@@ -351,6 +365,15 @@
   call.respond(MakeResponse(effect));
 }
 
+void route_gateway::ExecuteEffect(attempt_lost& effect) {
+  if (!crash_log_limiter_.Allow(Now())) return;
+  LogDecision("attempt_lost",
+              {{"searcher", effect.searcher},
+               {"service", effect.service},
+               {"content", static_cast<std::uint64_t>(effect.content)},
+               {"left_out", crash_log_limiter_.TakeSuppressedCount()}});
+}
+
 void route_gateway::ExecuteEffect(searcher_limit_changed& effect) {
   if (!request_limit_log_limiter_.Allow(Now())) return;
   LogDecision("searcher_limit_changed",
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -120,6 +120,7 @@
   void ExecuteEffect(cancel_at_relay& effect);
   void ExecuteEffect(relay_silent& effect);
   void ExecuteEffect(route_progress& effect);
+  void ExecuteEffect(attempt_lost& effect);
   void ExecuteEffect(searcher_limit_changed& effect);
   void ExecuteEffect(send_limit_request& effect);
   void ExecuteEffect(isolation_changed& effect);
@@ -137,6 +138,7 @@
                                            time_point now);
   void UpdateRelays(time_point now);
   void LogRelays(const route& configured_route);
+  static fingerprint ContentOf(const forwarded_request& forwarded);
   std::shared_ptr<const header_list> ForwardedHeaders(
       const header_list& headers) const;
   http_response MakeResponse(const finish_route_request& finish) const;
@@ -159,6 +161,7 @@
   log_limiter retry_log_limiter_;
   log_limiter limit_log_limiter_;
   log_limiter request_limit_log_limiter_;
+  log_limiter crash_log_limiter_;
   route_engine engine_;
   searcher_client client_;
   std::shared_ptr<const route_table> table_;
--- a/app/route_gateway_relays.cc
+++ b/app/route_gateway_relays.cc
@@ -371,6 +371,7 @@
   call.table = table_;
   call.matched_route = relay_route.get();
   call.relay_route = relay_route;
+  call.content = ContentOf(state.forwarded);
   call.sent_at = now;
   call.time_left = FromMicros(request.time_left_us());
   call.answer_at = now + FromMicros(request.answer_in_us());
--- a/bilberrycourse/route_effects.h
+++ b/bilberrycourse/route_effects.h
@@ -172,6 +172,13 @@
   shard_report report;
 };
 
+// The connection to a searcher broke while it ran an attempt.
+struct attempt_lost {
+  std::string searcher;
+  std::string service;
+  fingerprint content{};
+};
+
 // The request limit of a searcher has appeared, changed or vanished.
 struct searcher_limit_changed {
   std::string searcher;
@@ -195,7 +202,7 @@
 struct fallback_wanted {};
 
 using route_effect =
-    std::variant<isolation_changed, fallback_wanted, searcher_limit_changed,
+    std::variant<attempt_lost, isolation_changed, fallback_wanted, searcher_limit_changed,
                  send_limit_request, open_searcher_connection,
                  close_searcher_connection, send_to_searcher,
                  finish_route_request, send_to_relay, cancel_at_relay,
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -98,6 +98,9 @@
   // The configuration that selected the route; kept until the request ends.
   std::shared_ptr<const route_table> table;
   const route* matched_route = nullptr;
+  // What the request asks, regardless of who sends it and when; see
+  // crash_evidence.h.
+  fingerprint content{};
   // Time at which the caller sent the request, or its best estimate.
   time_point sent_at{};
   // Time until the caller's own deadline, counted from Begin().
@@ -228,6 +231,7 @@
     std::string service;
     std::string searcher;
     std::uint64_t serial = 0;
+    fingerprint content{};
     send_reason reason = send_reason::kFirst;
     bool sent = false;
     // End of its permission, if its searcher limits requests.
--- a/bilberrycourse/route_engine_attempts.cc
+++ b/bilberrycourse/route_engine_attempts.cc
@@ -48,6 +48,7 @@
   attempt.service = part.service;
   attempt.searcher = entry->report.id;
   attempt.serial = entry->serial;
+  attempt.content = request->call.content;
   attempt.reason = reason;
   attempt.expected = ExpectedServiceTime(*request->call.matched_route);
   part.tried.push_back(attempt.searcher);
@@ -338,6 +339,8 @@
   if (running == nullptr) return;
   const attempt_state attempt = *running;
   ++counters_.broken_attempts;
+  out->push_back(
+      attempt_lost{attempt.searcher, attempt.service, attempt.content});
   EndAttempt(attempt.id);
   if (entry != nullptr) {
     if (limit_exceeded) {
