--- a/app/peer_frame_generated.h
+++ b/app/peer_frame_generated.h
@@ -160,6 +160,14 @@
 struct limit_replyBuilder;
 struct limit_replyT;
 
+struct crash_record;
+struct crash_recordBuilder;
+struct crash_recordT;
+
+struct crash_records;
+struct crash_recordsBuilder;
+struct crash_recordsT;
+
 struct peer_frame;
 struct peer_frameBuilder;
 struct peer_frameT;
@@ -190,11 +198,12 @@
   ping = 22,
   limit_request = 23,
   limit_reply = 24,
+  crash_records = 25,
   MIN = NONE,
-  MAX = limit_reply
+  MAX = crash_records
 };
 
-inline const payload (&EnumValuespayload())[25] {
+inline const payload (&EnumValuespayload())[26] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -220,13 +229,14 @@
     payload::relay_cancel,
     payload::ping,
     payload::limit_request,
-    payload::limit_reply
+    payload::limit_reply,
+    payload::crash_records
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[26] = {
+  static const char * const names[27] = {
     "NONE",
     "hello",
     "proof",
@@ -252,13 +262,14 @@
     "ping",
     "limit_request",
     "limit_reply",
+    "crash_records",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::limit_reply)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::crash_records)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -363,6 +374,10 @@
   static const payload enum_value = payload::limit_reply;
 };
 
+template<> struct payloadTraits<bilberrycourse::wire::crash_records> {
+  static const payload enum_value = payload::crash_records;
+};
+
 template<typename T> struct payloadUnionTraits {
   static const payload enum_value = payload::NONE;
 };
@@ -463,6 +478,10 @@
   static const payload enum_value = payload::limit_reply;
 };
 
+template<> struct payloadUnionTraits<bilberrycourse::wire::crash_recordsT> {
+  static const payload enum_value = payload::crash_records;
+};
+
 struct payloadUnion {
   payload type;
   void *value;
@@ -685,6 +704,14 @@
     return type == payload::limit_reply ?
       reinterpret_cast<const bilberrycourse::wire::limit_replyT *>(value) : nullptr;
   }
+  bilberrycourse::wire::crash_recordsT *Ascrash_records() {
+    return type == payload::crash_records ?
+      reinterpret_cast<bilberrycourse::wire::crash_recordsT *>(value) : nullptr;
+  }
+  const bilberrycourse::wire::crash_recordsT *Ascrash_records() const {
+    return type == payload::crash_records ?
+      reinterpret_cast<const bilberrycourse::wire::crash_recordsT *>(value) : nullptr;
+  }
 };
 
 bool Verifypayload(flatbuffers::Verifier &verifier, const void *obj, payload type);
@@ -4537,6 +4564,202 @@
 
 flatbuffers::Offset<limit_reply> Createlimit_reply(flatbuffers::FlatBufferBuilder &_fbb, const limit_replyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct crash_recordT : public flatbuffers::NativeTable {
+  typedef crash_record TableType;
+  uint64_t content = 0;
+  bool success = false;
+  std::string service{};
+  std::string searcher{};
+  int64_t started_at_ms = 0;
+  uint64_t age_us = 0;
+};
+
+struct crash_record FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef crash_recordT NativeTableType;
+  typedef crash_recordBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CONTENT = 4,
+    VT_SUCCESS = 6,
+    VT_SERVICE = 8,
+    VT_SEARCHER = 10,
+    VT_STARTED_AT_MS = 12,
+    VT_AGE_US = 14
+  };
+  uint64_t content() const {
+    return GetField<uint64_t>(VT_CONTENT, 0);
+  }
+  bool success() const {
+    return GetField<uint8_t>(VT_SUCCESS, 0) != 0;
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *searcher() const {
+    return GetPointer<const flatbuffers::String *>(VT_SEARCHER);
+  }
+  int64_t started_at_ms() const {
+    return GetField<int64_t>(VT_STARTED_AT_MS, 0);
+  }
+  uint64_t age_us() const {
+    return GetField<uint64_t>(VT_AGE_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CONTENT, 8) &&
+           VerifyField<uint8_t>(verifier, VT_SUCCESS, 1) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_SEARCHER) &&
+           verifier.VerifyString(searcher()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_AGE_US, 8) &&
+           verifier.EndTable();
+  }
+  crash_recordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(crash_recordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<crash_record> Pack(flatbuffers::FlatBufferBuilder &_fbb, const crash_recordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct crash_recordBuilder {
+  typedef crash_record Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_content(uint64_t content) {
+    fbb_.AddElement<uint64_t>(crash_record::VT_CONTENT, content, 0);
+  }
+  void add_success(bool success) {
+    fbb_.AddElement<uint8_t>(crash_record::VT_SUCCESS, static_cast<uint8_t>(success), 0);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(crash_record::VT_SERVICE, service);
+  }
+  void add_searcher(flatbuffers::Offset<flatbuffers::String> searcher) {
+    fbb_.AddOffset(crash_record::VT_SEARCHER, searcher);
+  }
+  void add_started_at_ms(int64_t started_at_ms) {
+    fbb_.AddElement<int64_t>(crash_record::VT_STARTED_AT_MS, started_at_ms, 0);
+  }
+  void add_age_us(uint64_t age_us) {
+    fbb_.AddElement<uint64_t>(crash_record::VT_AGE_US, age_us, 0);
+  }
+  explicit crash_recordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<crash_record> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<crash_record>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<crash_record> Createcrash_record(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t content = 0,
+    bool success = false,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> searcher = 0,
+    int64_t started_at_ms = 0,
+    uint64_t age_us = 0) {
+  crash_recordBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_started_at_ms(started_at_ms);
+  builder_.add_content(content);
+  builder_.add_searcher(searcher);
+  builder_.add_service(service);
+  builder_.add_success(success);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<crash_record> Createcrash_recordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t content = 0,
+    bool success = false,
+    const char *service = nullptr,
+    const char *searcher = nullptr,
+    int64_t started_at_ms = 0,
+    uint64_t age_us = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto searcher__ = searcher ? _fbb.CreateString(searcher) : 0;
+  return bilberrycourse::wire::Createcrash_record(
+      _fbb,
+      content,
+      success,
+      service__,
+      searcher__,
+      started_at_ms,
+      age_us);
+}
+
+flatbuffers::Offset<crash_record> Createcrash_record(flatbuffers::FlatBufferBuilder &_fbb, const crash_recordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct crash_recordsT : public flatbuffers::NativeTable {
+  typedef crash_records TableType;
+  std::vector<std::unique_ptr<bilberrycourse::wire::crash_recordT>> records{};
+  crash_recordsT() = default;
+  crash_recordsT(const crash_recordsT &o);
+  crash_recordsT(crash_recordsT&&) FLATBUFFERS_NOEXCEPT = default;
+  crash_recordsT &operator=(crash_recordsT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct crash_records FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef crash_recordsT NativeTableType;
+  typedef crash_recordsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RECORDS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::crash_record>> *records() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::crash_record>> *>(VT_RECORDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_RECORDS) &&
+           verifier.VerifyVector(records()) &&
+           verifier.VerifyVectorOfTables(records()) &&
+           verifier.EndTable();
+  }
+  crash_recordsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(crash_recordsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<crash_records> Pack(flatbuffers::FlatBufferBuilder &_fbb, const crash_recordsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct crash_recordsBuilder {
+  typedef crash_records Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::crash_record>>> records) {
+    fbb_.AddOffset(crash_records::VT_RECORDS, records);
+  }
+  explicit crash_recordsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<crash_records> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<crash_records>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<crash_records> Createcrash_records(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::crash_record>>> records = 0) {
+  crash_recordsBuilder builder_(_fbb);
+  builder_.add_records(records);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<crash_records> Createcrash_recordsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<bilberrycourse::wire::crash_record>> *records = nullptr) {
+  auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::crash_record>>(*records) : 0;
+  return bilberrycourse::wire::Createcrash_records(
+      _fbb,
+      records__);
+}
+
+flatbuffers::Offset<crash_records> Createcrash_records(flatbuffers::FlatBufferBuilder &_fbb, const crash_recordsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct peer_frameT : public flatbuffers::NativeTable {
   typedef peer_frame TableType;
   bilberrycourse::wire::payloadUnion payload{};
@@ -4628,6 +4851,9 @@
   const bilberrycourse::wire::limit_reply *payload_as_limit_reply() const {
     return payload_type() == bilberrycourse::wire::payload::limit_reply ? static_cast<const bilberrycourse::wire::limit_reply *>(payload()) : nullptr;
   }
+  const bilberrycourse::wire::crash_records *payload_as_crash_records() const {
+    return payload_type() == bilberrycourse::wire::payload::crash_records ? static_cast<const bilberrycourse::wire::crash_records *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -4736,6 +4962,10 @@
   return payload_as_limit_reply();
 }
 
+template<> inline const bilberrycourse::wire::crash_records *peer_frame::payload_as<bilberrycourse::wire::crash_records>() const {
+  return payload_as_crash_records();
+}
+
 struct peer_frameBuilder {
   typedef peer_frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -6287,6 +6517,83 @@
       _statements);
 }
 
+inline crash_recordT *crash_record::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<crash_recordT>(new crash_recordT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void crash_record::UnPackTo(crash_recordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = content(); _o->content = _e; }
+  { auto _e = success(); _o->success = _e; }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = searcher(); if (_e) _o->searcher = _e->str(); }
+  { auto _e = started_at_ms(); _o->started_at_ms = _e; }
+  { auto _e = age_us(); _o->age_us = _e; }
+}
+
+inline flatbuffers::Offset<crash_record> crash_record::Pack(flatbuffers::FlatBufferBuilder &_fbb, const crash_recordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createcrash_record(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<crash_record> Createcrash_record(flatbuffers::FlatBufferBuilder &_fbb, const crash_recordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const crash_recordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _content = _o->content;
+  auto _success = _o->success;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _searcher = _o->searcher.empty() ? 0 : _fbb.CreateString(_o->searcher);
+  auto _started_at_ms = _o->started_at_ms;
+  auto _age_us = _o->age_us;
+  return bilberrycourse::wire::Createcrash_record(
+      _fbb,
+      _content,
+      _success,
+      _service,
+      _searcher,
+      _started_at_ms,
+      _age_us);
+}
+
+inline crash_recordsT::crash_recordsT(const crash_recordsT &o) {
+  records.reserve(o.records.size());
+  for (const auto &records_ : o.records) { records.emplace_back((records_) ? new bilberrycourse::wire::crash_recordT(*records_) : nullptr); }
+}
+
+inline crash_recordsT &crash_recordsT::operator=(crash_recordsT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(records, o.records);
+  return *this;
+}
+
+inline crash_recordsT *crash_records::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<crash_recordsT>(new crash_recordsT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void crash_records::UnPackTo(crash_recordsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::unique_ptr<bilberrycourse::wire::crash_recordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<crash_records> crash_records::Pack(flatbuffers::FlatBufferBuilder &_fbb, const crash_recordsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createcrash_records(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<crash_records> Createcrash_records(flatbuffers::FlatBufferBuilder &_fbb, const crash_recordsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const crash_recordsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::crash_record>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return Createcrash_record(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return bilberrycourse::wire::Createcrash_records(
+      _fbb,
+      _records);
+}
+
 inline peer_frameT *peer_frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<peer_frameT>(new peer_frameT());
   UnPackTo(_o.get(), _resolver);
@@ -6417,6 +6724,10 @@
       auto ptr = reinterpret_cast<const bilberrycourse::wire::limit_reply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::crash_records: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::crash_records *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6532,6 +6843,10 @@
       auto ptr = reinterpret_cast<const bilberrycourse::wire::limit_reply *>(obj);
       return ptr->UnPack(resolver);
     }
+    case payload::crash_records: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::crash_records *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6635,6 +6950,10 @@
       auto ptr = reinterpret_cast<const bilberrycourse::wire::limit_replyT *>(value);
       return Createlimit_reply(_fbb, ptr, _rehasher).Union();
     }
+    case payload::crash_records: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::crash_recordsT *>(value);
+      return Createcrash_records(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6737,6 +7056,10 @@
       value = new bilberrycourse::wire::limit_replyT(*reinterpret_cast<bilberrycourse::wire::limit_replyT *>(u.value));
       break;
     }
+    case payload::crash_records: {
+      value = new bilberrycourse::wire::crash_recordsT(*reinterpret_cast<bilberrycourse::wire::crash_recordsT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6864,6 +7187,11 @@
       delete ptr;
       break;
     }
+    case payload::crash_records: {
+      auto ptr = reinterpret_cast<bilberrycourse::wire::crash_recordsT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -7,6 +7,7 @@
 #include <set>
 #include <utility>
 
+#include "app/crash_frames.h"
 #include "app/daemon_clock.h"
 #include "app/frames.h"
 #include "app/json_log.h"
@@ -96,6 +97,10 @@
     gateway_->SetLimitRequestSender([this](const limit_request& request) {
       return SendLimitRequest(request);
     });
+    gateway_->SetCrashEvidenceSender(
+        [this](const std::vector<crash_evidence_record>& records) {
+          return SendCrashEvidence(records);
+        });
     gateway_->SetRelaysChangedHandler([this] { OnRelaysChanged(); });
   }
   if (config_.control) {
@@ -103,6 +108,7 @@
         protocol_.get(), control_service_.get(), &control_client_);
     limits_ =
         std::make_unique<limit_service>(&transport_, control_service_.get());
+    crash_news_ = std::make_unique<crash_news>();
   }
   if (config_.readiness_listen.port != 0) {
     http_server_options options;
@@ -204,6 +210,7 @@
   if (gateway_ != nullptr) gateway_->RefreshRelays(now);
   if (registry_ != nullptr) registry_->Tick(now);
   if (limits_ != nullptr) limits_->Tick(entries_, now);
+  ExchangeCrashEvidence(now);
   if (now >= dial_due_) DialPeers(now);
   if (shutting_down_) CheckShutdown(now);
 }
@@ -305,6 +312,7 @@
   LogEvent(log_level::kInfo, "peer_disconnected", {{"peer", peer}});
   control_client_.OnPeerDisconnected(peer, Now());
   entries_.erase(peer);
+  if (peer == evidence_leader_) evidence_leader_.clear();
   if (gateway_ != nullptr) gateway_->OnPeerDisconnected(peer, Now());
 }
 
@@ -321,10 +329,20 @@
                              Now());
     }
     if (limits_ != nullptr) limits_->OnEntryConnected(peer, Now());
+    if (crash_news_ != nullptr && control_service_->leads()) {
+      const auto records = crash_news_->All(Now());
+      if (!records.empty()) {
+        transport_.Send(peer, MakeFrame(ToWire(records)));
+      }
+    }
     return;
   }
   const time_point now = Now();
   if (limits_ != nullptr && limits_->OnPeerFrame(peer, frame, now)) return;
+  const auto* evidence = frame.payload_as_crash_records();
+  if (evidence != nullptr && crash_news_ != nullptr) {
+    return crash_news_->Receive(FromWire(*evidence), now);
+  }
   if (gateway_ != nullptr && gateway_->OnPeerFrame(peer, frame, now)) return;
   control_frames_.Handle(peer, frame, now);
 }
@@ -408,6 +426,38 @@
          transport_.Send(leader, MakeFrame(ToWire(request)));
 }
 
+bool route_daemon::SendCrashEvidence(
+    const std::vector<crash_evidence_record>& records) {
+  const instance_name& leader = control_client_.leader();
+  if (leader == config_.name && crash_news_ != nullptr) {
+    crash_news_->Receive(records, Now());
+    return true;
+  }
+  return transport_.Connected(leader) &&
+         transport_.Send(leader, MakeFrame(ToWire(records)));
+}
+
+// As the leader: passes new crash evidence on. As an entry instance: sends a
+// new leader what it may not know.
+void route_daemon::ExchangeCrashEvidence(time_point now) {
+  if (crash_news_ != nullptr && control_service_->leads()) {
+    const auto news = crash_news_->Take(now);
+    if (!news.empty()) {
+      for (const auto& [name, entry] : entries_) {
+        transport_.Send(name, MakeFrame(ToWire(news)));
+      }
+      if (gateway_ != nullptr) gateway_->OnCrashEvidence(news, now);
+    }
+  }
+  if (gateway_ == nullptr) return;
+  const instance_name leader = control_client_.leader();
+  if (leader.empty() ||
+      (leader == evidence_leader_ && !gateway_->crash_evidence_unsent())) {
+    return;
+  }
+  if (gateway_->ResendCrashEvidence(now)) evidence_leader_ = leader;
+}
+
 void route_daemon::BeginShutdown() {
   if (shutting_down_) return;
   shutting_down_ = true;
--- a/app/route_daemon.h
+++ b/app/route_daemon.h
@@ -32,6 +32,7 @@
 #include "app/route_gateway.h"
 #include "app/route_registry.h"
 #include "app/settings.h"
+#include "bilberrycourse/crash_news.h"
 #include "bilberrycourse/timer_service.h"
 
 namespace bilberrycourse {
@@ -67,6 +68,8 @@
   void SendHello(const instance_name& peer);
   void CountEntryInstances(time_point now);
   bool SendLimitRequest(const limit_request& request);
+  bool SendCrashEvidence(const std::vector<crash_evidence_record>& records);
+  void ExchangeCrashEvidence(time_point now);
   void OnRelaysChanged();
   void BeginShutdown();
   void CheckShutdown(time_point now);
@@ -89,6 +92,10 @@
   std::unique_ptr<route_gateway> gateway_;
   std::unique_ptr<route_registry> registry_;
   std::unique_ptr<limit_service> limits_;
+  // On a control instance.
+  std::unique_ptr<crash_news> crash_news_;
+  // The leader that knows the crash evidence of this instance.
+  instance_name evidence_leader_;
   http_server main_server_;
   std::unique_ptr<http_server> readiness_server_;
   // Addresses of the control group's members by the latest update.
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -23,6 +23,9 @@
 constexpr double kRequestLimitLogsPerSecond = 10;
 // Log lines per second about attempts whose connection broke.
 constexpr double kCrashLogsPerSecond = 10;
+// Evidence of searcher crashes up to this age is sent to a new leader of the
+// control group; the former one has passed on what is older.
+constexpr duration kResentCrashEvidenceAge = std::chrono::seconds(10);
 // Missing shards listed in one log line; their total is always logged. A line
 // must stay below 4 KB, the size up to which writes to a pipe are atomic.
 constexpr std::size_t kMaxMissingListed = 12;
@@ -374,6 +377,43 @@
                {"left_out", crash_log_limiter_.TakeSuppressedCount()}});
 }
 
+void route_gateway::ExecuteEffect(crash_evidence_found& effect) {
+  for (const crash_evidence_record& record : effect.records) {
+    if (!crash_log_limiter_.Allow(Now())) break;
+    LogDecision("crash_evidence",
+                {{"content", static_cast<std::uint64_t>(record.content)},
+                 {"succeeded", record.success},
+                 {"searcher", record.server.replica},
+                 {"service", record.server.shard.service},
+                 {"left_out", crash_log_limiter_.TakeSuppressedCount()}});
+  }
+  if (!send_crash_evidence_ || !send_crash_evidence_(effect.records)) {
+    crash_evidence_unsent_ = true;
+  }
+}
+
+void route_gateway::ExecuteEffect(content_quarantined& effect) {
+  if (!crash_log_limiter_.Allow(Now())) return;
+  LogEvent(log_level::kWarning, "content_quarantined",
+           {{"content", static_cast<std::uint64_t>(effect.content)},
+            {"seconds", effect.time.count() / 1'000'000},
+            {"left_out", crash_log_limiter_.TakeSuppressedCount()}});
+}
+
+void route_gateway::OnCrashEvidence(
+    const std::vector<crash_evidence_record>& records, time_point now) {
+  route_effects effects;
+  engine_.OnCrashEvidence(records, now, &effects);
+  Execute(&effects);
+}
+
+bool route_gateway::ResendCrashEvidence(time_point now) {
+  const auto records = engine_.CrashEvidence(kResentCrashEvidenceAge, now);
+  crash_evidence_unsent_ = !records.empty() && send_crash_evidence_ &&
+                           !send_crash_evidence_(records);
+  return !crash_evidence_unsent_;
+}
+
 void route_gateway::ExecuteEffect(searcher_limit_changed& effect) {
   if (!request_limit_log_limiter_.Allow(Now())) return;
   LogDecision("searcher_limit_changed",
@@ -493,6 +533,12 @@
       {"bilberrycourse_limit_allocator_losses",
        "Times at which the allocator of limits was lost.",
        counters.allocator_losses},
+      {"bilberrycourse_searcher_crashes",
+       "Searchers that crashed while they ran a request of this instance.",
+       counters.searcher_crashes},
+      {"bilberrycourse_quarantine_refusals",
+       "Requests refused because their content has crashed searchers.",
+       counters.quarantine_refusals},
       {"bilberrycourse_searchers", "Searchers in the directory.",
        engine_.pool().size()},
       {"bilberrycourse_searcher_connections", "Connections to searchers.",
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -57,6 +57,19 @@
     send_limit_request_ = std::move(send);
   }
   void OnLimitReply(const limit_reply& reply, time_point now);
+  // Sets how crash evidence reaches the leader of the control group, which
+  // passes it on to all entry instances. `send` returns false if the leader
+  // can't be reached now.
+  void SetCrashEvidenceSender(
+      std::function<bool(const std::vector<crash_evidence_record>&)> send) {
+    send_crash_evidence_ = std::move(send);
+  }
+  void OnCrashEvidence(const std::vector<crash_evidence_record>& records,
+                       time_point now);
+  // Sends what the leader may not know, to a new leader or after a failure.
+  // Returns false if that failed.
+  bool ResendCrashEvidence(time_point now);
+  bool crash_evidence_unsent() const { return crash_evidence_unsent_; }
   // Handles frames of relays and replies of the limit_allocator. Returns false
   // for any other frame.
   bool OnPeerFrame(const instance_name& peer, const wire::peer_frame& frame,
@@ -121,6 +134,8 @@
   void ExecuteEffect(relay_silent& effect);
   void ExecuteEffect(route_progress& effect);
   void ExecuteEffect(attempt_lost& effect);
+  void ExecuteEffect(crash_evidence_found& effect);
+  void ExecuteEffect(content_quarantined& effect);
   void ExecuteEffect(searcher_limit_changed& effect);
   void ExecuteEffect(send_limit_request& effect);
   void ExecuteEffect(isolation_changed& effect);
@@ -156,6 +171,10 @@
   metrics* metrics_;
   std::function<void()> wake_;
   std::function<bool(const limit_request&)> send_limit_request_;
+  std::function<bool(const std::vector<crash_evidence_record>&)>
+      send_crash_evidence_;
+  // True if the leader may lack evidence of this instance.
+  bool crash_evidence_unsent_ = false;
   std::function<void()> relays_changed_;
   log_limiter log_limiter_;
   log_limiter retry_log_limiter_;
--- a/app/route_gateway_relays.cc
+++ b/app/route_gateway_relays.cc
@@ -2,6 +2,7 @@
 #include <set>
 #include <utility>
 
+#include "app/crash_frames.h"
 #include "app/daemon_clock.h"
 #include "app/frames.h"
 #include "app/json_log.h"
@@ -220,6 +221,10 @@
     OnLimitReply(FromWire(*reply), now);
     return true;
   }
+  if (const auto* evidence = frame.payload_as_crash_records()) {
+    OnCrashEvidence(FromWire(*evidence), now);
+    return true;
+  }
   return false;
 }
 
--- a/bilberrycourse/crash_evidence.cc
+++ b/bilberrycourse/crash_evidence.cc
@@ -72,8 +72,17 @@
   if (entry.crashes.size() >= options_.max_crashes) {
     entry.crashes.erase(entry.crashes.begin());
   }
-  entry.crashes.push_back(
-      {server, incarnation, at, /*cleared=*/at <= entry.last_success});
+  crash_event crash;
+  crash.server = server;
+  crash.incarnation = incarnation;
+  crash.at = at;
+  crash.cleared = at <= entry.last_success;
+  for (const auto& [service, success_at] : entry.service_successes) {
+    if (at > success_at) continue;
+    crash.disputed = true;
+    crash.cleared = crash.cleared || service == server.shard.service;
+  }
+  entry.crashes.push_back(std::move(crash));
   AddCrashOfServer(content, server, incarnation, at);
   return true;
 }
@@ -102,9 +111,7 @@
   crashes.push_back({incarnation, at, {content}});
 }
 
-bool crash_evidence::AddSuccess(fingerprint content, time_point at,
-                                time_point now) {
-  if (at + options_.success_expiry <= now) return false;
+void crash_evidence::RememberSuccess(fingerprint content, time_point now) {
   auto success = successes_.find(content);
   if (success == successes_.end()) {
     if (successes_.size() >= options_.max_successful_contents) {
@@ -114,13 +121,18 @@
     }
     success = successes_.try_emplace(content).first;
     success->second.content = content;
-    success->second.last_success = at;
+    success->second.last_success = now;
   } else {
     success_order_.erase(success_order_.iterator_to(success->second));
-    success->second.last_success = std::max(success->second.last_success, at);
+    success->second.last_success = std::max(success->second.last_success, now);
   }
   success_order_.push_back(success->second);
+}
 
+bool crash_evidence::AddSuccess(fingerprint content, time_point at,
+                                time_point now) {
+  if (at + options_.success_expiry <= now) return false;
+  RememberSuccess(content, at);
   auto found = suspects_.find(content);
   if (found == suspects_.end()) return false;
   suspect& entry = found->second;
@@ -132,13 +144,46 @@
   return true;
 }
 
-std::size_t crash_evidence::CountIncidents(const suspect& entry,
-                                           time_point now) const {
-  std::vector<time_point> times;
-  for (const crash_event& crash : entry.crashes) {
-    if (crash.cleared || crash.at + options_.expiry <= now) continue;
-    if (!IsUnreliable(crash.server, now)) times.push_back(crash.at);
+bool crash_evidence::RecordServiceSuccess(fingerprint content,
+                                          const std::string& service,
+                                          time_point now) {
+  return AddServiceSuccess(content, service, now, now);
+}
+
+bool crash_evidence::AddServiceSuccess(fingerprint content,
+                                       const std::string& service,
+                                       time_point at, time_point now) {
+  const auto found = suspects_.find(content);
+  if (found == suspects_.end() || at + options_.success_expiry <= now) {
+    return false;
+  }
+  bool cleared = false;
+  for (crash_event& crash : found->second.crashes) {
+    if (crash.at > at) continue;
+    const bool same_service = crash.server.shard.service == service;
+    cleared = cleared || !crash.disputed || (same_service && !crash.cleared);
+    crash.disputed = true;
+    crash.cleared = crash.cleared || same_service;
   }
+  if (cleared) {
+    time_point& latest = found->second.service_successes[service];
+    latest = std::max(latest, at);
+  }
+  return cleared;
+}
+
+bool crash_evidence::RecentlySucceeded(fingerprint content,
+                                       time_point now) const {
+  const auto success = successes_.find(content);
+  return success != successes_.end() &&
+         success->second.last_success + options_.success_expiry > now;
+}
+
+std::size_t crash_evidence::CountIncidents(
+    const std::vector<crash_event>& crashes) const {
+  std::vector<time_point> times;
+  times.reserve(crashes.size());
+  for (const crash_event& crash : crashes) times.push_back(crash.at);
   std::sort(times.begin(), times.end());
   std::size_t incidents = 0;
   time_point incident_start{};
@@ -176,29 +221,42 @@
 }
 
 bool crash_evidence::IsCondemned(const suspect& entry, time_point now) const {
-  const std::size_t incidents = CountIncidents(entry, now);
-  if (incidents < options_.condemn_after_servers) return false;
-  // Few crashes are kept for one content, so comparing all pairs is cheap.
-  std::size_t servers = 0;
-  for (std::size_t i = 0; i < entry.crashes.size(); ++i) {
-    const crash_event& crash = entry.crashes[i];
-    const auto counts = [&](const crash_event& other) {
-      return !other.cleared && other.at + options_.expiry > now &&
-             other.server == crash.server;
-    };
-    if (!counts(crash) || IsUnreliable(crash.server, now)) continue;
-    const auto crashes_of_server = static_cast<std::size_t>(
-        std::count_if(entry.crashes.begin(), entry.crashes.end(), counts));
-    if (crashes_of_server >= options_.condemn_after_crashes_of_one_server &&
-        incidents >= options_.condemn_after_crashes_of_one_server) {
-      return true;
-    }
-    if (std::none_of(entry.crashes.begin(), entry.crashes.begin() + i,
-                     counts)) {
-      ++servers;
+  std::vector<crash_event> undisputed;
+  std::map<std::string, std::vector<crash_event>> by_service;
+  for (const crash_event& crash : entry.crashes) {
+    if (crash.cleared || crash.at + options_.expiry <= now ||
+        IsUnreliable(crash.server, now)) {
+      continue;
     }
+    if (!crash.disputed) undisputed.push_back(crash);
+    by_service[crash.server.shard.service].push_back(crash);
+  }
+  return Condemns(undisputed) ||
+         std::any_of(by_service.begin(), by_service.end(),
+                     [&](const auto& item) { return Condemns(item.second); });
+}
+
+bool crash_evidence::Condemns(const std::vector<crash_event>& crashes) const {
+  const std::size_t incidents = CountIncidents(crashes);
+  if (incidents < options_.condemn_after_servers) return false;
+  std::map<backend_server_key, std::size_t> crashes_of_server;
+  for (const crash_event& crash : crashes) ++crashes_of_server[crash.server];
+  if (crashes_of_server.size() >= options_.condemn_after_servers) return true;
+  const std::size_t limit = options_.condemn_after_crashes_of_one_server;
+  return incidents >= limit &&
+         std::any_of(
+             crashes_of_server.begin(), crashes_of_server.end(),
+             [&](const auto& server) { return server.second >= limit; });
+}
+
+time_point crash_evidence::CondemnedUntil(fingerprint content) const {
+  time_point latest = time_point::min();
+  const auto found = suspects_.find(content);
+  if (found == suspects_.end()) return latest;
+  for (const crash_event& crash : found->second.crashes) {
+    latest = std::max(latest, crash.at + options_.expiry);
   }
-  return servers >= options_.condemn_after_servers;
+  return latest;
 }
 
 crash_verdict crash_evidence::Verdict(fingerprint content,
@@ -254,6 +312,11 @@
       records.push_back(
           {entry.content, /*success=*/true, {}, 0, now - entry.last_success});
     }
+    for (const auto& [service, at] : entry.service_successes) {
+      if (at + options_.success_expiry <= now) continue;
+      records.push_back(
+          {entry.content, /*success=*/true, {{service, 0}, {}}, 0, now - at});
+    }
   }
   return records;
 }
@@ -264,9 +327,15 @@
   for (const crash_evidence_record& record : records) {
     // A negative age is invalid input and is treated as zero.
     const time_point at = now - std::max(record.age, duration{0});
-    changed |= record.success ? AddSuccess(record.content, at, now)
-                              : AddCrash(record.content, record.server,
-                                         record.incarnation, at, now);
+    const std::string& service = record.server.shard.service;
+    if (!record.success) {
+      changed |=
+          AddCrash(record.content, record.server, record.incarnation, at, now);
+    } else if (service.empty()) {
+      changed |= AddSuccess(record.content, at, now);
+    } else {
+      changed |= AddServiceSuccess(record.content, service, at, now);
+    }
   }
   return changed;
 }
--- a/bilberrycourse/crash_evidence.h
+++ b/bilberrycourse/crash_evidence.h
@@ -21,14 +21,24 @@
 // success in between; the second rule limits how often a content can crash a
 // shard that has only one replica left. If a searcher crashes with contents
 // that have nothing in common, the crashes count against the searcher and not
-// against the contents. Memory is bounded by the options; the entry whose
-// latest event is oldest is evicted first.
+// against the contents.
+//
+// A success that only one service reports (the routed interface, on which many
+// harmless requests can share one content) clears the crashes of this service.
+// It also shows that the content does not crash every searcher, so crashes of
+// different services count together only if there was no such success since. It
+// also ends a verdict, because it may arrive late: content that crashes a
+// service does not succeed there.
+//
+// Memory is bounded by the options; the entry whose latest event is oldest is
+// evicted first.
 
 #include <boost/intrusive/list.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <span>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -60,7 +70,8 @@
 // One crash or success in the form in which instances exchange it.
 struct crash_evidence_record {
   fingerprint content{};
-  // True for a success after a crash; `server` is then empty.
+  // True for a success after a crash. `server` is then empty, or names the
+  // service that answered.
   bool success = false;
   backend_server_key server;
   std::uint64_t incarnation = 0;
@@ -112,6 +123,14 @@
   // crashes one shard must not be cleared by the answers of the others.
   void RecordSuccess(fingerprint content, time_point now);
 
+  // Records that a searcher of this service has answered. Returns true if that
+  // clears a crash, which the other instances should learn.
+  bool RecordServiceSuccess(fingerprint content, const std::string& service,
+                            time_point now);
+  // Records a complete answer for RecentlySucceeded() without clearing crashes.
+  void RememberSuccess(fingerprint content, time_point now);
+  bool RecentlySucceeded(fingerprint content, time_point now) const;
+
   crash_verdict Verdict(fingerprint content, time_point now) const;
 
   // Returns the shards of the searchers that crashed with the content. This is
@@ -123,6 +142,10 @@
   // crash is more recent than the incident window.
   bool InCrashCooldown(fingerprint content, time_point now) const;
 
+  // Returns when a condemned content may be tried again, if no crash is
+  // reported until then.
+  time_point CondemnedUntil(fingerprint content) const;
+
   // Returns true if the searcher crashes with contents that have nothing in
   // common.
   bool IsUnreliable(const backend_server_key& server, time_point now) const;
@@ -149,12 +172,16 @@
     // True after a later success. The crash is kept so that a repeated report
     // of it is still recognized.
     bool cleared = false;
+    // True after a later success of any service.
+    bool disputed = false;
   };
   // A content with at least one crash.
   struct suspect : list_hook {
     fingerprint content{};
     std::vector<crash_event> crashes;
     time_point last_success = time_point::min();
+    // Latest successes of single services.
+    std::map<std::string, time_point> service_successes;
   };
   struct successful_content : list_hook {
     fingerprint content{};
@@ -173,10 +200,14 @@
   void AddCrashOfServer(fingerprint content, const backend_server_key& server,
                         std::uint64_t incarnation, time_point at);
   bool AddSuccess(fingerprint content, time_point at, time_point now);
+  bool AddServiceSuccess(fingerprint content, const std::string& service,
+                         time_point at, time_point now);
   // Returns the number of incidents: groups of crashes that start at least one
   // incident window apart.
-  std::size_t CountIncidents(const suspect& entry, time_point now) const;
+  std::size_t CountIncidents(const std::vector<crash_event>& crashes) const;
   bool IsCondemned(const suspect& entry, time_point now) const;
+  // Returns true if these crashes, of one service or of all, condemn a content.
+  bool Condemns(const std::vector<crash_event>& crashes) const;
 
   crash_evidence_options options_;
   std::unordered_map<fingerprint, suspect> suspects_;
--- a/bilberrycourse/result_code.cc
+++ b/bilberrycourse/result_code.cc
@@ -58,6 +58,10 @@
      true,
      "The request limits that the backend servers state leave no room for the "
      "request."},
+    {result_code::kContentQuarantined, 211, "content_quarantined", 46, 503,
+     true,
+     "Requests with this content crashed backend servers; none is sent until "
+     "the time of Retry-After."},
     {result_code::kDeadlineExceeded, 301, "deadline_exceeded", 20, 504, false,
      "The deadline passed before the shard answered."},
     {result_code::kBackendServerFailed, 302, "backend_server_failed", 21, 502,
--- a/bilberrycourse/result_code.h
+++ b/bilberrycourse/result_code.h
@@ -38,6 +38,7 @@
   kNotOwner = 208,
   kBackendServerShed = 209,
   kBackendServerLimited = 210,
+  kContentQuarantined = 211,
   // 3xx: results of running work, per shard or per request.
   kDeadlineExceeded = 301,
   kBackendServerFailed = 302,
--- a/bilberrycourse/route_effects.h
+++ b/bilberrycourse/route_effects.h
@@ -17,6 +17,7 @@
 #include <variant>
 #include <vector>
 
+#include "bilberrycourse/crash_evidence.h"
 #include "bilberrycourse/limit_protocol.h"
 #include "bilberrycourse/request_limit.h"
 #include "bilberrycourse/result_code.h"
@@ -179,6 +180,18 @@
   fingerprint content{};
 };
 
+// A searcher has crashed, or content that crashed one has succeeded since. The
+// records are for all other entry instances.
+struct crash_evidence_found {
+  std::vector<crash_evidence_record> records;
+};
+
+// Requests with this content are refused from now on.
+struct content_quarantined {
+  fingerprint content{};
+  duration time{0};
+};
+
 // The request limit of a searcher has appeared, changed or vanished.
 struct searcher_limit_changed {
   std::string searcher;
@@ -202,7 +215,8 @@
 struct fallback_wanted {};
 
 using route_effect =
-    std::variant<attempt_lost, isolation_changed, fallback_wanted, searcher_limit_changed,
+    std::variant<attempt_lost, crash_evidence_found, content_quarantined,
+                 isolation_changed, fallback_wanted, searcher_limit_changed,
                  send_limit_request, open_searcher_connection,
                  close_searcher_connection, send_to_searcher,
                  finish_route_request, send_to_relay, cancel_at_relay,
--- a/bilberrycourse/route_engine.cc
+++ b/bilberrycourse/route_engine.cc
@@ -18,16 +18,25 @@
 // caller still receives the response.
 constexpr duration kExpiryMargin = std::chrono::milliseconds(10);
 constexpr int kServiceUnavailable = 503;
+// Contents remembered as successful, a few minutes' worth of different ones.
+constexpr std::size_t kMaxSuccessfulContents = 4096;
 // Retry-After stays below a share of the caller's remaining time: callers
 // honor it only up to a third of that.
 constexpr double kRetryAfterShare = 0.3;
 
+crash_evidence_options EvidenceOptions() {
+  crash_evidence_options options;
+  options.max_successful_contents = kMaxSuccessfulContents;
+  return options;
+}
+
 }  // namespace
 
 route_engine::route_engine(route_engine_options options, instance_name self,
                            availability_zone zone)
     : options_(options),
-      pool_(options.pool, std::move(self), std::move(zone)) {}
+      pool_(options.pool, std::move(self), std::move(zone)),
+      evidence_(EvidenceOptions()) {}
 
 void route_engine::SetRoutes(std::shared_ptr<const route_table> table,
                              time_point now, route_effects* out) {
@@ -208,6 +217,9 @@
   }
   if (due.kind == timer_kind::kFallback) return;  // Flush() does the rest.
   if (due.kind == timer_kind::kContact) return OnContactDue(due.due, now, out);
+  if (due.kind == timer_kind::kLostSearchers) {
+    return ProbeLostSearchers(now, out);
+  }
   request_state* request = FindRequest(due.request);
   if (request == nullptr) return;
   switch (due.kind) {
@@ -225,6 +237,7 @@
     case timer_kind::kLimitRequest:
     case timer_kind::kContact:
     case timer_kind::kFallback:
+    case timer_kind::kLostSearchers:
       return;
   }
 }
@@ -254,10 +267,15 @@
   if (requests_.size() > options_.max_requests) {
     return FinishFailed(&request, result_code::kOverloaded, now, out);
   }
+  if (RefuseCrashing(&request, now, out)) return;
   StartRelays(&request, now, out);
-  request.held = request.fan_out() && !request.call.streamed();
+  request.held =
+      request.fan_out() && !request.call.streamed() && !request.canary;
+  const std::size_t canary_part =
+      static_cast<std::uint64_t>(id) % request.parts.size();
   for (std::size_t i = 0; i < request.parts.size(); ++i) {
     if (request.parts[i].relayed) continue;
+    if (request.canary && i != canary_part) continue;
     FindOrCreateService(request.parts[i].service).budget.OnRequest();
     if (!Place(&request, i, send_reason::kFirst, now, out)) {
       FailUnplaced(&request, i, now);
@@ -282,7 +300,7 @@
   part_state& part = request->parts[index];
   if (part.reply != nullptr || part.failed || part.hedged) return;
   part.hedged = true;
-  if (!MaySendAgain(*request, part, send_reason::kHedge)) return;
+  if (!MaySendAgain(*request, part, send_reason::kHedge, now)) return;
   // Under load a hedge would only lengthen the queues that it should avoid.
   const searcher_entry* other =
       pool_.Choose(part.service, part.tried, now, request->priority());
@@ -362,6 +380,15 @@
 void route_engine::CheckDone(request_state* request, time_point now,
                              route_effects* out) {
   const std::size_t count = request->parts.size();
+  if (request->canary && request->answered > 0) {
+    StartOtherParts(request, now, out);
+  }
+  if (request->canary && request->failed > 0) {
+    const auto canary =
+        std::find_if(request->parts.begin(), request->parts.end(),
+                     [](const part_state& part) { return part.failed; });
+    return FinishFailed(request, canary->failure, now, out);
+  }
   if (request->call.streamed()) {
     const bool done = request->answered + request->failed == count;
     if (done || request->answer_due || request->report_due)
@@ -393,6 +420,9 @@
                                 route_effects* out) {
   finish_route_request finish;
   finish.merged = true;
+  if (request->answered == request->parts.size()) {
+    evidence_.RememberSuccess(request->call.content, now);
+  }
   std::vector<std::string_view> bodies;
   for (const part_state& part : request->parts) {
     if (part.reply != nullptr) {
@@ -439,7 +469,9 @@
       finish.code = request->limited ? result_code::kBackendServerLimited
                                      : result_code::kQueueDeadline;
     }
-    finish.retry_after = RetryAfter(*request, now);
+    finish.retry_after = request->quarantined_for > duration{0}
+                             ? request->quarantined_for
+                             : RetryAfter(*request, now);
   }
   ++(may_have_run ? counters_.failed : counters_.refused);
   FinishWith(request, std::move(finish), now, out);
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -39,6 +39,11 @@
 // a service, lets another entry instance send (fallback relay), which never
 // hands on itself. What the relay proves not to have run counts as not run.
 //
+// A request that crashes the searchers that run it must not be sent to one
+// after the other. Its content is refused once two crashes are known
+// (crash_evidence); after the first, it gets a single attempt, and a request
+// over shards begins with one of them, unless its content has succeeded lately.
+//
 // A request that was sent is never refused as `not run`, unless every searcher
 // that received it has proved that it did not run it.
 
@@ -52,6 +57,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "bilberrycourse/crash_evidence.h"
 #include "bilberrycourse/relay_plan.h"
 #include "bilberrycourse/retry_budget.h"
 #include "bilberrycourse/route_config.h"
@@ -139,6 +145,10 @@
   std::uint64_t isolations = 0;
   // Attempts that a request limit moved to another searcher or excluded.
   std::uint64_t limit_denials = 0;
+  // Crashes of searchers while they ran a request, and requests refused because
+  // their content has crashed searchers.
+  std::uint64_t searcher_crashes = 0;
+  std::uint64_t quarantine_refusals = 0;
 };
 
 class route_engine {
@@ -208,6 +218,14 @@
   // shards.
   void Flush(time_point now, route_effects* out);
 
+  // Applies crash evidence of other instances.
+  void OnCrashEvidence(const std::vector<crash_evidence_record>& records,
+                       time_point now, route_effects* out);
+  // Returns the evidence that an instance without any needs: all about
+  // quarantined content, and what is newer than `max_age`.
+  std::vector<crash_evidence_record> CrashEvidence(duration max_age,
+                                                   time_point now) const;
+
   // Sets the entry instances that may send requests on behalf of this one: they
   // are linked and reach searchers.
   void SetFallbackRelays(std::vector<instance_name> relays) {
@@ -277,6 +295,11 @@
     bool held = false;
     // A request limit has excluded a shard.
     bool limited = false;
+    // Only one shard has been tried, because the content is suspected of
+    // crashing searchers.
+    bool canary = false;
+    // For a request with quarantined content: the time until it ends.
+    duration quarantined_for{0};
     // On a relay: a shard has failed without an attempt, and the origin may
     // find another way if it hears at once.
     bool report_due = false;
@@ -311,7 +334,8 @@
     // `part` is the id of the limit_request.
     kLimitRequest,
     kContact,
-    kFallback
+    kFallback,
+    kLostSearchers
   };
   struct timer {
     time_point due{};
@@ -332,6 +356,18 @@
     time_point lost_everywhere_until = time_point::min();
   };
 
+  // A searcher that broke a connection on which it ran an attempt.
+  struct lost_searcher {
+    std::string service;
+    wall_time_ms started_at_ms = 0;
+    std::uint64_t serial = 0;
+    time_point at{};
+    // Connections with this id or a higher one were opened after the loss.
+    connection_id first_probe{};
+    bool crashed = false;
+    std::vector<fingerprint> contents;
+  };
+
   // Current weights of a split, for smooth weighted round robin.
   using split_weights = std::map<std::string, std::int64_t>;
 
@@ -365,7 +401,7 @@
                    send_reason reason, result_code code, time_point now,
                    route_effects* out);
   bool MaySendAgain(const request_state& request, const part_state& part,
-                    send_reason reason) const;
+                    send_reason reason, time_point now) const;
   void FailPart(request_state* request, std::size_t index, result_code code);
   void OnPartAnswered(request_state* request, std::size_t index,
                       searcher_reply_pointer reply, time_point now,
@@ -416,6 +452,24 @@
   void ProbeSearchers(time_point now, route_effects* out);
   void MoveUnanswered(time_point now, route_effects* out);
 
+  // Crashes of searchers; see route_engine_crashes.cc.
+  bool RefuseCrashing(request_state* request, time_point now,
+                      route_effects* out);
+  void NoteLostAttempt(const attempt_state& attempt,
+                       const searcher_entry& entry, time_point now,
+                       route_effects* out);
+  void ProbeLostSearchers(time_point now, route_effects* out);
+  void OnProbeEnded(const connection_state& ended, connection_id connection,
+                    bool opened, time_point now, route_effects* out);
+  void RecordCrash(const std::string& searcher, const lost_searcher& lost,
+                   time_point now, route_effects* out);
+  void NoteServiceSuccess(const attempt_state& attempt, time_point now,
+                          route_effects* out);
+  bool Suspected(fingerprint content, time_point now) const;
+  void Quarantine(fingerprint content, time_point now, route_effects* out);
+  void StartOtherParts(request_state* request, time_point now,
+                       route_effects* out);
+
   // Request limits; see route_engine_limits.cc.
   void FlushLimitRequest(time_point now, route_effects* out);
   void ObserveLimit(searcher_entry* entry, const stated_limit& limit,
@@ -469,6 +523,8 @@
   // Time at which the allocator was lost, and of the next try to reach it.
   std::optional<time_point> allocator_lost_at_;
   time_point allocator_retry_at_{};
+  crash_evidence evidence_;
+  std::map<std::string, lost_searcher> lost_searchers_;
   // Last sign of life of any searcher, and the searchers that have failed to
   // give one since.
   time_point contact_at_{};
--- a/bilberrycourse/route_engine_attempts.cc
+++ b/bilberrycourse/route_engine_attempts.cc
@@ -194,9 +194,14 @@
 }
 
 bool route_engine::MaySendAgain(const request_state& request,
-                                const part_state& part,
-                                send_reason reason) const {
+                                const part_state& part, send_reason reason,
+                                time_point now) const {
   const route& matched_route = *request.call.matched_route;
+  const fingerprint content = request.call.content;
+  if (evidence_.Verdict(content, now) == crash_verdict::kCondemned)
+    return false;
+  if (reason != send_reason::kNotExecuted && Suspected(content, now))
+    return false;
   if (part.tried.size() >= matched_route.max_attempts + kMaxRefusals)
     return false;
   // An attempt that waits for a connection will run as well.
@@ -218,7 +223,7 @@
   // Another attempt is still running and may answer.
   if (!part.running.empty()) return;
   bool retried = false;
-  if (MaySendAgain(*request, part, reason)) {
+  if (MaySendAgain(*request, part, reason, now)) {
     if (FindOrCreateService(part.service).budget.TryTake()) {
       retried = Place(request, index, reason, now, out);
     } else {
@@ -296,6 +301,7 @@
       pool_.Find(found->second.searcher, found->second.serial);
   if (entry == nullptr) return;
   NoteContact(now, out);
+  OnProbeEnded(found->second, connection, /*opened=*/true, now, out);
   found->second.idle_since = now;
   entry->connections.OnOpened(connection);
   if (entry->in_flight.empty()) pool_.OnReachable(entry);
@@ -315,6 +321,9 @@
   const bool limit_exceeded = end == connection_end::kReplyLimit;
   connections_.erase(found);
   searcher_entry* entry = pool_.Find(closed.searcher, closed.serial);
+  if (end == connection_end::kNotOpened) {
+    OnProbeEnded(closed, connection, /*opened=*/false, now, out);
+  }
   if (entry != nullptr) {
     const bool failed_to_open = entry->connections.OnFailed(connection, now);
     if (!failed_to_open) entry->connections.OnClosed(connection, now);
@@ -342,6 +351,9 @@
   out->push_back(
       attempt_lost{attempt.searcher, attempt.service, attempt.content});
   EndAttempt(attempt.id);
+  if (entry != nullptr && end == connection_end::kLost) {
+    NoteLostAttempt(attempt, *entry, now, out);
+  }
   if (entry != nullptr) {
     if (limit_exceeded) {
       pool_.OnEnded(entry, attempt.sent_at);
@@ -400,6 +412,7 @@
                                     reply->status >= kFirstServerError ||
                                     reply->status == kTooManyRequests);
   request_state* request = FindRequest(attempt.request);
+  if (complete) NoteServiceSuccess(attempt, now, out);
   if (searcher_entry* entry = pool_.Find(attempt.searcher, attempt.serial)) {
     if (reply->misdirected) {
       entry->misdirected = true;
@@ -434,6 +447,7 @@
                        result_code::kBackendServerShed, now, out);
   }
   if (complete) {
+    if (!request->fan_out()) evidence_.RememberSuccess(attempt.content, now);
     return OnPartAnswered(request, attempt.part, std::move(reply), now, out);
   }
   if (!failed && !request->fan_out()) {
--- a/bilberrycourse/route_engine_relays.cc
+++ b/bilberrycourse/route_engine_relays.cc
@@ -148,8 +148,10 @@
     if (part.reply != nullptr || part.failed || !part.relayed) continue;
     part.relayed = false;
     // A fallback relay was granted all attempts.
-    const bool may_search =
-        HasReservedAttempt(matched_route) && part.fallbacks.empty();
+    const bool may_search = HasReservedAttempt(matched_route) &&
+                            part.fallbacks.empty() &&
+                            evidence_.Verdict(request->call.content, now) ==
+                                crash_verdict::kUnknown;
     if (may_search) part.may_have_run = matched_route.max_attempts - 1;
     const bool started =
         may_search && FindOrCreateService(part.service).budget.TryTake() &&
--- a/bilberrycourse/testing/crash_evidence_test.cc
+++ b/bilberrycourse/testing/crash_evidence_test.cc
@@ -170,6 +170,53 @@
   EXPECT_EQ(fourth.Verdict(kContent, now_), crash_verdict::kRecentlyGood);
 }
 
+// Guards against condemning content that many callers share, because unrelated
+// searchers of several services crash while they run it.
+TEST_F(crash_evidence_test, Crashes_SuccessElsewhereSince_DoNotAddUp) {
+  const backend_server_key first{{"first", 0}, "a"};
+  const backend_server_key second{{"second", 0}, "b"};
+  evidence_.RecordCrash({first, 1, {kContent}}, now_);
+  now_ += seconds(1);
+  EXPECT_TRUE(evidence_.RecordServiceSuccess(kContent, "third", now_));
+  EXPECT_FALSE(evidence_.RecordServiceSuccess(kContent, "third", now_));
+  now_ += seconds(1);
+  evidence_.RecordCrash({second, 1, {kContent}}, now_);
+  EXPECT_EQ(Verdict(kContent), crash_verdict::kSuspect);
+  EXPECT_TRUE(evidence_.RecordServiceSuccess(kContent, "first", now_));
+  EXPECT_TRUE(evidence_.RecordServiceSuccess(kContent, "second", now_));
+  EXPECT_EQ(Verdict(kContent), crash_verdict::kUnknown);
+}
+
+// Guards against content that crashes one service being cleared by the answers
+// of the others.
+TEST_F(crash_evidence_test, Crashes_OfOneServiceOnly_Condemn) {
+  for (const char* searcher : {"a", "b"}) {
+    evidence_.RecordCrash({{{"first", 0}, searcher}, 1, {kContent}}, now_);
+    now_ += seconds(1);
+    evidence_.RecordServiceSuccess(kContent, "second", now_);
+  }
+  EXPECT_EQ(Verdict(kContent), crash_verdict::kCondemned);
+}
+
+// Guards against instances that disagree for as long as a verdict holds,
+// because a success reached one of them after the second crash.
+TEST_F(crash_evidence_test, Merge_ServiceSuccessArrivesLate_EndsVerdict) {
+  evidence_.RecordCrash({{{"first", 0}, "a"}, 1, {kContent}}, now_);
+  crash_evidence other;
+  other.Merge(evidence_.Export(now_), now_);
+  now_ += seconds(1);
+  other.RecordServiceSuccess(kContent, "first", now_);
+  const auto late = other.Export(now_);
+  evidence_.RecordCrash({{{"first", 0}, "b"}, 1, {kContent}}, now_);
+  EXPECT_EQ(Verdict(kContent), crash_verdict::kCondemned);
+  EXPECT_TRUE(evidence_.Merge(late, now_));
+  EXPECT_NE(Verdict(kContent), crash_verdict::kCondemned);
+  // The crash and its clearing reach a third instance in one message.
+  crash_evidence third;
+  third.Merge(evidence_.Export(now_), now_);
+  EXPECT_EQ(third.Verdict(kContent, now_), Verdict(kContent));
+}
+
 // Guards against equal fingerprints of different contents.
 TEST_F(crash_evidence_test, MakeFingerprint_BoundaryMoved_Differs) {
   EXPECT_NE(MakeFingerprint("ab", "c"), MakeFingerprint("a", "bc"));
--- /dev/null
+++ b/bilberrycourse/testing/route_engine_crash_test.cc
@@ -0,0 +1,263 @@
+#include <gtest/gtest.h>
+
+#include "bilberrycourse/crash_news.h"
+#include "bilberrycourse/testing/route_engine_rig.h"
+
+namespace bilberrycourse {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr fingerprint kCrashing{7};
+constexpr fingerprint kHarmless{8};
+
+class route_engine_crash_test : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    rig_.AddRoute("lookup", 0, true);
+    rig_.AddRoute("order", 0, false);
+    rig_.AddRoute("lots", 4, true, 2, 1.0);
+    for (int i = 0; i < 8; ++i) {
+      rig_.AddSearcher("lookup", "k" + std::to_string(i));
+      rig_.AddSearcher("order", "o" + std::to_string(i));
+      rig_.AddSearcher("lots-" + std::to_string(i % 4),
+                       "s" + std::to_string(i));
+    }
+    rig_.content = kCrashing;
+  }
+
+  // Begins a request and crashes its searcher. Returns false if the request was
+  // refused before it was sent.
+  bool BeginAndCrash(const std::string& route) {
+    const std::size_t sent = rig_.sends.size();
+    rig_.Begin(++id_, route);
+    if (rig_.sends.size() == sent) return false;
+    rig_.Crash(rig_.sends.back().searcher);
+    return true;
+  }
+
+  // Condemns kCrashing by the evidence of other instances.
+  static std::vector<crash_evidence_record> TwoCrashes() {
+    return {{kCrashing, false, {{"order", 0}, "x1"}, 1, seconds(5)},
+            {kCrashing, false, {{"order", 0}, "x2"}, 1, seconds(2)}};
+  }
+
+  std::size_t SendsOf(std::uint64_t id) const {
+    return static_cast<std::size_t>(std::count_if(
+        rig_.sends.begin(), rig_.sends.end(), [&](const auto& sent) {
+          return sent.request == route_request_id{id};
+        }));
+  }
+
+  route_engine_rig rig_;
+  std::uint64_t id_ = 0;
+};
+
+// Guards against copies of a request that crash searcher after searcher.
+TEST_F(route_engine_crash_test, Begin_ContentCrashedTwice_RefusedAsNotRun) {
+  EXPECT_TRUE(BeginAndCrash("order"));
+  rig_.Advance(seconds(1));
+  EXPECT_TRUE(BeginAndCrash("order"));
+  for (int i = 0; i < 20; ++i) {
+    rig_.Advance(seconds(1));
+    EXPECT_FALSE(BeginAndCrash("order"));
+    EXPECT_EQ(rig_.finished.back().code, result_code::kContentQuarantined);
+    EXPECT_GT(rig_.finished.back().retry_after, duration(minutes(9)));
+    EXPECT_EQ(rig_.finished.back().elapsed, duration{0});
+  }
+  EXPECT_EQ(rig_.quarantines, 1u);
+  EXPECT_EQ(rig_.engine.counters().quarantine_refusals, 20u);
+}
+
+// Guards against a verdict that never ends.
+TEST_F(route_engine_crash_test, Begin_VerdictExpired_SentAgain) {
+  rig_.MergeEvidence(TwoCrashes());
+  rig_.Begin(++id_, "order");
+  EXPECT_EQ(rig_.finished.back().code, result_code::kContentQuarantined);
+  rig_.Advance(rig_.finished.back().retry_after + milliseconds(1));
+  rig_.Begin(++id_, "order");
+  EXPECT_EQ(SendsOf(id_), 1u);
+}
+
+// Guards against copies at short intervals: until the crash cooldown ends, one
+// loss of many searchers could not be told from several crashes.
+TEST_F(route_engine_crash_test, Begin_JustAfterCrash_RefusedForCooldown) {
+  EXPECT_TRUE(BeginAndCrash("order"));
+  EXPECT_FALSE(BeginAndCrash("order"));
+  EXPECT_EQ(rig_.finished.back().code, result_code::kContentQuarantined);
+  EXPECT_LE(rig_.finished.back().retry_after, duration(seconds(1)));
+}
+
+// Guards against a retry that crashes a second searcher for each copy.
+TEST_F(route_engine_crash_test, OnClosed_SuspectedContent_NotRetried) {
+  rig_.Begin(++id_, "lookup");
+  rig_.Crash(rig_.sends.back().searcher);
+  EXPECT_EQ(SendsOf(id_), 2u);
+  rig_.Crash(rig_.sends.back().searcher);
+  rig_.Advance(seconds(1));
+  rig_.Begin(++id_, "lookup");
+  rig_.Advance(milliseconds(60));
+  rig_.Crash(rig_.sends.back().searcher);
+  EXPECT_EQ(SendsOf(id_), 1u);
+  EXPECT_EQ(rig_.finished.back().code, result_code::kBackendServerCrashed);
+}
+
+// Guards against harmless requests that are blamed for the crash of the
+// searcher on which they happened to run.
+TEST_F(route_engine_crash_test, OnReply_ContentSucceedsAfterCrash_Cleared) {
+  for (int i = 0; i < 5; ++i) {
+    rig_.content = kHarmless;
+    rig_.Begin(++id_, "lookup");
+    rig_.Crash(rig_.sends.back().searcher);
+    ASSERT_EQ(SendsOf(id_), 2u) << "round " << i;
+    rig_.Answer(rig_.sends.back());
+    EXPECT_EQ(rig_.finished.back().code, result_code::kOk);
+    EXPECT_TRUE(rig_.evidence.back().success);
+    rig_.Advance(seconds(1));
+  }
+  EXPECT_EQ(rig_.quarantines, 0u);
+}
+
+// Guards against evidence from a connection that was only reset, and from a
+// searcher that breaks off its replies.
+TEST_F(route_engine_crash_test, OnClosed_SearcherAcceptsConnection_NoEvidence) {
+  for (int i = 0; i < 5; ++i) {
+    rig_.Begin(++id_, "order");
+    rig_.Break(rig_.sends.back());
+    rig_.Advance(seconds(1));
+  }
+  EXPECT_TRUE(rig_.evidence.empty());
+  EXPECT_EQ(SendsOf(id_), 1u);
+}
+
+// Guards against evidence from a searcher that was told to stop.
+TEST_F(route_engine_crash_test, OnClosed_SearcherDrains_NoEvidence) {
+  rig_.Begin(++id_, "order");
+  const std::string searcher = rig_.sends.back().searcher;
+  rig_.Report("order", searcher, "a", searcher_state::kDraining);
+  rig_.Crash(searcher);
+  EXPECT_TRUE(rig_.evidence.empty());
+}
+
+// Guards against condemning what runs when a zone is lost: many searchers end
+// at once, which is one incident.
+TEST_F(route_engine_crash_test, OnClosed_ManySearchersAtOnce_OneIncident) {
+  rig_.content = kHarmless;
+  rig_.Begin(++id_, "lots");
+  const auto sends = rig_.sends;
+  for (const auto& sent : sends) rig_.Crash(sent.searcher);
+  rig_.Advance(seconds(1));
+  rig_.Begin(++id_, "lots");
+  EXPECT_GE(SendsOf(id_), 1u);
+}
+
+// Guards against a copy of a query over shards that takes down a searcher of
+// each shard although its content is suspected.
+TEST_F(route_engine_crash_test, Begin_SuspectedQuery_TriesOneShardFirst) {
+  rig_.MergeEvidence({TwoCrashes().front()});
+  rig_.Begin(++id_, "lots");
+  EXPECT_EQ(SendsOf(id_), 1u);
+  rig_.Crash(rig_.sends.back().searcher);
+  EXPECT_EQ(SendsOf(id_), 1u);
+  EXPECT_EQ(rig_.finished.back().code, result_code::kBackendServerCrashed);
+}
+
+TEST_F(route_engine_crash_test, OnReply_CanaryAnswers_SendsToOtherShards) {
+  rig_.MergeEvidence({TwoCrashes().front()});
+  rig_.Begin(++id_, "lots");
+  rig_.Answer(rig_.sends.back());
+  ASSERT_EQ(SendsOf(id_), 4u);
+  for (const auto& sent : std::vector(rig_.sends)) rig_.Answer(sent);
+  EXPECT_EQ(rig_.finished.back().code, result_code::kOk);
+  EXPECT_EQ(rig_.finished.back().stamps.size(), 4u);
+  rig_.Begin(++id_, "lots");
+  EXPECT_EQ(SendsOf(id_), 4u);
+}
+
+// Guards against copies that were accepted before the verdict and crash further
+// searchers after it.
+TEST_F(route_engine_crash_test, OnCrashEvidence_Condemned_EndsWaitingCopies) {
+  rig_.connect = false;
+  for (int i = 0; i < 8; ++i) {
+    rig_.AddSearcher("fresh", "f" + std::to_string(i));
+  }
+  rig_.AddRoute("fresh", 0, false);
+  rig_.Begin(++id_, "fresh");
+  EXPECT_EQ(SendsOf(id_), 0u);
+  rig_.MergeEvidence(TwoCrashes());
+  ASSERT_EQ(rig_.finished.size(), 1u);
+  EXPECT_EQ(rig_.finished.back().code, result_code::kContentQuarantined);
+}
+
+TEST_F(route_engine_crash_test, OnCrashEvidence_CopyRuns_IdempotentAborted) {
+  rig_.Begin(++id_, "lookup");
+  const connection_id connection = rig_.sends.back().connection;
+  rig_.MergeEvidence(TwoCrashes());
+  EXPECT_EQ(rig_.closed, std::vector{connection});
+  EXPECT_EQ(rig_.finished.back().code, result_code::kBackendServerFailed);
+}
+
+// Guards against `not run` for an order that has been sent.
+TEST_F(route_engine_crash_test, OnCrashEvidence_OrderRuns_AwaitsItsReply) {
+  rig_.Begin(++id_, "order");
+  rig_.MergeEvidence(TwoCrashes());
+  EXPECT_TRUE(rig_.finished.empty());
+  rig_.Answer(rig_.sends.back());
+  EXPECT_EQ(rig_.finished.back().code, result_code::kOk);
+}
+
+// Guards against a relay that runs condemned content for its origin.
+TEST_F(route_engine_crash_test, Begin_CondemnedAtRelay_ReportsNotRun) {
+  rig_.MergeEvidence(TwoCrashes());
+  rig_.BeginAsRelay(++id_, "lots");
+  EXPECT_EQ(SendsOf(id_), 0u);
+  ASSERT_EQ(rig_.reports.size(), 1u);
+  ASSERT_EQ(rig_.reports.back().failed.size(), 4u);
+  EXPECT_TRUE(rig_.reports.back().failed.front().not_run);
+}
+
+// Guards against instances that each have to lose searchers of their own.
+TEST_F(route_engine_crash_test, CrashNews_CrashesAtTwoInstances_AllRefuse) {
+  crash_news news;
+  route_engine_rig other;
+  other.AddRoute("order", 0, false);
+  other.AddSearcher("order", "p1");
+  other.content = kCrashing;
+  EXPECT_TRUE(BeginAndCrash("order"));
+  news.Receive(rig_.evidence, rig_.now);
+  other.now = rig_.now + seconds(1);
+  other.MergeEvidence(news.Take(other.now));
+  other.Begin(1, "order");
+  other.Crash("p1");
+  news.Receive(other.evidence, other.now);
+  rig_.now = other.now;
+  rig_.MergeEvidence(news.Take(rig_.now));
+  EXPECT_FALSE(BeginAndCrash("order"));
+  EXPECT_TRUE(news.Take(rig_.now).empty());
+  // An instance that starts later learns it as well.
+  EXPECT_EQ(news.All(rig_.now).size(), 2u);
+  // So does a new leader.
+  EXPECT_EQ(rig_.engine.CrashEvidence(seconds(0), rig_.now).size(), 2u);
+}
+
+// Bounds the news when hundreds of instances report the loss of a zone.
+TEST_F(route_engine_crash_test, CrashNews_ManyContents_Bounded) {
+  crash_news news;
+  for (std::uint64_t i = 0; i < 3 * crash_news::kMaxNews; ++i) {
+    news.Receive({{fingerprint{100 + i}, false, {{"s", 0}, "x"}, i, {}}},
+                 rig_.now);
+  }
+  std::size_t passed_on = 0;
+  while (true) {
+    const std::size_t taken = news.Take(rig_.now).size();
+    if (taken == 0) break;
+    EXPECT_LE(taken, crash_news::kMaxNewsPerMessage);
+    passed_on += taken;
+  }
+  EXPECT_LE(passed_on, crash_news::kMaxNews);
+}
+
+}  // namespace
+}  // namespace bilberrycourse
--- a/bilberrycourse/testing/route_engine_rig.h
+++ b/bilberrycourse/testing/route_engine_rig.h
@@ -10,8 +10,10 @@
 //   EXPECT_EQ(rig.finished.at(0).code, result_code::kOk);
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "bilberrycourse/route_engine.h"
@@ -96,6 +98,7 @@
     searcher_record record;
     record.report = {id, service, id + ":80", zone, 2, state, 1, ++sequence_};
     record.revision = sequence_;
+    services_[id] = service;
     route_effects effects;
     engine.UpdateSearchers({record}, false, now, &effects);
     Execute(&effects);
@@ -112,6 +115,7 @@
     call.id = route_request_id{id};
     call.table = table;
     call.matched_route = table->Match("h", "/" + name + "/x");
+    call.content = content;
     call.sent_at = now;
     call.time_left = time_left;
     call.relays = std::move(relays);
@@ -128,6 +132,7 @@
     call.table = table;
     call.relay_route = std::make_shared<const route>(*Route(name));
     call.matched_route = call.relay_route.get();
+    call.content = content;
     call.sent_at = now;
     call.time_left = std::chrono::seconds(2);
     call.answer_at = now + std::chrono::milliseconds(80);
@@ -166,6 +171,32 @@
     engine.OnClosed(to.connection, end, now, &effects);
     Execute(&effects);
   }
+  // The searcher ends: all its connections break, and none can be opened.
+  void Crash(std::string searcher) {
+    const bool was_connecting = connect;
+    connect = false;
+    for (const sent_request& to : std::vector(sends)) {
+      if (to.searcher == searcher) Break(to);
+    }
+    Advance(std::chrono::milliseconds(20));
+    for (const auto& opening : std::exchange(opened, {})) {
+      route_effects effects;
+      if (opening.address == searcher + ":80") {
+        engine.OnClosed(opening.connection, connection_end::kNotOpened, now,
+                        &effects);
+      } else {
+        engine.OnOpened(opening.connection, now, &effects);
+      }
+      Execute(&effects);
+    }
+    connect = was_connecting;
+    Report(ServiceOf(searcher), searcher, "a", searcher_state::kGone);
+  }
+  void MergeEvidence(const std::vector<crash_evidence_record>& records) {
+    route_effects effects;
+    engine.OnCrashEvidence(records, now, &effects);
+    Execute(&effects);
+  }
   void ReplyToLimitRequest(const limit_reply& reply) {
     route_effects effects;
     engine.OnLimitReply(reply, now, &effects);
@@ -213,6 +244,11 @@
         ++fallbacks_wanted;
       } else if (auto* limits = std::get_if<send_limit_request>(&effect)) {
         limit_requests.push_back(std::move(limits->request));
+      } else if (auto* crash = std::get_if<crash_evidence_found>(&effect)) {
+        evidence.insert(evidence.end(), crash->records.begin(),
+                        crash->records.end());
+      } else if (std::get_if<content_quarantined>(&effect) != nullptr) {
+        ++quarantines;
       } else if (auto* silent = std::get_if<relay_silent>(&effect)) {
         silent_relays.push_back(silent->relay);
       } else if (auto* progress = std::get_if<route_progress>(&effect)) {
@@ -243,11 +279,20 @@
   std::vector<instance_name> silent_relays;
   std::vector<shard_report> reports;
   std::vector<limit_request> limit_requests;
+  std::vector<crash_evidence_record> evidence;
+  std::size_t quarantines = 0;
+  // Content of the requests that begin next.
+  fingerprint content{};
   std::vector<bool> isolations;
   std::size_t fallbacks_wanted = 0;
 
  private:
+  const std::string& ServiceOf(const std::string& searcher) const {
+    return services_.at(searcher);
+  }
+
   route_config config_;
+  std::map<std::string, std::string> services_;
   std::uint64_t sequence_ = 0;
 };
 
