Send searchers nothing while they want rest

Cause: nothing read Retry-After. A refusal throttled the searcher to one request at a time for 300 ms, whatever it had asked for. The new log line searcher_resting shows the times; with them kept, no searcher got a request late, so neither waiting requests nor hedges had a part of their own (the other hypotheses).

The time is kept by instance and process of the searcher, in the choice of searchers, so that first attempts, hedges, retries and what a relay sends all pass it. Attempts that wait for the searcher move. If every replica rests, the request is refused at once as not run (209), over shards before any of it is sent. After the rest the searcher gets one request at a time at first.

--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -19,7 +19,7 @@
 constexpr double kRetryLogsPerSecond = 20;
 // Log lines per second about replies beyond a limit.
 constexpr double kLimitLogsPerSecond = 5;
-// Log lines per second about request limits that searchers state.
+// Log lines per second about request limits and rests of searchers.
 constexpr double kRequestLimitLogsPerSecond = 10;
 // Log lines per second about attempts whose connection broke.
 constexpr double kCrashLogsPerSecond = 10;
@@ -423,6 +423,14 @@
                {"left_out", request_limit_log_limiter_.TakeSuppressedCount()}});
 }
 
+void route_gateway::ExecuteEffect(searcher_resting& effect) {
+  if (!request_limit_log_limiter_.Allow(Now())) return;
+  LogDecision("searcher_resting",
+              {{"searcher", effect.searcher},
+               {"rest_ms", effect.time.count() / 1000},
+               {"left_out", request_limit_log_limiter_.TakeSuppressedCount()}});
+}
+
 void route_gateway::ExecuteEffect(send_limit_request& effect) {
   if (send_limit_request_ && send_limit_request_(effect.request)) return;
   route_effects effects;
@@ -527,6 +535,9 @@
        counters.permissions_wanted},
       {"bilberrycourse_limit_permissions_granted", "Permissions granted.",
        counters.permissions_granted},
+      {"bilberrycourse_rests",
+       "Refusals of searchers that asked for rest by Retry-After.",
+       counters.rests},
       {"bilberrycourse_limit_denials",
        "Attempts that a request limit moved or excluded.",
        counters.limit_denials},
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -137,6 +137,7 @@
   void ExecuteEffect(crash_evidence_found& effect);
   void ExecuteEffect(content_quarantined& effect);
   void ExecuteEffect(searcher_limit_changed& effect);
+  void ExecuteEffect(searcher_resting& effect);
   void ExecuteEffect(send_limit_request& effect);
   void ExecuteEffect(isolation_changed& effect);
   void ExecuteEffect(fallback_wanted& effect);
--- a/app/searcher_client.cc
+++ b/app/searcher_client.cc
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <utility>
 
+#include "bilberrycourse/rest_time.h"
+
 namespace bilberrycourse {
 namespace {
 
@@ -13,6 +15,7 @@
 namespace http = beast::http;
 
 constexpr unsigned kMisdirected = 421;
+constexpr unsigned kServiceUnavailable = 503;
 constexpr unsigned kHttp11 = 11;
 
 // Parses the `timeout=N` parameter (seconds) of a Keep-Alive header.
@@ -120,17 +123,22 @@
   reply->not_executed = response->find(names_.not_executed) != response->end();
   reply->misdirected = reply->status == kMisdirected;
   std::vector<std::string_view> limits;
+  std::vector<std::string_view> rests;
   for (const auto& field : *response) {
     if (IsHopByHop(field.name())) continue;
     if (beast::iequals(field.name_string(), names_.request_limit)) {
       limits.emplace_back(field.value().data(), field.value().size());
     }
+    if (field.name() == http::field::retry_after) {
+      rests.emplace_back(field.value().data(), field.value().size());
+    }
     if (beast::iequals(field.name_string(), names_.stamp)) {
       reply->stamp = std::string(field.value());
     }
     reply->headers.emplace_back(field.name_string(), field.value());
   }
   reply->limit = ParseRequestLimit(limits);
+  if (reply->status == kServiceUnavailable) reply->rest = ParseRestTime(rests);
   reply->body = std::move(response->body());
   return reply;
 }
--- a/bilberrycourse/request_limit.cc
+++ b/bilberrycourse/request_limit.cc
@@ -1,50 +1,17 @@
 #include "bilberrycourse/request_limit.h"
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 
-namespace bilberrycourse {
-namespace {
-
-std::string_view Trimmed(std::string_view text) {
-  constexpr std::string_view kBlanks = " \t";
-  const std::size_t first = text.find_first_not_of(kBlanks);
-  if (first == std::string_view::npos) return {};
-  return text.substr(first, text.find_last_not_of(kBlanks) - first + 1);
-}
-
-std::optional<double> ParseNumber(std::string_view text) {
-  // from_chars also accepts "inf" and "nan".
-  if (text.empty() ||
-      text.find_first_not_of("0123456789.") != std::string_view::npos) {
-    return std::nullopt;
-  }
-  double value = 0;
-  const char* end = text.data() + text.size();
-  const auto [last, error] =
-      std::from_chars(text.data(), end, value, std::chars_format::fixed);
-  if (error != std::errc() || last != end || !std::isfinite(value)) {
-    return std::nullopt;
-  }
-  return value;
-}
+#include "bilberrycourse/header_number.h"
 
-}  // namespace
+namespace bilberrycourse {
 
 stated_limit ParseRequestLimit(const std::vector<std::string_view>& values) {
   stated_limit limit;
-  for (std::string_view rest : values) {
-    limit.present = true;
-    while (true) {
-      const std::size_t comma = rest.find(',');
-      if (const auto number = ParseNumber(Trimmed(rest.substr(0, comma)))) {
-        limit.per_second =
-            std::min(limit.per_second.value_or(*number), *number);
-      }
-      if (comma == std::string_view::npos) break;
-      rest.remove_prefix(comma + 1);
-    }
+  limit.present = !values.empty();
+  const std::vector<double> numbers = ParseHeaderNumbers(values);
+  if (!numbers.empty()) {
+    limit.per_second = *std::min_element(numbers.begin(), numbers.end());
   }
   return limit;
 }
--- a/bilberrycourse/route_effects.h
+++ b/bilberrycourse/route_effects.h
@@ -37,6 +37,8 @@
   bool misdirected = false;
   // The request limit of the searcher, if it states one.
   stated_limit limit;
+  // The time for which the searcher wants no requests from this instance.
+  std::optional<duration> rest;
   // Signature of the searcher, which callers verify; empty if absent.
   std::string stamp;
   // End-to-end headers, for forwarding.
@@ -205,6 +207,12 @@
   limit_request request;
 };
 
+// The searcher wants no requests from this instance for so long.
+struct searcher_resting {
+  std::string searcher;
+  duration time{0};
+};
+
 // This instance has lost all searchers, or reaches one again.
 struct isolation_changed {
   bool isolated = false;
@@ -217,7 +225,7 @@
 using route_effect =
     std::variant<attempt_lost, crash_evidence_found, content_quarantined,
                  isolation_changed, fallback_wanted, searcher_limit_changed,
-                 send_limit_request, open_searcher_connection,
+                 searcher_resting, send_limit_request, open_searcher_connection,
                  close_searcher_connection, send_to_searcher,
                  finish_route_request, send_to_relay, cancel_at_relay,
                  relay_silent, route_progress>;
--- a/bilberrycourse/route_engine.cc
+++ b/bilberrycourse/route_engine.cc
@@ -361,7 +361,11 @@
   part.failed = true;
   part.failure = code;
   ++request->failed;
-  if (code == result_code::kBackendServerLimited) request->limited = true;
+  if (code == result_code::kBackendServerLimited ||
+      (code == result_code::kBackendServerShed &&
+       request->refusal != result_code::kBackendServerLimited)) {
+    request->refusal = code;
+  }
   if (part.may_have_run == 0) request->report_due = true;
 }
 
@@ -466,8 +470,7 @@
   if (!may_have_run) {
     // No attempt can have run.
     if (!Describe(finish.code).not_run) {
-      finish.code = request->limited ? result_code::kBackendServerLimited
-                                     : result_code::kQueueDeadline;
+      finish.code = request->refusal;
     }
     finish.retry_after = request->quarantined_for > duration{0}
                              ? request->quarantined_for
@@ -483,7 +486,7 @@
                             ? request.received + request.call.time_left - now
                             : duration{0};
   const duration wanted =
-      std::max({duration(std::chrono::milliseconds(20)), request.limited_for,
+      std::max({duration(std::chrono::milliseconds(20)), request.excluded_for,
                 2 * ExpectedServiceTime(*request.call.matched_route)});
   return std::min(wanted, Scaled(left, kRetryAfterShare));
 }
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -35,6 +35,10 @@
 // request that can't reach its minimum coverage is refused before any of it is
 // sent.
 //
+// A searcher that refuses a request and asks for rest gets nothing from this
+// instance for that time. What waits for it moves to another searcher, and a
+// request that finds none is refused at once.
+//
 // An instance that has lost its links to all searchers, or to all searchers of
 // a service, lets another entry instance send (fallback relay), which never
 // hands on itself. What the relay proves not to have run counts as not run.
@@ -143,6 +147,8 @@
   // none of their searchers, and losses of all searchers.
   std::uint64_t delegated_parts = 0;
   std::uint64_t isolations = 0;
+  // Replies of searchers that asked for rest.
+  std::uint64_t rests = 0;
   // Attempts that a request limit moved to another searcher or excluded.
   std::uint64_t limit_denials = 0;
   // Crashes of searchers while they ran a request, and requests refused because
@@ -293,8 +299,9 @@
     // Nothing is sent before enough shards have a permission for the minimum
     // coverage; otherwise the request would use up limits and fail.
     bool held = false;
-    // A request limit has excluded a shard.
-    bool limited = false;
+    // Why the request is refused if nothing has run: a request limit or a rest
+    // of the searchers has excluded a shard.
+    result_code refusal = result_code::kQueueDeadline;
     // Only one shard has been tried, because the content is suspected of
     // crashing searchers.
     bool canary = false;
@@ -303,8 +310,8 @@
     // On a relay: a shard has failed without an attempt, and the origin may
     // find another way if it hears at once.
     bool report_due = false;
-    // Longest time until a request limit that excluded a shard admits it again.
-    duration limited_for{0};
+    // Longest time until an excluded shard can be searched again.
+    duration excluded_for{0};
     // Indexed like call.relays: whether the relay has sent a report, and
     // whether nothing more is expected of it.
     std::vector<bool> relay_reported;
@@ -452,6 +459,11 @@
   void ProbeSearchers(time_point now, route_effects* out);
   void MoveUnanswered(time_point now, route_effects* out);
 
+  void ObserveRest(searcher_entry* entry, const searcher_reply& reply,
+                   time_point now, route_effects* out);
+  void MoveWaiting(const searcher_entry& entry, time_point now,
+                   route_effects* out);
+
   // Crashes of searchers; see route_engine_crashes.cc.
   bool RefuseCrashing(request_state* request, time_point now,
                       route_effects* out);
--- a/bilberrycourse/route_engine_attempts.cc
+++ b/bilberrycourse/route_engine_attempts.cc
@@ -98,6 +98,7 @@
 // Sends waiting attempts to the searcher while connections are available.
 void route_engine::Dispatch(searcher_entry* entry, time_point now,
                             route_effects* out) {
+  if (entry->resting(now)) return;
   while (attempt_state* next = NextWaiting(entry, now)) {
     const auto connection = TakeConnection(entry, now, out);
     if (!connection.has_value()) {
@@ -335,12 +336,7 @@
     if (entry != nullptr && failed_to_open &&
         entry->connections.open_count() == 0) {
       pool_.OnUnreachable(entry, now);
-      const auto waiting = entry->waiting;
-      for (const attempt_id id : waiting) {
-        if (const attempt_state* attempt = FindAttempt(id)) {
-          MoveUnsent(attempt_state(*attempt), now, out);
-        }
-      }
+      MoveWaiting(*entry, now, out);
     }
   }
   if (!closed.running.has_value()) return;
@@ -400,7 +396,32 @@
     HandleAttemptReply(attempt, std::move(reply), now, out);
   }
   entry = pool_.Find(searcher, serial);
-  if (entry != nullptr) Dispatch(entry, now, out);
+  if (entry == nullptr) return;
+  if (entry->resting(now)) return MoveWaiting(*entry, now, out);
+  Dispatch(entry, now, out);
+}
+
+// A shorter time after a longer one does not end the rest.
+void route_engine::ObserveRest(searcher_entry* entry,
+                               const searcher_reply& reply, time_point now,
+                               route_effects* out) {
+  if (!reply.rest.has_value()) return;
+  ++counters_.rests;
+  if (now + *reply.rest <= entry->rest_until) return;
+  entry->rest_until = now + *reply.rest;
+  out->push_back(searcher_resting{entry->report.id, *reply.rest});
+}
+
+// Moves the attempts that wait for the searcher to others.
+void route_engine::MoveWaiting(const searcher_entry& entry, time_point now,
+                               route_effects* out) {
+  const std::deque<attempt_id> waiting = entry.waiting;
+  for (const attempt_id id : waiting) {
+    // Moving one may have ended the request of another.
+    if (const attempt_state* attempt = FindAttempt(id)) {
+      MoveUnsent(attempt_state(*attempt), now, out);
+    }
+  }
 }
 
 void route_engine::HandleAttemptReply(const attempt_state& attempt,
@@ -418,6 +439,7 @@
       entry->misdirected = true;
     } else {
       ObserveLimit(entry, reply->limit, now, out);
+      ObserveRest(entry, *reply, now, out);
     }
     pool_.OnAnswered(entry, attempt.sent_at, attempt.expected, failed, now);
   }
@@ -439,7 +461,9 @@
     if (reply->not_executed) {
       if (searcher_entry* shedding =
               pool_.Find(attempt.searcher, attempt.serial)) {
-        shedding->throttled_until = now + kThrottleDuration;
+        // After a rest, too, its queue may still be full.
+        shedding->throttled_until =
+            std::max(now, shedding->rest_until) + kThrottleDuration;
       }
     }
     --part.may_have_run;
--- a/bilberrycourse/route_engine_limits.cc
+++ b/bilberrycourse/route_engine_limits.cc
@@ -148,12 +148,20 @@
 // Fails a part for which no searcher was found.
 void route_engine::FailUnplaced(request_state* request, std::size_t index,
                                 time_point now) {
-  const duration denied =
-      pool_.DeniedFor(request->parts[index].service, request->priority(), now);
-  request->limited_for = std::max(request->limited_for, denied);
-  FailPart(request, index,
-           denied > duration{0} ? result_code::kBackendServerLimited
-                                : result_code::kNoServingReplica);
+  const std::string& service = request->parts[index].service;
+  const duration denied = pool_.DeniedFor(service, request->priority(), now);
+  const duration resting = pool_.RestingFor(service, now);
+  result_code code = result_code::kNoServingReplica;
+  duration excluded = denied;
+  if (denied > duration{0}) {
+    code = result_code::kBackendServerLimited;
+    if (resting > duration{0}) excluded = std::min(denied, resting);
+  } else if (resting > duration{0}) {
+    code = result_code::kBackendServerShed;
+    excluded = resting;
+  }
+  request->excluded_for = std::max(request->excluded_for, excluded);
+  FailPart(request, index, code);
 }
 
 // Returns how many permissions the waiting attempts need, by searcher and
--- a/bilberrycourse/searcher_pool.cc
+++ b/bilberrycourse/searcher_pool.cc
@@ -146,7 +146,7 @@
   std::uniform_real_distribution<double> jitter(0, 0.05);
   for (searcher_entry* entry : OfService(service)) {
     if (!entry->usable() || Contains(tried, entry->report.id)) continue;
-    if (entry->quota.Denied(priority, now)) continue;
+    if (entry->resting(now) || entry->quota.Denied(priority, now)) continue;
     if (entry->failures > 0) {
       // A searcher that failed gets one request at a time.
       if (now >= entry->quarantined_until && entry->load() == 0) trial = entry;
@@ -173,6 +173,17 @@
   return shortest;
 }
 
+duration searcher_pool::RestingFor(std::string_view service,
+                                   time_point now) const {
+  duration shortest{0};
+  for (const searcher_entry* entry : OfService(service)) {
+    if (!entry->usable() || !entry->resting(now)) continue;
+    const duration left = entry->rest_until - now;
+    if (shortest == duration{0} || left < shortest) shortest = left;
+  }
+  return shortest;
+}
+
 bool searcher_pool::Unreachable(std::string_view service) const {
   bool any = false;
   for (const searcher_entry* entry : OfService(service)) {
--- a/bilberrycourse/searcher_pool.h
+++ b/bilberrycourse/searcher_pool.h
@@ -95,6 +95,8 @@
   // Until this time each instance sends it one request at a time, because it
   // shed a request.
   time_point throttled_until = time_point::min();
+  // Until this time this instance sends it nothing, as it has asked for.
+  time_point rest_until = time_point::min();
   // True if another searcher answered at the address. The searcher is not used
   // until its record changes.
   bool misdirected = false;
@@ -103,6 +105,7 @@
   time_point cold_until = time_point::min();
   request_quota quota;
 
+  bool resting(time_point now) const { return now < rest_until; }
   std::size_t load() const { return waiting.size() + in_flight.size(); }
   bool usable() const {
     return report.state == searcher_state::kServing && !misdirected;
@@ -124,8 +127,8 @@
               std::vector<connection_id>* unused);
 
   // Returns the searcher of the service with the lowest score that is not in
-  // `tried` and whose request limit does not exclude requests of this priority
-  // now, or nullptr if there is none.
+  // `tried`, does not rest and whose request limit does not exclude requests of
+  // this priority now, or nullptr if there is none.
   searcher_entry* Choose(std::string_view service,
                          const std::vector<std::string>& tried, time_point now,
                          std::uint32_t priority = 0);
@@ -134,6 +137,10 @@
   duration DeniedFor(std::string_view service, std::uint32_t priority,
                      time_point now) const;
 
+  // Returns the time until the first resting searcher of the service may be
+  // used again; 0 if none rests.
+  duration RestingFor(std::string_view service, time_point now) const;
+
   searcher_entry* Find(const std::string& id);
   // As above, but returns nullptr if the entry does not have this serial,
   // because the searcher has restarted.
