Stop sending to searchers that say in replies that they leave

Such a reply now counts like the record, for this process of the searcher: attempts that wait for it move, and its idle connections are closed. What waits for a searcher at a reused address (421) moves too.

Before: Handle_SearcherHasSaidThatItLeaves_NotSent failed (the request was sent to the leaving searcher).

--- a/app/edge_protocol.h
+++ b/app/edge_protocol.h
@@ -30,6 +30,8 @@
   // Requests per second that a searcher in need accepts from all entry
   // instances together; absent otherwise.
   std::string request_limit;
+  // 1 in the replies of a searcher that is about to stop.
+  std::string leaving;
   // A searcher's signature of its reply.
   std::string stamp;
   // In a merged response: the signatures of the shards, and the number of
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -431,6 +431,10 @@
                {"left_out", request_limit_log_limiter_.TakeSuppressedCount()}});
 }
 
+void route_gateway::ExecuteEffect(searcher_leaving& effect) {
+  LogDecision("searcher_leaving", {{"searcher", effect.searcher}});
+}
+
 void route_gateway::ExecuteEffect(send_limit_request& effect) {
   if (send_limit_request_ && send_limit_request_(effect.request)) return;
   route_effects effects;
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -138,6 +138,7 @@
   void ExecuteEffect(content_quarantined& effect);
   void ExecuteEffect(searcher_limit_changed& effect);
   void ExecuteEffect(searcher_resting& effect);
+  void ExecuteEffect(searcher_leaving& effect);
   void ExecuteEffect(send_limit_request& effect);
   void ExecuteEffect(isolation_changed& effect);
   void ExecuteEffect(fallback_wanted& effect);
--- a/app/searcher_client.cc
+++ b/app/searcher_client.cc
@@ -132,6 +132,9 @@
     if (field.name() == http::field::retry_after) {
       rests.emplace_back(field.value().data(), field.value().size());
     }
+    if (beast::iequals(field.name_string(), names_.leaving)) {
+      reply->leaving = reply->leaving || field.value() == "1";
+    }
     if (beast::iequals(field.name_string(), names_.stamp)) {
       reply->stamp = std::string(field.value());
     }
--- a/app/testing/route_gateway_test.cc
+++ b/app/testing/route_gateway_test.cc
@@ -85,6 +85,19 @@
                                          "X-Deadline-Ms: 900\r\n\r\n")));
   }
 
+  // Reads until the bytes contain `end`.
+  std::string ReadUntil(tcp::socket* from, const std::string& end) {
+    std::string received;
+    EXPECT_TRUE(RunUntil([&] {
+      char buffer[1024];
+      if (from->available() > 0) {
+        received.append(buffer, from->read_some(asio::buffer(buffer)));
+      }
+      return received.find(end) != std::string::npos;
+    }));
+    return received;
+  }
+
   asio::io_context context_;
   settings config_;
   std::unique_ptr<edge_protocol> protocol_ = MakePlatformProtocol();
@@ -115,32 +128,40 @@
   ASSERT_TRUE(RunUntil([&] { return gateway_->in_flight() == 1; }));
   tcp::socket searcher(context_);
   acceptor_.accept(searcher);
-  std::string received;
-  ASSERT_TRUE(RunUntil([&] {
-    char buffer[1024];
-    if (searcher.available() > 0) {
-      received.append(buffer, searcher.read_some(asio::buffer(buffer)));
-    }
-    return received.find("\r\n\r\n") != std::string::npos;
-  }));
+  const std::string received = ReadUntil(&searcher, "\r\n\r\n");
   EXPECT_NE(received.find("X-Expected-Instance: i1"), std::string::npos);
   asio::write(searcher, asio::buffer(std::string(
                             "HTTP/1.1 207 X\r\nX-Server-Stamp: s\r\n"
                             "X-Request-Id: r1\r\nContent-Type: a/b\r\n"
                             "Content-Length: 4\r\n\r\nbody")));
-  std::string answer;
-  ASSERT_TRUE(RunUntil([&] {
-    char buffer[1024];
-    if (caller.available() > 0) {
-      answer.append(buffer, caller.read_some(asio::buffer(buffer)));
-    }
-    return answer.find("body") != std::string::npos;
-  }));
+  const std::string answer = ReadUntil(&caller, "body");
   EXPECT_TRUE(answer.starts_with("HTTP/1.1 207 "));
   EXPECT_NE(answer.find("X-Server-Stamp: s\r\n"), std::string::npos);
   EXPECT_NE(answer.find("Content-Type: a/b\r\n"), std::string::npos);
 }
 
+// Guards against requests to a searcher that leaves, while the control group,
+// which would announce it, can't be reached.
+TEST_F(route_gateway_test, Handle_SearcherHasSaidThatItLeaves_NotSent) {
+  tcp::socket caller(context_);
+  SendRequest(&caller);
+  ASSERT_TRUE(RunUntil([&] { return gateway_->in_flight() == 1; }));
+  tcp::socket searcher(context_);
+  acceptor_.accept(searcher);
+  ReadUntil(&searcher, "\r\n\r\n");
+  asio::write(searcher,
+              asio::buffer(std::string(
+                  "HTTP/1.1 200 X\r\nX-Server-Stamp: s\r\n"
+                  "X-Request-Id: r1\r\nServer-Leaving: 1\r\n"
+                  "Keep-Alive: timeout=9\r\nContent-Length: 4\r\n\r\nbody")));
+  const std::string answer = ReadUntil(&caller, "body");
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 "));
+  EXPECT_NE(answer.find("Server-Leaving: 1\r\n"), std::string::npos);
+  tcp::socket next(context_);
+  SendRequest(&next);
+  EXPECT_TRUE(ReadUntil(&next, "\r\n\r\n").starts_with("HTTP/1.1 503 "));
+}
+
 // Guards against a log whose size is the product of instances and searchers
 // when all instances restart: 68 entry instances wrote 53,129 lines in 250 ms
 // (inc-d3fa).
--- a/bilberrycourse/route_effects.h
+++ b/bilberrycourse/route_effects.h
@@ -35,6 +35,8 @@
   bool not_executed = false;
   // The address now belongs to another searcher, so the request did not run.
   bool misdirected = false;
+  // The searcher is about to stop and wants no further requests.
+  bool leaving = false;
   // The request limit of the searcher, if it states one.
   stated_limit limit;
   // The time for which the searcher wants no requests from this instance.
@@ -213,6 +215,11 @@
   duration time{0};
 };
 
+// The searcher has said that it is about to stop.
+struct searcher_leaving {
+  std::string searcher;
+};
+
 // This instance has lost all searchers, or reaches one again.
 struct isolation_changed {
   bool isolated = false;
@@ -225,10 +232,10 @@
 using route_effect =
     std::variant<attempt_lost, crash_evidence_found, content_quarantined,
                  isolation_changed, fallback_wanted, searcher_limit_changed,
-                 searcher_resting, send_limit_request, open_searcher_connection,
-                 close_searcher_connection, send_to_searcher,
-                 finish_route_request, send_to_relay, cancel_at_relay,
-                 relay_silent, route_progress>;
+                 searcher_resting, searcher_leaving, send_limit_request,
+                 open_searcher_connection, close_searcher_connection,
+                 send_to_searcher, finish_route_request, send_to_relay,
+                 cancel_at_relay, relay_silent, route_progress>;
 using route_effects = std::vector<route_effect>;
 
 }  // namespace bilberrycourse
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -461,6 +461,7 @@
 
   void ObserveRest(searcher_entry* entry, const searcher_reply& reply,
                    time_point now, route_effects* out);
+  void CloseUnused(searcher_entry* entry, route_effects* out);
   void MoveWaiting(const searcher_entry& entry, time_point now,
                    route_effects* out);
 
--- a/bilberrycourse/route_engine_attempts.cc
+++ b/bilberrycourse/route_engine_attempts.cc
@@ -397,10 +397,22 @@
   }
   entry = pool_.Find(searcher, serial);
   if (entry == nullptr) return;
-  if (entry->resting(now)) return MoveWaiting(*entry, now, out);
+  if (!entry->usable()) CloseUnused(entry, out);
+  if (!entry->usable() || entry->resting(now)) {
+    return MoveWaiting(*entry, now, out);
+  }
   Dispatch(entry, now, out);
 }
 
+void route_engine::CloseUnused(searcher_entry* entry, route_effects* out) {
+  std::vector<connection_id> unused;
+  entry->connections.RemoveUnused(&unused);
+  for (const connection_id id : unused) {
+    connections_.erase(id);
+    out->push_back(close_searcher_connection{id});
+  }
+}
+
 // A shorter time after a longer one does not end the rest.
 void route_engine::ObserveRest(searcher_entry* entry,
                                const searcher_reply& reply, time_point now,
@@ -440,6 +452,9 @@
     } else {
       ObserveLimit(entry, reply->limit, now, out);
       ObserveRest(entry, *reply, now, out);
+      if (reply->leaving && !std::exchange(entry->leaving, true)) {
+        out->push_back(searcher_leaving{entry->report.id});
+      }
     }
     pool_.OnAnswered(entry, attempt.sent_at, attempt.expected, failed, now);
   }
--- a/bilberrycourse/searcher_pool.h
+++ b/bilberrycourse/searcher_pool.h
@@ -100,6 +100,9 @@
   // True if another searcher answered at the address. The searcher is not used
   // until its record changes.
   bool misdirected = false;
+  // True if the searcher has said in a reply that it is about to stop. Its
+  // record may say so later, or never if the control group can't be reached.
+  bool leaving = false;
   // True if this instance normally uses this replica; see SetConnectionLimit().
   bool preferred = true;
   time_point cold_until = time_point::min();
@@ -108,7 +111,7 @@
   bool resting(time_point now) const { return now < rest_until; }
   std::size_t load() const { return waiting.size() + in_flight.size(); }
   bool usable() const {
-    return report.state == searcher_state::kServing && !misdirected;
+    return report.state == searcher_state::kServing && !misdirected && !leaving;
   }
 };
 
--- a/bilberrycourse/testing/route_engine_rest_test.cc
+++ b/bilberrycourse/testing/route_engine_rest_test.cc
@@ -157,6 +157,31 @@
   EXPECT_EQ(SendsTo("k1"), before + 1);
 }
 
+// Guards against requests that wait for a searcher which leaves, and are sent
+// to it after it may have stopped.
+TEST_F(route_engine_rest_test, OnReply_SearcherLeaves_WaitingRequestsMove) {
+  const auto first = SendTo("k1");
+  rig_.connect = false;
+  while (rig_.engine.pool().Find("k1")->waiting.empty()) {
+    rig_.Begin(++id_, "lookup");
+  }
+  rig_.connect = true;
+  const std::size_t before = SendsTo("k1");
+  searcher_reply reply = route_engine_rig::Reply(200, "k1", "body");
+  reply.leaving = true;
+  rig_.AnswerWith(first, std::move(reply));
+  EXPECT_TRUE(rig_.engine.pool().Find("k1")->waiting.empty());
+  // Another heartbeat of the searcher that was sent before changes nothing.
+  rig_.AddSearcher("lookup", "k1");
+  Load(seconds(1));
+  EXPECT_EQ(SendsTo("k1"), before);
+  // A new process of the searcher is used again.
+  rig_.Report("lookup", "k1", "a", searcher_state::kGone);
+  rig_.AddSearcher("lookup", "k1");
+  Load(milliseconds(100));
+  EXPECT_GT(SendsTo("k1"), before);
+}
+
 // Guards against permissions of a limited searcher that are used while it
 // rests.
 TEST_F(route_engine_rest_test, OnLimitReply_SearcherRests_NothingSent) {
