Give searchers of POST /query their rest, too

Before: OnReply_SearcherAsksForRest_GetsNothing failed with 95 attempts in the time of rest, Submit_AllSearchersRest_RefusedAtOnce with a request that waited. After: both pass; 457 of 457 unit tests.

--- a/app/backend_client.cc
+++ b/app/backend_client.cc
@@ -9,6 +9,7 @@
 
 #include "app/http_message_reader.h"
 #include "app/settings.h"
+#include "bilberrycourse/rest_time.h"
 
 namespace bilberrycourse {
 namespace {
@@ -221,6 +222,10 @@
     limits.emplace_back(field->value().data(), field->value().size());
   }
   reply.limit = ParseRequestLimit(limits);
+  if (reply.not_run) {
+    const std::string_view rest = response[http::field::retry_after];
+    reply.rest = ParseRestTime({rest});
+  }
   reply.body = std::make_shared<const std::string>(std::move(response.body()));
   handler_->OnBackendReply(id, attempt, reply);
   // The handler may have closed the connection in OnBackendReply().
--- a/app/backend_client.h
+++ b/app/backend_client.h
@@ -43,6 +43,8 @@
   index_version version{};
   shared_body body;
   stated_limit limit = {};
+  // The time for which the backend server wants no further attempts.
+  std::optional<duration> rest = {};
 };
 
 class backend_client_handler {
--- a/app/query_service.cc
+++ b/app/query_service.cc
@@ -52,6 +52,7 @@
   out.version = reply.version;
   out.body = reply.body;
   out.limit = reply.limit;
+  out.rest = reply.rest;
   if (reply.status == 200) {
     out.kind = attempt_reply_kind::kOk;
   } else if (reply.status == 503 && reply.not_run) {
--- a/bilberrycourse/dispatch_effects.h
+++ b/bilberrycourse/dispatch_effects.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -71,6 +72,8 @@
   shared_body body;
   // The request limit of the searcher, if it states one.
   stated_limit limit = {};
+  // The time for which the searcher wants no further requests.
+  std::optional<duration> rest = {};
 };
 
 // Open a connection, then call OnConnectionOpened or OnConnectionFailed with
--- a/bilberrycourse/dispatch_tables.h
+++ b/bilberrycourse/dispatch_tables.h
@@ -115,6 +115,8 @@
   // No attempt is sent before this time.
   time_point paused_until = time_point::min();
   duration shed_pause{0};
+  // Until this time the searcher wants no attempts.
+  time_point rest_until = time_point::min();
   // Requests per second that the searcher accepts, and what is left of them.
   // All requests for a shard pass through its owner, so no other instance needs
   // to be asked.
--- a/bilberrycourse/shard_dispatcher.cc
+++ b/bilberrycourse/shard_dispatcher.cc
@@ -231,7 +231,10 @@
   const bool current = attempt.incarnation == server->record.incarnation;
   server->pool.Release(attempt.connection);
   connections_[attempt.connection].attempt = nullptr;
-  if (current) ObserveLimit(server, reply.limit);
+  if (current) {
+    ObserveLimit(server, reply.limit);
+    ObserveRest(server, reply.rest);
+  }
   if (reply.kind == attempt_reply_kind::kOk && current) {
     server->estimator.Record(now_ - attempt.sent_at, now_);
     ++server->successes;
--- a/bilberrycourse/shard_dispatcher_connections.cc
+++ b/bilberrycourse/shard_dispatcher_connections.cc
@@ -81,6 +81,14 @@
   server->request_limit = limit.per_second;
 }
 
+// A shorter time after a longer one does not end the rest.
+void shard_dispatcher::implementation::ObserveRest(
+    dispatch_server* server, std::optional<duration> rest) {
+  if (!rest.has_value() || now_ + *rest <= server->rest_until) return;
+  server->rest_until = now_ + *rest;
+  PauseUntil(server, server->rest_until);
+}
+
 void shard_dispatcher::implementation::KeepConnected(dispatch_shard* shard) {
   shard->keep_connected_until = now_ + options_.idle_connection_timeout;
   if (!shard->idle_timer.active()) ScheduleIdleClose(shard);
@@ -149,6 +157,7 @@
   server->estimator.Reset();
   server->paused_until = time_point::min();
   server->shed_pause = duration{0};
+  server->rest_until = time_point::min();
   server->request_limit.reset();
   server->pool.ResetFailures();
 }
--- a/bilberrycourse/shard_dispatcher_implementation.h
+++ b/bilberrycourse/shard_dispatcher_implementation.h
@@ -94,6 +94,7 @@
   // Returns false if the searcher's request limit leaves no room now.
   bool WithinLimit(const dispatch_server& server) const;
   void ObserveLimit(dispatch_server* server, const stated_limit& limit);
+  void ObserveRest(dispatch_server* server, std::optional<duration> rest);
 
   // ---- Connections ----
 
--- a/bilberrycourse/shard_dispatcher_queue.cc
+++ b/bilberrycourse/shard_dispatcher_queue.cc
@@ -57,14 +57,16 @@
   if (request.shard == nullptr) return no_replica;
   bool other_version = false;
   bool limited = false;
+  bool resting = false;
   for (const dispatch_server* server : request.shard->servers) {
     if (server->record.state != backend_server_state::kServing ||
         !Reachable(*server)) {
       continue;
     }
     if (Serves(*server, request.version)) {
-      if (WithinLimit(*server)) return std::nullopt;
-      limited = true;
+      const bool rests = now_ < server->rest_until;
+      if (!rests && WithinLimit(*server)) return std::nullopt;
+      (rests ? resting : limited) = true;
     }
     other_version = true;
   }
@@ -72,6 +74,9 @@
     return failure{result_code::kBackendServerLimited,
                    dispatch_reason::kRequestLimit};
   }
+  if (resting) {
+    return failure{result_code::kBackendServerShed, dispatch_reason::kShed};
+  }
   if (!other_version) return no_replica;
   return failure{result_code::kVersionGone, dispatch_reason::kVersionNotServed};
 }
--- a/bilberrycourse/testing/shard_dispatcher_limit_test.cc
+++ b/bilberrycourse/testing/shard_dispatcher_limit_test.cc
@@ -62,6 +62,26 @@
     }
   }
 
+  // Submits requests until the searcher gets one, and refuses that with a wish
+  // for rest.
+  void RefuseNext(const std::string& replica, duration rest) {
+    while (true) {
+      Submit();
+      const send_attempt sent = unanswered_.back();
+      if (sent.server.replica != replica) {
+        ReplyToAll();
+        continue;
+      }
+      unanswered_.pop_back();
+      attempt_reply refusal;
+      refusal.kind = attempt_reply_kind::kShed;
+      refusal.rest = rest;
+      dispatcher_->OnReply(sent.attempt, refusal, now_, &effects_);
+      Apply();
+      return;
+    }
+  }
+
   void ReplyToAll() {
     for (const send_attempt& sent : std::exchange(unanswered_, {})) {
       attempt_reply reply;
@@ -149,5 +169,31 @@
   EXPECT_GE(sent_to_limited_, 95u);
 }
 
+// Guards against attempts at a searcher that has asked for rest.
+TEST_F(shard_dispatcher_limit_test, OnReply_SearcherAsksForRest_GetsNothing) {
+  limit_ = {};
+  AddServer("a");
+  AddServer("b");
+  RefuseNext("a", seconds(2));
+  sent_to_limited_ = 0;
+  RunLoad(milliseconds(1900));
+  EXPECT_EQ(sent_to_limited_, 0u);
+  RunLoad(seconds(1));
+  EXPECT_GT(sent_to_limited_, 0u);
+}
+
+// Guards against requests that wait for a rest to end although it is known that
+// no replica will take them.
+TEST_F(shard_dispatcher_limit_test, Submit_AllSearchersRest_RefusedAtOnce) {
+  limit_ = {};
+  AddServer("a");
+  RefuseNext("a", seconds(2));
+  results_.clear();
+  Submit();
+  ASSERT_EQ(results_.size(), 1u);
+  EXPECT_EQ(results_.back().code, result_code::kBackendServerShed);
+  EXPECT_TRUE(results_.back().not_run);
+}
+
 }  // namespace
 }  // namespace bilberrycourse
