--- a/bilberrycourse/testing/limit_allocator_test.cc
+++ b/bilberrycourse/testing/limit_allocator_test.cc
@@ -184,5 +184,15 @@
   EXPECT_FALSE(quota_.limited());
 }
 
+// Guards against permissions that a searcher's former process has saved up:
+// the new one has not stated yet how much it takes at once.
+TEST_F(limit_allocator_test, Handle_SearcherRestarts_BucketStartsEmpty) {
+  Want(Statement(30), 1);
+  now_ += seconds(20);
+  EXPECT_GT(Want(Statement(30), 2).granted, 0u);
+  now_ += seconds(20);
+  EXPECT_EQ(Want(Statement(30, {}, /*start=*/2), 50).granted, 0u);
+}
+
 }  // namespace
 }  // namespace bilberrycourse
--- a/bilberrycourse/testing/route_engine_isolation_test.cc
+++ b/bilberrycourse/testing/route_engine_isolation_test.cc
@@ -418,5 +418,51 @@
   EXPECT_TRUE(rig.reports[0].failed.at(0).not_run);
 }
 
+// Guards against giving up an order in flight when the instance is isolated: it
+// can't be sent again, and its reply may still come.
+TEST_F(route_engine_isolation_test, CheckIsolation_OrderInFlight_IsLeftAlone) {
+  Link({"e2"});
+  rig_.Begin(1, "order");
+  const auto order = rig_.sends.back();
+  Isolate();
+  EXPECT_TRUE(rig_.finished.empty());
+  rig_.Answer(order);
+  ASSERT_EQ(rig_.finished.size(), 1u);
+  EXPECT_EQ(rig_.finished[0].request, route_request_id{1});
+  EXPECT_EQ(rig_.finished[0].code, result_code::kOk);
+}
+
+// Guards against asking the same instance twice for a part that it has refused.
+TEST_F(route_engine_isolation_test,
+       OnRelayReport_OnlyRelayRefuses_NotAskedAgain) {
+  Link({"e2"});
+  Isolate();
+  rig_.Begin(1, "lots");
+  ASSERT_EQ(rig_.relayed.size(), 1u);
+  Deliver(1, 0, Refusal(8, result_code::kNoServingReplica));
+  EXPECT_EQ(rig_.relayed.size(), 1u);
+  ASSERT_EQ(rig_.finished.size(), 1u);
+  EXPECT_TRUE(Describe(rig_.finished[0].code).not_run);
+}
+
+// Guards against a request that reaches more searchers than its route allows:
+// one attempt was used here before the instance was isolated.
+TEST_F(route_engine_isolation_test,
+       CheckIsolation_AttemptUsed_RelayGetsTheRest) {
+  Link({"e2"});
+  rig_.Report("lookup", "k2", "a", searcher_state::kGone);
+  rig_.Begin(1, "lookup");
+  ASSERT_EQ(rig_.sends.size(), 1u);
+  Cut();
+  rig_.Begin(1000, "lots");
+  AdvanceCut(milliseconds(700));
+  ASSERT_TRUE(rig_.engine.isolated());
+  const auto lookup =
+      std::find_if(rig_.relayed.begin(), rig_.relayed.end(),
+                   [](const send_to_relay& sent) { return sent.single; });
+  ASSERT_NE(lookup, rig_.relayed.end());
+  EXPECT_EQ(lookup->max_attempts, 1u);
+}
+
 }  // namespace
 }  // namespace bilberrycourse
