Refuse no routed request for the time just after a first crash

What an instance has in flight when it is cut off with refused connections looks like a crash of its searchers. Its callers come back at once, through other instances, which refused these contents with 211 for 500 ms.

The pause is left out on routes.

--- a/bilberrycourse/route_engine_crashes.cc
+++ b/bilberrycourse/route_engine_crashes.cc
@@ -22,8 +22,6 @@
 constexpr duration kProbeTime = std::chrono::seconds(2);
 // Contents suspected for one crash; about the slots of a searcher.
 constexpr std::size_t kMaxLostContents = 64;
-// The shortest time for which content in its crash cooldown is refused.
-constexpr duration kCooldownRetry = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -32,20 +30,14 @@
 bool route_engine::RefuseCrashing(request_state* request, time_point now,
                                   route_effects* out) {
   const fingerprint content = request->call.content;
-  const bool condemned =
-      evidence_.Verdict(content, now) == crash_verdict::kCondemned;
-  if (!condemned && !Suspected(content, now)) return false;
-  if (!condemned && !evidence_.InCrashCooldown(content, now)) {
-    request->canary = request->fan_out() && !request->call.streamed();
+  if (evidence_.Verdict(content, now) != crash_verdict::kCondemned) {
+    request->canary = request->fan_out() && !request->call.streamed() &&
+                      Suspected(content, now);
     if (request->canary) request->call.relays.clear();
     return false;
   }
   ++counters_.quarantine_refusals;
-  request->quarantined_for = kCooldownRetry;
-  if (condemned) {
-    request->quarantined_for = std::max(
-        request->quarantined_for, evidence_.CondemnedUntil(content) - now);
-  }
+  request->quarantined_for = evidence_.CondemnedUntil(content) - now;
   FinishFailed(request, result_code::kContentQuarantined, now, out);
   return true;
 }
