Search the shards of a lost relay for content that has succeeded

Shards went missing when a relay was lost if the same content had succeeded before: a test for the verdict kUnknown also excluded kRecentlyGood. Found by reading the change that brought it (quarantine of crashing requests). The rule is now in one place, MayRepeat().

Before: OnRelayLost_ContentSucceededBefore_Searched failed with nothing sent; after: it passes.

--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -479,6 +479,7 @@
   void NoteServiceSuccess(const attempt_state& attempt, time_point now,
                           route_effects* out);
   bool Suspected(fingerprint content, time_point now) const;
+  bool MayRepeat(fingerprint content, time_point now) const;
   void Quarantine(fingerprint content, time_point now, route_effects* out);
   void StartOtherParts(request_state* request, time_point now,
                        route_effects* out);
--- a/bilberrycourse/route_engine_attempts.cc
+++ b/bilberrycourse/route_engine_attempts.cc
@@ -201,7 +201,7 @@
   const fingerprint content = request.call.content;
   if (evidence_.Verdict(content, now) == crash_verdict::kCondemned)
     return false;
-  if (reason != send_reason::kNotExecuted && Suspected(content, now))
+  if (reason != send_reason::kNotExecuted && !MayRepeat(content, now))
     return false;
   if (part.tried.size() >= matched_route.max_attempts + kMaxRefusals)
     return false;
--- a/bilberrycourse/route_engine_crashes.cc
+++ b/bilberrycourse/route_engine_crashes.cc
@@ -137,6 +137,13 @@
          !evidence_.RecentlySucceeded(content, now);
 }
 
+// Returns false if an attempt that may have run must not be followed by another
+// one, because the content may have crashed its searcher.
+bool route_engine::MayRepeat(fingerprint content, time_point now) const {
+  return evidence_.Verdict(content, now) != crash_verdict::kCondemned &&
+         !Suspected(content, now);
+}
+
 void route_engine::OnCrashEvidence(
     const std::vector<crash_evidence_record>& records, time_point now,
     route_effects* out) {
--- a/bilberrycourse/route_engine_relays.cc
+++ b/bilberrycourse/route_engine_relays.cc
@@ -150,8 +150,7 @@
     // A fallback relay was granted all attempts.
     const bool may_search = HasReservedAttempt(matched_route) &&
                             part.fallbacks.empty() &&
-                            evidence_.Verdict(request->call.content, now) ==
-                                crash_verdict::kUnknown;
+                            MayRepeat(request->call.content, now);
     if (may_search) part.may_have_run = matched_route.max_attempts - 1;
     const bool started =
         may_search && FindOrCreateService(part.service).budget.TryTake() &&
--- a/bilberrycourse/testing/route_engine_crash_test.cc
+++ b/bilberrycourse/testing/route_engine_crash_test.cc
@@ -38,6 +38,22 @@
     return true;
   }
 
+  // Begins a request whose shards a relay searches. The route keeps an attempt
+  // for the origin.
+  void BeginAtRelay() {
+    rig_.AddRoute("wide", 4, true, 3, 1.0);
+    for (int i = 0; i < 4; ++i) {
+      rig_.AddSearcher("wide-" + std::to_string(i), "w" + std::to_string(i));
+    }
+    rig_.Begin(++id_, "wide", seconds(2), {{"e2", {0, 1, 2, 3}}});
+    ASSERT_EQ(rig_.relayed.size(), 1u);
+  }
+  void LoseRelay() {
+    route_effects effects;
+    rig_.engine.OnRelayLost("e2", rig_.now, &effects);
+    rig_.Execute(&effects);
+  }
+
   // Condemns kCrashing by the evidence of other instances.
   static std::vector<crash_evidence_record> TwoCrashes() {
     return {{kCrashing, false, {{"order", 0}, "x1"}, 1, seconds(5)},
@@ -105,20 +121,22 @@
 
 // Guards against a search for the shards of a lost relay that repeats a crash.
 TEST_F(route_engine_crash_test, OnRelayLost_SuspectedContent_NotSearched) {
-  rig_.AddRoute("wide", 4, true, 3, 1.0);
-  for (int i = 0; i < 4; ++i) {
-    rig_.AddSearcher("wide-" + std::to_string(i), "w" + std::to_string(i));
-  }
-  rig_.Begin(++id_, "wide", seconds(2), {{"e2", {0, 1, 2, 3}}});
-  ASSERT_EQ(rig_.relayed.size(), 1u);
+  BeginAtRelay();
   rig_.MergeEvidence({TwoCrashes().front()});
-  route_effects effects;
-  rig_.engine.OnRelayLost("e2", rig_.now, &effects);
-  rig_.Execute(&effects);
+  LoseRelay();
   EXPECT_EQ(SendsOf(id_), 0u);
   EXPECT_EQ(rig_.finished.size(), 1u);
 }
 
+// Guards against missing shards because the same content has succeeded before.
+TEST_F(route_engine_crash_test, OnRelayLost_ContentSucceededBefore_Searched) {
+  rig_.Begin(++id_, "lookup");
+  rig_.Answer(rig_.sends.back());
+  BeginAtRelay();
+  LoseRelay();
+  EXPECT_EQ(SendsOf(id_), 4u);
+}
+
 // Guards against a retry that crashes a second searcher for each copy.
 TEST_F(route_engine_crash_test, OnClosed_SuspectedContent_NotRetried) {
   rig_.Begin(++id_, "lookup");
