Await the report of a relay that runs an order with quarantined content

A quarantine ended orders that a fallback relay was running with an unknown outcome at once, unlike those in flight here, although their report may still come.

--- a/bilberrycourse/route_engine_crashes.cc
+++ b/bilberrycourse/route_engine_crashes.cc
@@ -183,12 +183,14 @@
   for (const route_request_id id : ids) {
     request_state* request = FindRequest(id);
     if (request == nullptr) continue;
+    const bool idempotent = request->call.matched_route->idempotent;
     bool running = false;
     for (part_state& part : request->parts) {
+      running = running || (part.relayed && !idempotent);
       for (const attempt_id attempt_number : std::vector(part.running)) {
         const attempt_state* attempt = FindAttempt(attempt_number);
         if (attempt == nullptr || !attempt->sent) continue;
-        if (!request->call.matched_route->idempotent) {
+        if (!idempotent) {
           running = true;
           continue;
         }
--- a/bilberrycourse/testing/route_engine_crash_test.cc
+++ b/bilberrycourse/testing/route_engine_crash_test.cc
@@ -137,6 +137,14 @@
   EXPECT_EQ(SendsOf(id_), 4u);
 }
 
+// Guards against giving up an order that a relay may be running.
+TEST_F(route_engine_crash_test, OnCrashEvidence_OrderAtRelay_AwaitsItsReport) {
+  rig_.Begin(++id_, "order", seconds(2), {{"e2", {0}}});
+  ASSERT_EQ(rig_.relayed.size(), 1u);
+  rig_.MergeEvidence(TwoCrashes());
+  EXPECT_TRUE(rig_.finished.empty());
+}
+
 // Guards against a retry that crashes a second searcher for each copy.
 TEST_F(route_engine_crash_test, OnClosed_SuspectedContent_NotRetried) {
   rig_.Begin(++id_, "lookup");
