--- a/bilberrycourse/testing/route_engine_crash_test.cc
+++ b/bilberrycourse/testing/route_engine_crash_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "bilberrycourse/crash_news.h"
 #include "bilberrycourse/testing/route_engine_rig.h"
 
@@ -231,6 +233,78 @@
   EXPECT_EQ(SendsOf(id_), 4u);
 }
 
+// Guards against a shared content that loses its hedges, retries and parallel
+// shards each time a searcher ends.
+TEST_F(route_engine_crash_test, Begin_SuspectedButSucceededBefore_AsUsual) {
+  rig_.Begin(++id_, "lots");
+  for (const auto& sent : std::vector(rig_.sends)) rig_.Answer(sent);
+  ASSERT_EQ(rig_.finished.back().code, result_code::kOk);
+  rig_.MergeEvidence({TwoCrashes().front()});
+  rig_.Begin(++id_, "lots");
+  EXPECT_EQ(SendsOf(id_), 4u);
+  rig_.Advance(milliseconds(60));
+  EXPECT_EQ(SendsOf(id_), 8u);
+}
+
+// Guards against evidence that is dropped because a connection that was being
+// opened before the crash opens after it.
+TEST_F(route_engine_crash_test, OnOpened_OpeningBeganBeforeLoss_ProvesNothing) {
+  rig_.AddRoute("single", 0, false);
+  rig_.AddSearcher("single", "z1");
+  rig_.Begin(++id_, "single");
+  rig_.connect = false;
+  rig_.content = kHarmless;
+  rig_.Begin(++id_, "single");
+  ASSERT_EQ(rig_.opened.size(), 1u);
+  const connection_id earlier = rig_.opened.front().connection;
+  rig_.opened.clear();
+  rig_.Break(rig_.sends.front());
+  route_effects effects;
+  rig_.engine.OnOpened(earlier, rig_.now, &effects);
+  rig_.Execute(&effects);
+  rig_.Break(rig_.sends.back());
+  rig_.Advance(milliseconds(20));
+  ASSERT_FALSE(rig_.opened.empty());
+  rig_.engine.OnClosed(rig_.opened.front().connection,
+                       connection_end::kNotOpened, rig_.now, &effects);
+  rig_.Execute(&effects);
+  EXPECT_TRUE(std::any_of(
+      rig_.evidence.begin(), rig_.evidence.end(),
+      [](const auto& record) { return record.content == kCrashing; }));
+}
+
+// Guards against a copy that waits here while another one crashes the second
+// searcher.
+TEST_F(route_engine_crash_test, OnClosed_SecondCrashSeenHere_EndsWaitingCopy) {
+  EXPECT_TRUE(BeginAndCrash("order"));
+  rig_.Advance(seconds(1));
+  rig_.AddRoute("fresh", 0, false);
+  rig_.connect = false;
+  rig_.AddSearcher("fresh", "f1");
+  rig_.Begin(++id_, "fresh");
+  const std::uint64_t waiting = id_;
+  rig_.Begin(++id_, "order");
+  const auto order = rig_.sends.back();
+  rig_.Break(order);
+  rig_.Advance(milliseconds(15));
+  const auto probe = std::find_if(
+      rig_.opened.begin(), rig_.opened.end(),
+      [&](const auto& open) { return open.address == order.searcher + ":80"; });
+  ASSERT_NE(probe, rig_.opened.end());
+  route_effects effects;
+  rig_.engine.OnClosed(probe->connection, connection_end::kNotOpened, rig_.now,
+                       &effects);
+  rig_.Execute(&effects);
+  EXPECT_EQ(rig_.quarantines, 1u);
+  EXPECT_EQ(SendsOf(waiting), 0u);
+  EXPECT_TRUE(
+      std::any_of(rig_.finished.begin(), rig_.finished.end(),
+                  [&](const finish_route_request& finish) {
+                    return finish.request == route_request_id{waiting} &&
+                           finish.code == result_code::kContentQuarantined;
+                  }));
+}
+
 // Guards against copies that were accepted before the verdict and crash further
 // searchers after it.
 TEST_F(route_engine_crash_test, OnCrashEvidence_Condemned_EndsWaitingCopies) {
