Postpone retries of a query that loses several searchers at once

From the third lost attempt of a request over shards on, a retry waits for the probe of the lost searcher, about 10 ms: if it has crashed, the shard fails; if only its connection was reset, the shard is sent again. Content that has succeeded lately is retried at once as before.

--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -59,6 +59,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "bilberrycourse/crash_evidence.h"
@@ -316,6 +317,8 @@
     // whether nothing more is expected of it.
     std::vector<bool> relay_reported;
     std::vector<bool> relay_done;
+    // Attempts whose connection broke.
+    std::uint32_t lost_attempts = 0;
     std::uint32_t attempts = 0;
     std::uint32_t hedges = 0;
     std::string last_searcher;
@@ -373,6 +376,8 @@
     connection_id first_probe{};
     bool crashed = false;
     std::vector<fingerprint> contents;
+    // Parts that are sent again only if the searcher has not crashed.
+    std::vector<std::pair<route_request_id, std::size_t>> parts;
   };
 
   // Current weights of a split, for smooth weighted round robin.
@@ -471,6 +476,8 @@
   void NoteLostAttempt(const attempt_state& attempt,
                        const searcher_entry& entry, time_point now,
                        route_effects* out);
+  bool AwaitProbe(request_state* request, const attempt_state& attempt,
+                  time_point now);
   void ProbeLostSearchers(time_point now, route_effects* out);
   void OnProbeEnded(const connection_state& ended, connection_id connection,
                     bool opened, time_point now, route_effects* out);
--- a/bilberrycourse/route_engine_attempts.cc
+++ b/bilberrycourse/route_engine_attempts.cc
@@ -302,11 +302,12 @@
       pool_.Find(found->second.searcher, found->second.serial);
   if (entry == nullptr) return;
   NoteContact(now, out);
-  OnProbeEnded(found->second, connection, /*opened=*/true, now, out);
+  const connection_state opened = found->second;
   found->second.idle_since = now;
   entry->connections.OnOpened(connection);
   if (entry->in_flight.empty()) pool_.OnReachable(entry);
   Dispatch(entry, now, out);
+  OnProbeEnded(opened, connection, /*opened=*/true, now, out);
 }
 
 std::string route_engine::SearcherOf(connection_id connection) const {
@@ -360,6 +361,8 @@
   }
   request_state* request = FindRequest(attempt.request);
   if (request == nullptr) return;
+  ++request->lost_attempts;
+  if (AwaitProbe(request, attempt, now)) return;
   RetryOrFail(request, attempt.part, send_reason::kFailed,
               limit_exceeded ? result_code::kReplyTooLarge
                              : result_code::kBackendServerCrashed,
--- a/bilberrycourse/route_engine_crashes.cc
+++ b/bilberrycourse/route_engine_crashes.cc
@@ -20,6 +20,8 @@
 // A searcher that could not be probed by then counts neither as crashed nor as
 // running.
 constexpr duration kProbeTime = std::chrono::seconds(2);
+// A request over shards that loses this many attempts may crash its searchers.
+constexpr std::uint32_t kMaxLostAttempts = 3;
 // Contents suspected for one crash; about the slots of a searcher.
 constexpr std::size_t kMaxLostContents = 64;
 
@@ -66,6 +68,25 @@
   if (lost.crashed) RecordCrash(attempt.searcher, lost, now, out);
 }
 
+// Postpones the retry of a part until it is known whether its searcher has
+// crashed. A query that crashes searchers would otherwise take down the second
+// replica of each shard as well. Single losses are retried at once, and so is
+// content that has succeeded lately. Returns false if the part need not wait.
+bool route_engine::AwaitProbe(request_state* request,
+                              const attempt_state& attempt, time_point now) {
+  if (!request->fan_out() || request->lost_attempts < kMaxLostAttempts ||
+      evidence_.RecentlySucceeded(attempt.content, now)) {
+    return false;
+  }
+  const auto found = lost_searchers_.find(attempt.searcher);
+  if (found == lost_searchers_.end() ||
+      found->second.serial != attempt.serial || found->second.crashed) {
+    return false;
+  }
+  found->second.parts.emplace_back(attempt.request, attempt.part);
+  return true;
+}
+
 void route_engine::ProbeLostSearchers(time_point now, route_effects* out) {
   bool blocked = false;
   for (const auto& [searcher, lost] : lost_searchers_) {
@@ -87,13 +108,21 @@
       connection < found->second.first_probe || found->second.crashed) {
     return;
   }
+  const auto parts = std::exchange(found->second.parts, {});
   if (opened) {
     lost_searchers_.erase(found);
-    return;
+  } else {
+    found->second.crashed = true;
+    ++counters_.searcher_crashes;
+    RecordCrash(ended.searcher, lost_searcher(found->second), now, out);
+  }
+  // After a crash the content is suspected, so that RetryOrFail() fails them.
+  for (const auto& [id, part] : parts) {
+    request_state* request = FindRequest(id);
+    if (request == nullptr) continue;
+    RetryOrFail(request, part, send_reason::kFailed,
+                result_code::kBackendServerCrashed, now, out);
   }
-  found->second.crashed = true;
-  ++counters_.searcher_crashes;
-  RecordCrash(ended.searcher, lost_searcher(found->second), now, out);
 }
 
 void route_engine::RecordCrash(const std::string& searcher,
--- a/bilberrycourse/testing/route_engine_crash_test.cc
+++ b/bilberrycourse/testing/route_engine_crash_test.cc
@@ -50,6 +50,26 @@
     rig_.Begin(++id_, "wide", seconds(2), {{"e2", {0, 1, 2, 3}}});
     ASSERT_EQ(rig_.relayed.size(), 1u);
   }
+  // A route over ten shards with two searchers each.
+  void AddTenShards() {
+    rig_.AddRoute("ten", 10, true);
+    for (int i = 0; i < 20; ++i) {
+      rig_.AddSearcher("ten-" + std::to_string(i % 10),
+                       "t" + std::to_string(i));
+    }
+  }
+  // Opens the connections that are being opened, or lets them fail.
+  void ResolveProbes(connection_end end) {
+    for (const auto& open : std::exchange(rig_.opened, {})) {
+      route_effects effects;
+      if (end == connection_end::kNotOpened) {
+        rig_.engine.OnClosed(open.connection, end, rig_.now, &effects);
+      } else {
+        rig_.engine.OnOpened(open.connection, rig_.now, &effects);
+      }
+      rig_.Execute(&effects);
+    }
+  }
   void LoseRelay() {
     route_effects effects;
     rig_.engine.OnRelayLost("e2", rig_.now, &effects);
@@ -210,6 +230,50 @@
   EXPECT_GE(SendsOf(id_), 1u);
 }
 
+// Guards against the first copy of a query over shards that takes down both
+// searchers of each shard.
+TEST_F(route_engine_crash_test, OnClosed_ManyShardsCrash_SecondReplicasSpared) {
+  AddTenShards();
+  rig_.connect = false;
+  rig_.Begin(++id_, "ten");
+  const auto sends = rig_.sends;
+  ASSERT_EQ(sends.size(), 10u);
+  for (const auto& sent : sends) rig_.Break(sent);
+  // The first two losses may be anything.
+  EXPECT_EQ(SendsOf(id_), 12u);
+  rig_.Advance(milliseconds(15));
+  ResolveProbes(connection_end::kNotOpened);
+  EXPECT_EQ(SendsOf(id_), 12u);
+  ASSERT_EQ(rig_.finished.size(), 1u);
+  EXPECT_EQ(rig_.finished.back().code, result_code::kBackendServerFailed);
+}
+
+// Guards against queries that fail because many connections of this instance
+// were reset at once.
+TEST_F(route_engine_crash_test, OnClosed_ManyConnectionsReset_ShardsSentAgain) {
+  AddTenShards();
+  rig_.connect = false;
+  rig_.Begin(++id_, "ten");
+  for (const auto& sent : std::vector(rig_.sends)) rig_.Break(sent);
+  rig_.Advance(milliseconds(15));
+  ResolveProbes(connection_end::kLost);
+  EXPECT_EQ(SendsOf(id_), 20u);
+}
+
+// Guards against shards that stay missing for content that is known to be
+// harmless when a zone is lost.
+TEST_F(route_engine_crash_test, OnClosed_ContentSucceededBefore_SentAtOnce) {
+  AddTenShards();
+  rig_.Begin(++id_, "ten");
+  for (const auto& sent : std::vector(rig_.sends)) rig_.Answer(sent);
+  rig_.connect = false;
+  const std::size_t before = rig_.sends.size();
+  rig_.Begin(++id_, "ten");
+  const std::vector sends(rig_.sends.begin() + before, rig_.sends.end());
+  for (const auto& sent : sends) rig_.Break(sent);
+  EXPECT_EQ(SendsOf(id_), 20u);
+}
+
 // Guards against a copy of a query over shards that takes down a searcher of
 // each shard although its content is suspected.
 TEST_F(route_engine_crash_test, Begin_SuspectedQuery_TriesOneShardFirst) {
