--- a/bilberrycourse/testing/route_engine_rest_test.cc
+++ b/bilberrycourse/testing/route_engine_rest_test.cc
@@ -43,6 +43,18 @@
                       [&](const auto& s) { return s.searcher == searcher; }));
   }
 
+  // Sends a request to the searcher and lets another one wait for it. Returns
+  // the first.
+  route_engine_rig::sent_request SendAndQueue(const std::string& searcher) {
+    const auto first = SendTo(searcher);
+    rig_.connect = false;
+    while (rig_.engine.pool().Find(searcher)->waiting.empty()) {
+      rig_.Begin(++id_, "lookup");
+    }
+    rig_.connect = true;
+    return first;
+  }
+
   // Begins a request each millisecond and answers it 10 ms later.
   void Load(duration time) {
     const time_point end = rig_.now + time;
@@ -104,12 +116,7 @@
 // Guards against requests that were queued for the searcher and are sent while
 // it rests, or wait until its rest ends.
 TEST_F(route_engine_rest_test, OnReply_RequestsWait_MoveToOtherSearcher) {
-  const auto first = SendTo("k1");
-  rig_.connect = false;
-  while (rig_.engine.pool().Find("k1")->waiting.empty()) {
-    rig_.Begin(++id_, "lookup");
-  }
-  rig_.connect = true;
+  const auto first = SendAndQueue("k1");
   const std::size_t before = SendsTo("k1");
   rig_.AnswerWith(first, Refusal(seconds(3)));
   EXPECT_TRUE(rig_.engine.pool().Find("k1")->waiting.empty());
@@ -160,12 +167,7 @@
 // Guards against requests that wait for a searcher which leaves, and are sent
 // to it after it may have stopped.
 TEST_F(route_engine_rest_test, OnReply_SearcherLeaves_WaitingRequestsMove) {
-  const auto first = SendTo("k1");
-  rig_.connect = false;
-  while (rig_.engine.pool().Find("k1")->waiting.empty()) {
-    rig_.Begin(++id_, "lookup");
-  }
-  rig_.connect = true;
+  const auto first = SendAndQueue("k1");
   const std::size_t before = SendsTo("k1");
   searcher_reply reply = route_engine_rig::Reply(200, "k1", "body");
   reply.leaving = true;
