--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,9 +8,9 @@
 from proxy import LinkProxy  # noqa: E402
 
 SHARDS, TOP = 44, 5
-WORK_S = 4.0           # of one shard; the route's timeout is 8 s
+WORK_S = 5.0           # of one shard; the route's timeout is 8 s
 DARK_S = 1.1           # between the loss of power and the next start
-PERIOD_S = 0.4         # between two queries
+PERIOD_S = 0.3         # between two queries
 
 
 def document():
@@ -74,7 +74,7 @@
         for entry in tier.entries:
             await tier.ready(entry)
         await asyncio.sleep(5)
-        running = await queries("a", 3)
+        running = await queries("a", 4)
         if t.TROUBLE:
             # The machine loses power: its peers see neither a close nor a reset.
             for proxy in proxies:
