--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,83 +1,81 @@
-"""A searcher runs a request that was smuggled inside the body of another one."""
+"""Entry instances obey an old configuration after their open connections fell silent."""
 import asyncio
 import os
 import sys
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
 import tier as t  # noqa: E402
+from proxy import LinkProxy  # noqa: E402
 
-CODINGS = ("chunked", "gzip, chunked", "gzip", "identity", "chunked, identity")
-# RFC 9112, 6.3: without `chunked` at the end, the length of a request's body is
-# unknown, and the server must answer 400 and close the connection.
-UNKNOWN_LENGTH = CODINGS[2:]
+CONTACT_S, APPLY_S = 4.0, 3.0     # bounds.contactMs, bounds.configApplyMs
+SILENT_AT_S = 6.3                 # after the start of the entry instances
+CHANGE_AFTER_S = CONTACT_S + 0.2  # after the connections fell silent
 
 
-def document():
-    return {"version": 3, "routes": [
-        {"name": "order", "host": t.HOST, "pathPrefix": "/order/", "routeType": "non_idempotent",
-         "timeoutMs": 5000, "targetLatencyMs": 500, "priority": 1, "backend": "orders", "maxAttempts": 2}],
-        "services": [{"name": "orders", "healthPath": "/health", "maxConnections": 51,
+def document(version, prefixes):
+    return {"version": version, "routes": [
+        {"name": f"r{prefix}", "host": t.HOST, "pathPrefix": f"/{prefix}/", "routeType": "idempotent",
+         "timeoutMs": 2000, "targetLatencyMs": 500, "priority": 1, "backend": "portal", "maxAttempts": 2}
+        for prefix in prefixes],
+        "services": [{"name": "portal", "healthPath": "/health", "maxConnections": 51,
                       "protocol": "h1", "tls": False}],
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
                    "idleTimeoutMs": 15000}}
 
 
 async def case(record):
-    runs = {}
-
     async def run(searcher, request):
-        runs[request["id"]] = request["body"]
-        record.add("searcher_runs", searcher=searcher.id, request=request["id"], path=request["path"],
-                   body=request["body"].decode("latin-1"))
-        return t.reply(200, "OK", request["id"], f"{searcher.id}.{request['id']}", b"booked")
-
-    async def send(entry, request_id, coding, body):
-        """Sends one request and returns the status of its answer, if any."""
-        connection = await t.Connection.open(entry.address)
-        record.add("client_sends", request=request_id, transfer_encoding=coding, body=body.decode())
-        connection.writer.write(
-            f"POST /order/new HTTP/1.1\r\nHost: {t.HOST}\r\nX-Request-Id: {request_id}\r\n"
-            f"X-Deadline-Ms: 4000\r\nTransfer-Encoding: {coding}\r\n\r\n".encode() + body)
-        status = None
-        try:
-            line, _ = await asyncio.wait_for(t.read_head(connection.reader), 2)
-            status = int(line.split()[1])
-        except t.FAILURES:
-            pass
-        await asyncio.sleep(0.2)
-        connection.close()
-        record.add("client_gets", request=request_id, status=status)
-        return status
+        record.add("searcher_runs", searcher=searcher.id, request=request["id"], path=request["path"])
+        return t.reply(200, "OK", request["id"], f"{searcher.id}.{request['id']}", b"record")
 
     tier = t.Tier(record, entries=2)
+    tier.seed_port = t.free_ports([c.ip for c in tier.controls], 1)[0]
+    proxies = [LinkProxy(tier, control, tier.seed_port) for control in tier.controls]
+    broken = []
     try:
+        for proxy in proxies:
+            await proxy.start()
         await tier.start()
+        started = time.monotonic()
         for n in (1, 2):
-            await t.Searcher(tier, "orders", n, "a", run).start()
-        await tier.put_config(document())
+            await t.Searcher(tier, "portal", n, "a", run).start()
+        await tier.put_config(document(3, ["kept", "dropped"]))
         for entry in tier.entries:
             await tier.ready(entry)
-        await asyncio.sleep(1.5)
-        sent, broken = set(), []
-        for n, coding in enumerate(CODINGS if t.TROUBLE else CODINGS[:1]):
-            request_id, inner_id = f"order-{n}", f"smuggled-{n}"
-            inner = (f"POST /order/cancel HTTP/1.1\r\nHost: {t.HOST}\r\nX-Request-Id: {inner_id}\r\n"
-                     "X-Deadline-Ms: 4000\r\nContent-Length: 0\r\n\r\n").encode()
-            body = inner if coding in UNKNOWN_LENGTH else b"%x\r\n%s\r\n0\r\n\r\n" % (len(inner), inner)
-            sent.add(request_id)
-            await send(tier.entries[n % 2], request_id, coding, body)
-            if runs.get(request_id, inner) != inner:
-                broken.append(request_id)
-                record.add("UNASKED", request=request_id, coding=coding, reason="the body was changed")
-        for request_id in set(runs) - sent:
-            broken.append(request_id)
-            record.add("UNASKED", request=request_id, reason="it was the body of another request")
-        if "order-0" not in runs:
-            raise t.CaseNotRun("the chunked request did not reach a searcher")
-        print(f"ran though no client sent it so: {sorted(broken)}")
+        await asyncio.sleep(started + SILENT_AT_S - time.monotonic())
+        silent = time.monotonic()
+        if t.TROUBLE:
+            for proxy in proxies:
+                proxy.fall_silent()
+            record.add("open_connections_between_machines_fall_silent")
+        await asyncio.sleep(CHANGE_AFTER_S)
+        await tier.put_config(document(7, ["kept", "added"]))
+        acknowledged = time.monotonic()
+        await asyncio.sleep(APPLY_S + 0.05)
+        n = 0
+        while time.monotonic() < silent + 11:
+            for entry in tier.entries:
+                for prefix, stale in (("added", 404), ("dropped", 200)):
+                    n += 1
+                    late = time.monotonic() - acknowledged
+                    answer = await t.call(entry.address, "GET", f"/{prefix}/x", b"",
+                                          [("X-Request-Id", f"q{n}"), ("X-Deadline-Ms", "1500")])
+                    status = answer.status if answer else None
+                    record.add("client_gets", request=f"q{n}", path=f"/{prefix}/x", entry=entry.name, status=status,
+                               sent_after_acknowledgement_s=round(late, 3),
+                               sent_after_silence_s=round(late + acknowledged - silent, 3))
+                    if status == stale:
+                        broken.append(late)
+                        record.add("CONFIG", request=f"q{n}", entry=entry.name, path=f"/{prefix}/x", status=status)
+            await asyncio.sleep(0.1)
+        print(f"{len(broken)} of {n} requests were handled by the old version, "
+              f"up to {max(broken, default=0):.1f} s after the acknowledgement of the new one")
         return t.BROKEN if broken else t.HELD
     finally:
         await tier.stop()
+        for proxy in proxies:
+            proxy.close()
 
 
 t.main(__file__, case)
--- a/review/common/proxy.py
+++ b/review/common/proxy.py
@@ -8,11 +8,11 @@
     The first frame of a link holds the name of the program that opens it.
     """
 
-    def __init__(self, tier, target):
-        self.tier, self.target, self.links = tier, target, []
+    def __init__(self, tier, target, port=0):
+        self.tier, self.target, self.port, self.links = tier, target, port, []
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, self.target.ip, 0)
+        self.server = await asyncio.start_server(self.serve, self.target.ip, self.port)
         port = self.server.sockets[0].getsockname()[1]
         self.target.peer_advertised = f"{self.target.ip}:{port}"
 
@@ -50,6 +50,11 @@
                 link["dark"] = program
                 link["ends"][program].transport.abort()
 
+    def fall_silent(self):
+        """Drops all bytes of the open links, which stay open. New links work."""
+        for link in self.links:
+            link["dark"] = link["dark"] or self.target
+
     def close(self):
         self.server.close()
         for link in self.links:
--- a/review/common/tier.py
+++ b/review/common/tier.py
@@ -130,6 +130,8 @@
             "bounds": {"retryBudgetRatio": 0.2, "retryBudgetSlack": 56}})
         if self.peer_advertised:
             text = text.replace("[peers]", f"peer_advertised = {self.peer_advertised}\n\n[peers]", 1)
+        if tier.seed_port:
+            text = text.replace(f"seed_port = {tier.peer_port}", f"seed_port = {tier.seed_port}")
         return text
 
     async def start(self):
@@ -172,6 +174,8 @@
         self.entries = [Program(self, "entry", ip, f"frontend-{n}", zones[n % len(zones)])
                         for n, ip in enumerate(entry_ips, 1)]
         self.searchers = []
+        # Set if proxies stand before the links to the control instances.
+        self.seed_port = None
 
     async def start(self):
         for program in self.controls + self.entries:
