Make a request complete before it can be refused

Cause: Begin() stored the relay groups of a request, then decided on refusal, and only then sized the state of the relays. A refusal walks over the groups in CancelRelays() and read the empty state. The exit for max_requests had the same fault.

Change: MakeRequest() returns the complete request, the state of a relay is stored with its group, and only groups that were sent are cancelled.

--- a/bilberrycourse/route_engine.cc
+++ b/bilberrycourse/route_engine.cc
@@ -242,12 +242,15 @@
   }
 }
 
-void route_engine::Begin(route_call call, time_point now, route_effects* out) {
-  ++counters_.requests;
-  const route_request_id id = call.id;
+route_engine::request_state route_engine::MakeRequest(route_call call,
+                                                      time_point now) {
   const route& matched_route = *call.matched_route;
-  request_state& request = requests_[id];
+  request_state request;
   request.call = std::move(call);
+  for (relay_group& group : request.call.relays) {
+    request.relays.emplace_back().group = std::move(group);
+  }
+  request.call.relays.clear();
   request.received = now;
   request.expires_at =
       now + std::max(duration{0},
@@ -264,6 +267,14 @@
   } else {
     request.parts.emplace_back().service = PickBackend(matched_route);
   }
+  return request;
+}
+
+void route_engine::Begin(route_call call, time_point now, route_effects* out) {
+  ++counters_.requests;
+  const route_request_id id = call.id;
+  const route& matched_route = *call.matched_route;
+  request_state& request = requests_[id] = MakeRequest(std::move(call), now);
   if (requests_.size() > options_.max_requests) {
     return FinishFailed(&request, result_code::kOverloaded, now, out);
   }
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -287,9 +287,22 @@
     searcher_reply_pointer error_reply;
   };
 
+  // A group of shards that a relay searches.
+  struct relay_task {
+    relay_group group;
+    // The relay may have received the group.
+    bool sent = false;
+    bool reported = false;
+    // Nothing more is expected of the relay.
+    bool done = false;
+  };
+
+  // MakeRequest() returns it complete, so that the request can end at any point
+  // of Begin().
   struct request_state {
     route_call call;
     std::vector<part_state> parts;
+    std::vector<relay_task> relays;
     std::size_t answered = 0;
     std::size_t failed = 0;
     time_point received{};
@@ -313,10 +326,6 @@
     bool report_due = false;
     // Longest time until an excluded shard can be searched again.
     duration excluded_for{0};
-    // Indexed like call.relays: whether the relay has sent a report, and
-    // whether nothing more is expected of it.
-    std::vector<bool> relay_reported;
-    std::vector<bool> relay_done;
     // Attempts whose connection broke.
     std::uint32_t lost_attempts = 0;
     std::uint32_t attempts = 0;
@@ -384,6 +393,7 @@
   using split_weights = std::map<std::string, std::int64_t>;
 
   void Preconnect(time_point now, route_effects* out);
+  request_state MakeRequest(route_call call, time_point now);
   void OnTimer(const timer& due, time_point now, route_effects* out);
   void OnHedgeDue(request_state* request, std::size_t index, time_point now,
                   route_effects* out);
--- a/bilberrycourse/route_engine_crashes.cc
+++ b/bilberrycourse/route_engine_crashes.cc
@@ -35,7 +35,7 @@
   if (!Quarantined(content, now)) {
     request->canary = request->fan_out() && !request->call.streamed() &&
                       !MayRepeat(content, now);
-    if (request->canary) request->call.relays.clear();
+    if (request->canary) request->relays.clear();
     return false;
   }
   ++counters_.quarantine_refusals;
--- a/bilberrycourse/route_engine_isolation.cc
+++ b/bilberrycourse/route_engine_isolation.cc
@@ -255,10 +255,8 @@
   }
   counters_.delegated_parts += parts.size();
   const std::uint32_t allowed = request->call.matched_route->max_attempts;
-  request->call.relays.push_back({*relay, std::move(parts)});
-  request->relay_reported.push_back(false);
-  request->relay_done.push_back(false);
-  SendGroup(request, request->call.relays.size() - 1,
+  request->relays.emplace_back().group = {*relay, std::move(parts)};
+  SendGroup(request, request->relays.size() - 1,
             allowed > used ? allowed - used : 1, now, out);
   return true;
 }
--- a/bilberrycourse/route_engine_relays.cc
+++ b/bilberrycourse/route_engine_relays.cc
@@ -22,13 +22,10 @@
 
 void route_engine::StartRelays(request_state* request, time_point now,
                                route_effects* out) {
-  const std::size_t groups = request->call.relays.size();
-  request->relay_reported.resize(groups, false);
-  request->relay_done.resize(groups, false);
   const route& matched_route = *request->call.matched_route;
   const std::uint32_t max_attempts =
       matched_route.max_attempts - (HasReservedAttempt(matched_route) ? 1 : 0);
-  for (std::size_t i = 0; i < groups; ++i) {
+  for (std::size_t i = 0; i < request->relays.size(); ++i) {
     SendGroup(request, i, max_attempts, now, out);
   }
 }
@@ -37,17 +34,18 @@
 void route_engine::SendGroup(request_state* request, std::size_t group,
                              std::uint32_t max_attempts, time_point now,
                              route_effects* out) {
-  const relay_group& sent = request->call.relays[group];
+  relay_task& task = request->relays[group];
+  task.sent = true;
   send_to_relay effect;
   effect.request = request->call.id;
   effect.group = group;
-  effect.relay = sent.relay;
+  effect.relay = task.group.relay;
   effect.max_attempts = max_attempts;
   effect.answer_in = std::max(
       request->answer_at - now - options_.relay_report_margin, duration{0});
   effect.time_left = std::max(request->expires_at - now, duration{0});
   effect.single = !request->fan_out();
-  for (const std::size_t index : sent.parts) {
+  for (const std::size_t index : task.group.parts) {
     part_state& part = request->parts[index];
     part.relayed = true;
     // The relay may send the request at any time from now on.
@@ -65,14 +63,16 @@
                                  const shard_report& report, time_point now,
                                  route_effects* out) {
   request_state* request = FindRequest(id);
-  if (request == nullptr || group >= request->call.relays.size()) return;
+  if (request == nullptr || group >= request->relays.size()) return;
   // After the link was lost, the origin searches the shards itself. A report
   // carries the merged records of all its shards, so it can only be used as a
   // whole.
-  if (request->relay_done[group]) return;
-  const std::vector<std::size_t>& positions = request->call.relays[group].parts;
-  request->relay_reported[group] = true;
-  request->relay_done[group] = report.final;
+  relay_task& task = request->relays[group];
+  if (task.done) return;
+  // Copied, because a shard that takes another way adds a task.
+  const std::vector<std::size_t> positions = task.group.parts;
+  task.reported = true;
+  task.done = report.final;
   request->attempts += report.attempts;
   request->hedges += report.hedges;
   for (std::size_t i = 0; i < report.answered.size(); ++i) {
@@ -96,14 +96,12 @@
     part.reply = std::move(reply);
     ++request->answered;
   }
-  // Copied, because a shard that takes another way adds a group.
-  const std::vector<std::size_t> parts = positions;
   for (const failed_shard& failure : report.failed) {
-    if (failure.position >= parts.size()) continue;
+    if (failure.position >= positions.size()) continue;
     if (!request->fan_out() && report.reply != nullptr) {
       request->parts.front().error_reply = report.reply;
     }
-    OnRelayFailure(request, parts[failure.position], failure, now, out);
+    OnRelayFailure(request, positions[failure.position], failure, now, out);
   }
   CheckDone(request, now, out);
 }
@@ -113,16 +111,17 @@
 // effect lets it skip the relay for its next requests.
 void route_engine::OnRelayDue(request_state* request, std::size_t group,
                               route_effects* out) {
-  if (request->relay_reported[group]) return;
-  out->push_back(relay_silent{request->call.relays[group].relay});
+  const relay_task& task = request->relays[group];
+  if (!task.reported) out->push_back(relay_silent{task.group.relay});
 }
 
 void route_engine::OnRelayLost(const instance_name& relay, time_point now,
                                route_effects* out) {
   std::vector<std::pair<route_request_id, std::size_t>> lost;
   for (const auto& [id, request] : requests_) {
-    for (std::size_t i = 0; i < request.call.relays.size(); ++i) {
-      if (request.call.relays[i].relay == relay && !request.relay_done[i]) {
+    for (std::size_t i = 0; i < request.relays.size(); ++i) {
+      const relay_task& task = request.relays[i];
+      if (task.group.relay == relay && !task.done) {
         lost.emplace_back(id, i);
       }
     }
@@ -140,9 +139,9 @@
 void route_engine::SearchInsteadOfRelay(request_state* request,
                                         std::size_t group, time_point now,
                                         route_effects* out) {
-  request->relay_done[group] = true;
+  request->relays[group].done = true;
   const route& matched_route = *request->call.matched_route;
-  const std::vector<std::size_t> parts = request->call.relays[group].parts;
+  const std::vector<std::size_t> parts = request->relays[group].group.parts;
   for (const std::size_t index : parts) {
     part_state& part = request->parts[index];
     if (part.reply != nullptr || part.failed || !part.relayed) continue;
@@ -164,10 +163,11 @@
 
 void route_engine::CancelRelays(const request_state& request, bool caller_left,
                                 route_effects* out) {
-  for (std::size_t i = 0; i < request.call.relays.size(); ++i) {
-    if (request.relay_done[i]) continue;
-    out->push_back(cancel_at_relay{request.call.id, i,
-                                   request.call.relays[i].relay, caller_left});
+  for (std::size_t i = 0; i < request.relays.size(); ++i) {
+    const relay_task& task = request.relays[i];
+    if (!task.sent || task.done) continue;
+    out->push_back(
+        cancel_at_relay{request.call.id, i, task.group.relay, caller_left});
   }
 }
 
--- a/bilberrycourse/testing/route_engine_crash_test.cc
+++ b/bilberrycourse/testing/route_engine_crash_test.cc
@@ -426,6 +426,30 @@
   EXPECT_EQ(rig_.finished.back().code, result_code::kOk);
 }
 
+// Guards against a crash of the entry instance that refuses a request before
+// its relays have been asked, and against cancels of what no relay has.
+TEST_F(route_engine_crash_test, Begin_CondemnedWithRelays_RefusedAsNotRun) {
+  rig_.MergeEvidence(TwoCrashes());
+  rig_.Begin(++id_, "lots", seconds(2), {{"e2", {0, 1}}, {"e3", {2, 3}}});
+  ASSERT_EQ(rig_.finished.size(), 1u);
+  EXPECT_EQ(rig_.finished.back().code, result_code::kContentQuarantined);
+  EXPECT_TRUE(rig_.relayed.empty());
+  EXPECT_TRUE(rig_.relay_cancels.empty());
+}
+
+// The same for an instance that has no room for the request.
+TEST_F(route_engine_crash_test, Begin_FullWithRelays_RefusedAsNotRun) {
+  route_engine_options options = route_engine_rig::Options();
+  options.max_requests = 0;
+  route_engine_rig full(options);
+  full.AddRoute("lots", 4, true);
+  full.Begin(1, "lots", seconds(2), {{"e2", {0, 1}}, {"e3", {2, 3}}});
+  ASSERT_EQ(full.finished.size(), 1u);
+  EXPECT_EQ(full.finished.back().code, result_code::kOverloaded);
+  EXPECT_TRUE(full.relayed.empty());
+  EXPECT_TRUE(full.relay_cancels.empty());
+}
+
 // Guards against a relay that runs condemned content for its origin.
 TEST_F(route_engine_crash_test, Begin_CondemnedAtRelay_ReportsNotRun) {
   rig_.MergeEvidence(TwoCrashes());
