Refuse requests that may outlive a shutdown, and answer all others

Cause: nothing compared the time a request may take with what is left of the grace period, and unfinished requests were cut off at its end.

Change: route_engine::StopAt() ends every request 200 ms before the end of the grace period, and refuses at once, as not run, what may not end by then. A request that may not be repeated is sent only if its timeout or deadline ends before; a repeatable one while its usual time fits. Relays that stop refuse in the same way, and the origin searches such shards itself.

--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -37,6 +37,9 @@
 // On shutdown, idle connections are closed this long before the end of the
 // grace period.
 constexpr duration kIdleCloseMargin = std::chrono::milliseconds(1200);
+// On shutdown, every request has been answered this long before the end of the
+// grace period, so that the answers reach their callers.
+constexpr duration kStopAnswerMargin = std::chrono::milliseconds(200);
 // A control instance transfers its leadership at once, and none of its requests
 // is in flight for longer than this.
 constexpr duration kControlShutdownTime = std::chrono::milliseconds(300);
@@ -466,6 +469,9 @@
            {{"in_flight", gateway_ == nullptr ? 0 : gateway_->in_flight()}});
   main_server_.BeginDrain();
   if (gateway_ != nullptr) {
+    const duration answer_time = std::max<duration>(
+        config_.shutdown_grace - kStopAnswerMargin, duration{0});
+    gateway_->StopAt(shutdown_started_ + answer_time, shutdown_started_);
     for (const instance_name& peer : transport_.connected_peers()) {
       SendHello(peer);
     }
@@ -485,9 +491,13 @@
     closing_idle_ = true;
     main_server_.StopAccepting();
   }
-  if (main_server_.pending() > 0 && elapsed < grace) return;
-  LogEvent(log_level::kInfo, "shutdown_finished",
-           {{"unfinished", main_server_.pending()}});
+  // Besides its callers' requests, an entry instance finishes those that it
+  // runs as a relay.
+  const std::size_t unfinished =
+      main_server_.pending() +
+      (gateway_ == nullptr ? 0 : gateway_->relayed_in_flight());
+  if (unfinished > 0 && elapsed < grace) return;
+  LogEvent(log_level::kInfo, "shutdown_finished", {{"unfinished", unfinished}});
   main_server_.Close();
   if (readiness_server_ != nullptr) readiness_server_->Close();
   transport_.Close();
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -263,6 +263,12 @@
   Execute(&effects);
 }
 
+void route_gateway::StopAt(time_point end, time_point now) {
+  route_effects effects;
+  engine_.StopAt(end, now, &effects);
+  Execute(&effects);
+}
+
 void route_gateway::Tick(time_point now) {
   route_effects effects;
   engine_.Tick(now, &effects);
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -89,11 +89,17 @@
     relays_changed_ = std::move(changed);
   }
 
+  // The instance stops: answers every request by `end`, and refuses from now on
+  // those that may not be answered by then.
+  void StopAt(time_point end, time_point now);
+
   void Tick(time_point now);
   std::optional<time_point> next_due() const { return engine_.next_due(); }
   // True once a configuration is in force.
   bool configured() const { return table_ != nullptr; }
   std::size_t in_flight() const { return calls_.size(); }
+  // Requests that this instance runs as a relay of others.
+  std::size_t relayed_in_flight() const { return served_requests_.size(); }
   // Sets the gauges from the counters of the engine and of the connections.
   void UpdateMetrics();
 
--- a/bilberrycourse/route_engine.cc
+++ b/bilberrycourse/route_engine.cc
@@ -20,6 +20,12 @@
 constexpr int kServiceUnavailable = 503;
 // Contents remembered as successful, a few minutes' worth of different ones.
 constexpr std::size_t kMaxSuccessfulContents = 4096;
+// Shortest Retry-After. Callers of an instance that stops turn to another one,
+// which need not recover first.
+constexpr duration kMinRetryAfter = std::chrono::milliseconds(20);
+// A repeatable request is sent by an instance that stops if this many times its
+// usual service time is left.
+constexpr int kStopServiceTimes = 2;
 // Retry-After stays below a share of the caller's remaining time: callers
 // honor it only up to a third of that.
 constexpr double kRetryAfterShare = 0.3;
@@ -267,9 +273,47 @@
   } else {
     request.parts.emplace_back().service = PickBackend(matched_route);
   }
+  if (stop_at_.has_value()) {
+    request.expires_at = std::min(request.expires_at, *stop_at_);
+  }
   return request;
 }
 
+void route_engine::StopAt(time_point end, time_point now, route_effects* out) {
+  stop_at_ = end;
+  std::vector<route_request_id> unsent;
+  for (auto& [id, request] : requests_) {
+    const bool may_have_run = std::any_of(
+        request.parts.begin(), request.parts.end(),
+        [](const part_state& part) { return part.may_have_run > 0; });
+    if (!may_have_run && !FitsBeforeStop(request, now)) unsent.push_back(id);
+    if (request.expires_at <= end) continue;
+    request.expires_at = end;
+    SetTimer(timer_kind::kExpiry, end, id);
+  }
+  for (const route_request_id id : unsent) {
+    FinishFailed(FindRequest(id), result_code::kShuttingDown, now, out);
+  }
+}
+
+// A request that may not be repeated is sent only if its timeout or its
+// caller's deadline ends it before the stop: another instance can run it
+// without the risk of an unknown outcome. One that may be repeated is sent if
+// it usually ends before, because a failure costs no more than a refusal.
+bool route_engine::FitsBeforeStop(const request_state& request,
+                                  time_point now) const {
+  if (!stop_at_.has_value()) return true;
+  const route& matched_route = *request.call.matched_route;
+  const time_point deadline =
+      request.received +
+      std::min(matched_route.timeout, request.call.time_left);
+  if (deadline <= *stop_at_) return true;
+  const duration usual =
+      std::max(matched_route.latency_objective,
+               kStopServiceTimes * ExpectedServiceTime(matched_route));
+  return matched_route.idempotent && now + usual <= *stop_at_;
+}
+
 void route_engine::Begin(route_call call, time_point now, route_effects* out) {
   ++counters_.requests;
   const route_request_id id = call.id;
@@ -278,6 +322,9 @@
   if (requests_.size() > options_.max_requests) {
     return FinishFailed(&request, result_code::kOverloaded, now, out);
   }
+  if (!FitsBeforeStop(request, now)) {
+    return FinishFailed(&request, result_code::kShuttingDown, now, out);
+  }
   if (RefuseCrashing(&request, now, out)) return;
   StartRelays(&request, now, out);
   request.held =
@@ -493,11 +540,12 @@
 
 duration route_engine::RetryAfter(const request_state& request,
                                   time_point now) const {
+  if (stop_at_.has_value()) return kMinRetryAfter;
   const duration left = request.received + request.call.time_left > now
                             ? request.received + request.call.time_left - now
                             : duration{0};
   const duration wanted =
-      std::max({duration(std::chrono::milliseconds(20)), request.excluded_for,
+      std::max({kMinRetryAfter, request.excluded_for,
                 2 * ExpectedServiceTime(*request.call.matched_route)});
   return std::min(wanted, Scaled(left, kRetryAfterShare));
 }
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -50,6 +50,10 @@
 //
 // A request that was sent is never refused as `not run`, unless every searcher
 // that received it has proved that it did not run it.
+//
+// An instance that stops answers every request by StopAt(). One that might
+// still run then is refused before it is sent, so that its caller can turn to
+// another instance.
 
 #include <cstdint>
 #include <map>
@@ -241,6 +245,10 @@
   // True while this instance reaches no searcher.
   bool isolated() const { return isolated_; }
 
+  // The instance stops: answers every request by `end`, and refuses from now on
+  // those that may not be answered by then, unless they may have run already.
+  void StopAt(time_point end, time_point now, route_effects* out);
+
   void Tick(time_point now, route_effects* out);
   std::optional<time_point> next_due() const;
 
@@ -394,6 +402,7 @@
 
   void Preconnect(time_point now, route_effects* out);
   request_state MakeRequest(route_call call, time_point now);
+  bool FitsBeforeStop(const request_state& request, time_point now) const;
   void OnTimer(const timer& due, time_point now, route_effects* out);
   void OnHedgeDue(request_state* request, std::size_t index, time_point now,
                   route_effects* out);
@@ -555,6 +564,8 @@
   // Time at which the allocator was lost, and of the next try to reach it.
   std::optional<time_point> allocator_lost_at_;
   time_point allocator_retry_at_{};
+  // Set once the instance stops.
+  std::optional<time_point> stop_at_;
   crash_evidence evidence_;
   std::map<std::string, lost_searcher> lost_searchers_;
   // Last sign of life of any searcher, and the searchers that have failed to
--- a/bilberrycourse/route_engine_attempts.cc
+++ b/bilberrycourse/route_engine_attempts.cc
@@ -199,7 +199,7 @@
                                 time_point now) const {
   const route& matched_route = *request.call.matched_route;
   const fingerprint content = request.call.content;
-  if (Quarantined(content, now)) return false;
+  if (Quarantined(content, now) || !FitsBeforeStop(request, now)) return false;
   if (reason != send_reason::kNotExecuted && !MayRepeat(content, now))
     return false;
   if (part.tried.size() >= matched_route.max_attempts + kMaxRefusals)
--- a/bilberrycourse/route_engine_isolation.cc
+++ b/bilberrycourse/route_engine_isolation.cc
@@ -271,9 +271,11 @@
   if (failure.not_run) {
     if (part.may_have_run > 0) --part.may_have_run;
     part.relayed = false;
-    if (failure.code == result_code::kNoServingReplica) {
+    const bool unserved = failure.code == result_code::kNoServingReplica;
+    // A relay that stops refuses what the origin may still search.
+    if (unserved || failure.code == result_code::kShuttingDown) {
       if (Place(request, index, send_reason::kFirst, now, out)) return;
-      if (!part.fallbacks.empty()) {
+      if (unserved && !part.fallbacks.empty()) {
         FindOrCreateService(part.service).lost_everywhere_until =
             now + kLostEverywhereTime;
       }
