Answer POST /query requests that outlive the grace period

Callers saw: a request that was still running when the grace period of a stopping instance ended lost its connection without an answer.

Change: caller_api answers what is unfinished 200 ms before the end of the grace period, with outcome unknown. A record in the ledger stays as it is, as after a crash.

Evidence: e2e request_beyond_the_grace_period_is_answered failed before ("Remote end closed connection without response") and passes; graceful_stop_cuts_off_nothing passes.

--- a/app/caller_api.cc
+++ b/app/caller_api.cc
@@ -208,7 +208,7 @@
   active->parsed = std::move(*parsed);
   active->respond = std::move(respond);
   active->on_disconnect = request.on_disconnect;
-  ++in_flight_;
+  active_.insert(active);
   if (active->parsed.recorded) return BeginRecorded(active);
   Run(active);
 }
@@ -321,6 +321,7 @@
   ledger_->Begin(
       active->entry, parsed.query.deadline,
       [this, active](const ledger_decision& decision) {
+        if (active->answered) return;
         if (decision.run) return Run(active);
         if (decision.recorded && !decision.answer.empty()) {
           const auto status =
@@ -388,11 +389,20 @@
   ledger_->Finish(active->entry, code, response.body, done);
 }
 
+void caller_api::AnswerUnfinished(time_point now) {
+  const auto unfinished = active_;
+  for (const std::shared_ptr<active_request>& active : unfinished) {
+    if (active->query.has_value()) queries_->Abandon(*active->query, now);
+    Respond(active, RefusalResponse(result_code::kOutcomeUnknown, "", "unknown",
+                                    active->parsed.request_id));
+  }
+}
+
 void caller_api::Respond(const std::shared_ptr<active_request>& active,
                          http_response response) {
   if (active->answered) return;
   active->answered = true;
-  --in_flight_;
+  active_.erase(active);
   active->respond(std::move(response));
 }
 
--- a/app/caller_api.h
+++ b/app/caller_api.h
@@ -10,6 +10,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "app/control_client.h"
@@ -28,8 +29,11 @@
   // Refuses further requests as `not_run`. Running requests are completed.
   void Drain() { draining_ = true; }
   bool draining() const { return draining_; }
+  // Answers the requests that still run, with an unknown outcome. Called
+  // shortly before the process ends.
+  void AnswerUnfinished(time_point now);
   // Number of requests that are waiting for the ledger or for their shards.
-  std::size_t in_flight() const { return in_flight_; }
+  std::size_t in_flight() const { return active_.size(); }
 
  private:
   // A validated request body.
@@ -61,7 +65,7 @@
   query_service* queries_;
   request_ledger* ledger_;
   bool draining_ = false;
-  std::size_t in_flight_ = 0;
+  std::set<std::shared_ptr<active_request>> active_;
 };
 
 }  // namespace bilberrycourse
--- a/app/daemon.cc
+++ b/app/daemon.cc
@@ -422,7 +422,9 @@
 void daemon_process::CheckShutdown(time_point now) {
   const bool handed_over = now - shutdown_started_ >= kHandoverTime;
   const bool idle = callers_.in_flight() == 0 && queries_.drained();
-  const bool grace_expired = now - shutdown_started_ >= config_.shutdown_grace;
+  const duration left = shutdown_started_ + config_.shutdown_grace - now;
+  const bool grace_expired = left <= duration{0};
+  if (left <= kStopAnswerMargin) callers_.AnswerUnfinished(now);
   if (!(handed_over && idle) && !grace_expired) return;
   // Responses that are being written may finish before connections close.
   http_.StopAccepting();
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -37,9 +37,6 @@
 // On shutdown, idle connections are closed this long before the end of the
 // grace period.
 constexpr duration kIdleCloseMargin = std::chrono::milliseconds(1200);
-// On shutdown, every request has been answered this long before the end of the
-// grace period, so that the answers reach their callers.
-constexpr duration kStopAnswerMargin = std::chrono::milliseconds(200);
 // A control instance transfers its leadership at once, and none of its requests
 // is in flight for longer than this.
 constexpr duration kControlShutdownTime = std::chrono::milliseconds(300);
--- a/app/settings.h
+++ b/app/settings.h
@@ -45,6 +45,10 @@
   kRoutes = 1,
 };
 
+// On shutdown, every request has been answered this long before the end of the
+// grace period, so that the answers reach their callers.
+inline constexpr std::chrono::milliseconds kStopAnswerMargin{200};
+
 struct settings {
   std::string file;
   // [instance]
--- a/bench/rig.py
+++ b/bench/rig.py
@@ -211,9 +211,10 @@
 class Rig:
     def __init__(self, build, layout, instances=None, control=3, spares=0,
                  decision_rate=0.0, log_level="info", keep=False,
-                 extra_searchers=(), defaults=None):
+                 extra_searchers=(), defaults=None, shutdown_grace_ms=10000):
         self.build, self.layout, self.keep = build, layout, keep
         self.decision_rate, self.log_level = decision_rate, log_level
+        self.shutdown_grace_ms = shutdown_grace_ms
         self.folder = tempfile.mkdtemp(prefix="bilberrycourse-rig-")
         self.ports = PortPool()
         self.processes = []
@@ -303,7 +304,7 @@
             "[log]", f"level={self.log_level}",
             f"decision_rate={self.decision_rate}",
             "[limits]", "max_request_bytes=1048576",
-            "shutdown_grace_ms=10000", ""]
+            f"shutdown_grace_ms={self.shutdown_grace_ms}", ""]
         return self._write(f"{instance.name}.ini", "\n".join(lines))
 
     # --- processes
