Let no answer promise `not run` unless every attempt proves it

Cause: a searcher's 429 or 503 without X-Not-Executed was attached to the answer and preferred to the code that promises nothing; 408 was passed on as a result.

Change: FinishWith(), through which every answer leaves, replaces an answer with a status that makes the promise once any attempt may have run. Such replies count as failures of the searcher, and relays do not report them.

--- a/bilberrycourse/result_code.cc
+++ b/bilberrycourse/result_code.cc
@@ -144,6 +144,18 @@
                                         : *info;
 }
 
+bool PromisesNotRun(unsigned http_status) {
+  switch (http_status) {
+    case 408:
+    case 421:
+    case 429:
+    case 503:
+      return true;
+    default:
+      return false;
+  }
+}
+
 result_code ResultCodeFromNumber(std::uint16_t number) {
   const auto* info =
       std::ranges::find(kResultCodes, number, &result_code_info::number);
--- a/bilberrycourse/result_code.h
+++ b/bilberrycourse/result_code.h
@@ -99,6 +99,10 @@
 // Returns the description of `code`, or that of kInternal for an unknown value.
 const result_code_info& Describe(result_code code);
 
+// Returns true for the HTTP statuses that callers take as the promise that
+// their request has not run and never will: 408, 421, 429 and 503.
+bool PromisesNotRun(unsigned http_status);
+
 // Returns the code with this number, or kInternal if there is none.
 result_code ResultCodeFromNumber(std::uint16_t number);
 
--- a/bilberrycourse/route_engine.cc
+++ b/bilberrycourse/route_engine.cc
@@ -17,7 +17,6 @@
 // A request expires this long before the caller's deadline, so that the
 // caller still receives the response.
 constexpr duration kExpiryMargin = std::chrono::milliseconds(10);
-constexpr int kServiceUnavailable = 503;
 // Contents remembered as successful, a few minutes' worth of different ones.
 constexpr std::size_t kMaxSuccessfulContents = 4096;
 // Shortest Retry-After. Callers of an instance that stops turn to another one,
@@ -283,10 +282,9 @@
   stop_at_ = end;
   std::vector<route_request_id> unsent;
   for (auto& [id, request] : requests_) {
-    const bool may_have_run = std::any_of(
-        request.parts.begin(), request.parts.end(),
-        [](const part_state& part) { return part.may_have_run > 0; });
-    if (!may_have_run && !FitsBeforeStop(request, now)) unsent.push_back(id);
+    if (!MayHaveRun(request) && !FitsBeforeStop(request, now)) {
+      unsent.push_back(id);
+    }
     if (request.expires_at <= end) continue;
     request.expires_at = end;
     SetTimer(timer_kind::kExpiry, end, id);
@@ -510,17 +508,11 @@
     return Report(request, out);
   }
   finish_route_request finish;
-  bool may_have_run = false;
+  const bool may_have_run = MayHaveRun(*request);
   for (const part_state& part : request->parts) {
-    may_have_run = may_have_run || part.may_have_run > 0;
     if (part.failed) finish.missing.push_back({part.service, part.failure});
   }
   finish.code = code;
-  // Callers read a 503 as `not run`, so it must not be sent once a searcher may
-  // have run a part.
-  if (may_have_run && Describe(code).http_status == kServiceUnavailable) {
-    finish.code = result_code::kBackendServerFailed;
-  }
   if (may_have_run && !request->call.matched_route->idempotent) {
     finish.code = result_code::kOutcomeUnknown;
   }
@@ -550,10 +542,34 @@
   return std::min(wanted, Scaled(left, kRetryAfterShare));
 }
 
+bool route_engine::MayHaveRun(const request_state& request) {
+  return std::any_of(
+      request.parts.begin(), request.parts.end(),
+      [](const part_state& part) { return part.may_have_run > 0; });
+}
+
+// Every answer to a caller passes here, whichever way the request took, so an
+// answer that promises `not run` can't leave once a searcher may have run a
+// part.
+void route_engine::RemoveFalsePromise(const request_state& request,
+                                      finish_route_request* finish) {
+  if (finish->merged || !MayHaveRun(request)) return;
+  const unsigned status =
+      finish->reply != nullptr
+          ? finish->reply->status
+          : static_cast<unsigned>(Describe(finish->code).http_status);
+  if (!PromisesNotRun(status)) return;
+  finish->reply = nullptr;
+  finish->code = request.call.matched_route->idempotent
+                     ? result_code::kBackendServerFailed
+                     : result_code::kOutcomeUnknown;
+}
+
 // Attempts in flight continue; their replies release the connections.
 void route_engine::FinishWith(request_state* request,
                               finish_route_request finish, time_point now,
                               route_effects* out) {
+  RemoveFalsePromise(*request, &finish);
   finish.request = request->call.id;
   finish.attempts = request->attempts;
   finish.hedges = request->hedges;
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -49,7 +49,9 @@
 // over shards begins with one of them, unless its content has succeeded lately.
 //
 // A request that was sent is never refused as `not run`, unless every searcher
-// that received it has proved that it did not run it.
+// that received it has proved that it did not run it. That includes the replies
+// of searchers: one without a proof is a failure, even if its status promises
+// that the request has not run.
 //
 // An instance that stops answers every request by StopAt(). One that might
 // still run then is refused before it is sent, so that its caller can turn to
@@ -402,6 +404,9 @@
 
   void Preconnect(time_point now, route_effects* out);
   request_state MakeRequest(route_call call, time_point now);
+  static bool MayHaveRun(const request_state& request);
+  static void RemoveFalsePromise(const request_state& request,
+                                 finish_route_request* finish);
   bool FitsBeforeStop(const request_state& request, time_point now) const;
   void OnTimer(const timer& due, time_point now, route_effects* out);
   void OnHedgeDue(request_state* request, std::size_t index, time_point now,
--- a/bilberrycourse/route_engine_attempts.cc
+++ b/bilberrycourse/route_engine_attempts.cc
@@ -12,10 +12,10 @@
 // a request sent while the searcher closes the connection may be lost, or run
 // without a reply.
 constexpr duration kIdleMargin = std::chrono::milliseconds(700);
-// Error statuses after which another searcher is tried: 429, and all from 500
-// on. Other error statuses refuse the request itself.
+// Error statuses from this on are failures of the searcher, after which another
+// one is tried, as are those for which PromisesNotRun() is true. Other error
+// statuses refuse the request itself.
 constexpr unsigned kFirstServerError = 500;
-constexpr unsigned kTooManyRequests = 429;
 // Maximum number of searchers tried for one part beyond its max_attempts.
 constexpr std::size_t kMaxRefusals = 3;
 
@@ -445,7 +445,7 @@
   const bool complete = IsSuccess(reply->status) && !reply->stamp.empty();
   const bool failed = !complete && (IsSuccess(reply->status) ||
                                     reply->status >= kFirstServerError ||
-                                    reply->status == kTooManyRequests);
+                                    PromisesNotRun(reply->status));
   request_state* request = FindRequest(attempt.request);
   if (complete) NoteServiceSuccess(attempt, now, out);
   if (searcher_entry* entry = pool_.Find(attempt.searcher, attempt.serial)) {
@@ -495,8 +495,11 @@
     // The request itself was refused; another searcher would refuse it, too.
     return OnPartAnswered(request, attempt.part, std::move(reply), now, out);
   }
-  // A success without a signature must not be forwarded.
-  if (!IsSuccess(reply->status)) part.error_reply = std::move(reply);
+  // A success without a signature must not be forwarded, nor a status that
+  // promises what the searcher has not proved.
+  if (!IsSuccess(reply->status) && !PromisesNotRun(reply->status)) {
+    part.error_reply = std::move(reply);
+  }
   RetryOrFail(request, attempt.part, send_reason::kFailed,
               result_code::kBackendServerFailed, now, out);
 }
