Probe links on which an expected frame does not arrive

Cause: silence was noticed by pings only, three of 3 s each. Until then the link counted as connected, no new one was opened, and polls went from one silent member to the next.

Change: peer_transport::Probe() closes a link on which nothing is received for 1.5 s. It is called for all members after 1 s without a fresh answer to a poll, for the leader each 1.5 s and with crash evidence, and for a relay whose report is late.

--- a/app/control_client.cc
+++ b/app/control_client.cc
@@ -27,6 +27,10 @@
 // the next one.
 constexpr duration kPreferencePause = std::chrono::seconds(5);
 constexpr std::size_t kMaxOutstandingPolls = 16;
+// After this long without a fresh answer of any member the links are probed.
+// With the probe's time and a new link, an instance whose links fell silent is
+// in touch again within the 4 s that the users allow (contactMs).
+constexpr duration kContactLossTime = std::chrono::seconds(1);
 // Delay before an unanswered call is sent to another member.
 constexpr duration kCallResendDelay = std::chrono::milliseconds(500);
 constexpr duration kCallRetryDelay = std::chrono::milliseconds(25);
@@ -68,6 +72,7 @@
     } else {
       keep_target_until_ = now + kPreferencePause;
       poll_target_ = NextTarget(poll_target_);
+      if (now - fresh_at_ >= kContactLossTime) ProbeMembers();
     }
     PollCurrentTarget(now);
   }
@@ -91,7 +96,15 @@
   }
 }
 
+void control_client::ProbeMembers() {
+  if (local_ != nullptr || config_.interface != serving_interface::kRoutes) {
+    return;
+  }
+  for (const instance_name& name : ControlNames()) transport_->Probe(name);
+}
+
 void control_client::PollCurrentTarget(time_point now) {
+  if (fresh_at_ == time_point{}) fresh_at_ = now;
   poll_answered_ = false;
   // The next poll is due after the timeout, so that an unanswered poll uses up
   // little of the lease; an answer postpones it to the regular period.
@@ -256,6 +269,7 @@
   lease_.OnConfirmed(sent_at, reply.age, reply.published_version);
   if (reply.age > kMaxConfirmationAge) return;
   poll_answered_ = true;
+  fresh_at_ = sent_at;
   poll_due_ = sent_at + (config_.interface == serving_interface::kRoutes
                              ? kRoutesPollPeriod
                              : kPollPeriod);
--- a/app/control_client.h
+++ b/app/control_client.h
@@ -9,6 +9,11 @@
 //   client.Tick(now);                       // every 10 ms
 //   client.Propose(command, deadline, [](const control_reply& r) { ... });
 //
+// An instance of the routed interface that gets no fresh answer for a second
+// probes its links to all members: an open connection may lose all bytes
+// without being closed, and the instance would obey an old configuration
+// meanwhile.
+//
 // An instance of the routed interface prefers a member in its own zone, because
 // the replies, above all whole configurations, are billed between zones.
 //
@@ -112,6 +117,7 @@
   instance_name PreferredTarget(time_point now) const;
   void Poll(const instance_name& to, time_point now);
   void PollCurrentTarget(time_point now);
+  void ProbeMembers();
   void ApplyPollReply(time_point sent_at, const control_poll_reply& reply);
   std::vector<instance_name> ControlNames() const;
   instance_name NextTarget(const instance_name& previous) const;
@@ -145,6 +151,8 @@
   std::uint64_t next_poll_id_ = 1;
   std::map<std::uint64_t, outstanding_poll> polls_;
   bool poll_answered_;
+  // Time of the last poll with a fresh answer, or of the first poll.
+  time_point fresh_at_{};
   // Zones of the control instances that have answered a poll.
   std::map<instance_name, availability_zone> member_zones_;
   // Until then no other member is preferred, because one has not answered.
--- a/app/peer_transport.cc
+++ b/app/peer_transport.cc
@@ -28,6 +28,9 @@
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kNonceBytes = 32;
 constexpr std::size_t kMaxHandshakeFrameBytes = 1024;
+// A probe waits for several periods instead of reading the clock, so that time
+// for which this process itself is paused does not count as silence.
+constexpr int kProbePeriods = 3;
 
 bytes RandomNonce() {
   bytes nonce(kNonceBytes);
@@ -145,6 +148,7 @@
       : owner_(std::move(owner)),
         socket_(std::move(socket)),
         timer_(owner_->executor),
+        probe_timer_(owner_->executor),
         dialer_(dialer),
         address_(std::move(address)) {}
 
@@ -165,11 +169,19 @@
 
   void SendFrame(const wire::peer_frameT& frame) { Queue(Encode(frame)); }
 
+  void Probe() {
+    if (probe_periods_left_ > 0) return;
+    probe_periods_left_ = kProbePeriods;
+    SendPing(false);
+    ArmProbe();
+  }
+
   void Close() {
     if (state_ == link_state::kClosed) return;
     const bool was_open = state_ == link_state::kOpen;
     state_ = link_state::kClosed;
     timer_.cancel();
+    probe_timer_.cancel();
     boost::system::error_code ignored;
     socket_.close(ignored);
     if (!was_open) {
@@ -296,6 +308,7 @@
 
   void HandleBody() {
     silent_periods_ = 0;
+    if (std::exchange(probe_periods_left_, 0) > 0) probe_timer_.cancel();
     ++owner_->counters.frames_received;
     owner_->counters.bytes_received += kLengthBytes + body_.size();
     flatbuffers::Verifier verifier(body_.data(), body_.size());
@@ -370,12 +383,28 @@
     ++silent_periods_;
     if (silent_periods_ * owner_->options.ping_period >=
         owner_->options.silence_timeout) {
-      return Close();
+      return CloseSilent();
     }
     SendPing(false);
     ArmPing();
   }
 
+  void ArmProbe() {
+    probe_timer_.expires_after(owner_->options.probe_timeout / kProbePeriods);
+    probe_timer_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error) {
+          if (error || self->probe_periods_left_ == 0) return;
+          if (--self->probe_periods_left_ == 0) return self->CloseSilent();
+          self->ArmProbe();
+        });
+  }
+
+  void CloseSilent() {
+    if (state_ == link_state::kClosed) return;
+    ++owner_->counters.silent_links;
+    Close();
+  }
+
   void SendPing(bool echo) {
     wire::pingT ping;
     ping.echo = echo;
@@ -387,6 +416,7 @@
   std::shared_ptr<impl> owner_;
   tcp::socket socket_;
   asio::steady_timer timer_;
+  asio::steady_timer probe_timer_;
   const bool dialer_;
   const std::string address_;
   link_state state_ = link_state::kAwaitHello;
@@ -399,6 +429,8 @@
   std::size_t backlog_bytes_ = 0;
   bool writing_ = false;
   int silent_periods_ = 0;
+  // 0 unless a probe is unanswered.
+  int probe_periods_left_ = 0;
 };
 
 boost::leaf::result<void> peer_transport::impl::Listen() {
@@ -518,6 +550,11 @@
   return true;
 }
 
+void peer_transport::Probe(const instance_name& peer) {
+  const auto found = impl_->FindOpen(peer);
+  if (found != nullptr) found->Probe();
+}
+
 bool peer_transport::SendToAddress(const std::string& address,
                                    const wire::peer_frameT& frame) {
   const auto found = impl_->dialed.find(address);
--- a/app/peer_transport.h
+++ b/app/peer_transport.h
@@ -51,6 +51,9 @@
   // other way. The dialer's new link replaces the old one on the other side.
   std::chrono::milliseconds ping_period{0};
   std::chrono::milliseconds silence_timeout{3000};
+  // A link that Probe() was called for is closed if nothing is received for
+  // this long.
+  std::chrono::milliseconds probe_timeout{1500};
 };
 
 // Receives the events of all links, on the transport's executor.
@@ -70,6 +73,8 @@
   std::uint64_t frames_sent = 0;
   std::uint64_t frames_received = 0;
   std::uint64_t rejected_links = 0;
+  // Links closed because their peer was silent.
+  std::uint64_t silent_links = 0;
 };
 
 class peer_transport {
@@ -86,6 +91,10 @@
   std::vector<instance_name> connected_peers() const;
   // Returns false if there is no link to `peer`; the frame is then dropped.
   bool Send(const instance_name& peer, const wire::peer_frameT& frame);
+  // Finds out within `probe_timeout` whether the link to `peer`, dialed by
+  // either side, still carries frames, and closes it otherwise. Called when an
+  // expected frame has not arrived; further calls meanwhile have no effect.
+  void Probe(const instance_name& peer);
   // Sends to the peer that was dialed at `address`.
   bool SendToAddress(const std::string& address,
                      const wire::peer_frameT& frame);
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -22,11 +22,15 @@
 constexpr duration kEntryTickPeriod = std::chrono::milliseconds(50);
 constexpr duration kDialPeriod = std::chrono::milliseconds(250);
 // Links among control instances carry votes, so their loss must be detected
-// before the next election. Entry instances have many links, whose polls and
-// reports have timeouts of their own.
-constexpr std::chrono::milliseconds kControlPingPeriod{1000};
+// well within the 4 s after which the users expect the group to work again
+// (contactMs). Entry instances have many links; what depends on a frame that
+// does not arrive probes its link (peer_transport::Probe()).
+constexpr std::chrono::milliseconds kControlPingPeriod{500};
 constexpr std::chrono::milliseconds kEntryPingPeriod{3000};
 constexpr int kMaxMissedPings = 3;
+// The leader passes crash evidence on without being asked. The loss of its link
+// would show by nothing else while another member answers the polls.
+constexpr duration kLeaderProbePeriod = std::chrono::milliseconds(1500);
 constexpr std::chrono::milliseconds kHandshakeTimeout{1000};
 // An entry instance that was disconnected for less than this keeps its share of
 // the retry budget, because it may have spent it already.
@@ -211,6 +215,10 @@
   if (registry_ != nullptr) registry_->Tick(now);
   if (limits_ != nullptr) limits_->Tick(entries_, now);
   ExchangeCrashEvidence(now);
+  if (gateway_ != nullptr && now >= leader_probe_due_) {
+    leader_probe_due_ = now + kLeaderProbePeriod;
+    transport_.Probe(control_client_.leader());
+  }
   if (now >= dial_due_) DialPeers(now);
   if (shutting_down_) CheckShutdown(now);
 }
@@ -388,6 +396,9 @@
   metrics_.SetGauge("bilberrycourse_peer_bytes_received",
                     "Bytes received from peers.",
                     static_cast<double>(peers.bytes_received));
+  metrics_.SetGauge("bilberrycourse_peer_silent_links",
+                    "Links closed because their peer was silent.",
+                    static_cast<double>(peers.silent_links));
   if (gateway_ != nullptr) gateway_->UpdateMetrics();
   if (control_service_ != nullptr) {
     metrics_.SetGauge("bilberrycourse_control_leads",
@@ -433,8 +444,11 @@
     crash_news_->Receive(records, Now());
     return true;
   }
-  return transport_.Connected(leader) &&
-         transport_.Send(leader, MakeFrame(ToWire(records)));
+  if (!transport_.Connected(leader)) return false;
+  const bool sent = transport_.Send(leader, MakeFrame(ToWire(records)));
+  // If the link is silent, its loss causes ResendCrashEvidence().
+  transport_.Probe(leader);
+  return sent;
 }
 
 // As the leader: passes new crash evidence on. As an entry instance: sends a
--- a/app/route_daemon.h
+++ b/app/route_daemon.h
@@ -104,6 +104,7 @@
   // describe them.
   std::map<instance_name, entry_instance> entries_;
   time_point dial_due_{};
+  time_point leader_probe_due_{};
   // What the last hello frames said of this instance.
   bool stated_isolated_ = false;
   std::uint32_t entry_instances_ = 0;
--- a/app/route_gateway_relays.cc
+++ b/app/route_gateway_relays.cc
@@ -324,6 +324,8 @@
 
 void route_gateway::ExecuteEffect(relay_silent& effect) {
   silent_until_[effect.relay] = Now() + kSilentRelayPause;
+  // The relay may be slow, or the link may have fallen silent.
+  transport_->Probe(effect.relay);
   UpdateFallbackRelays(Now());
   LogEvent(log_level::kWarning, "relay_silent", {{"relay", effect.relay}});
 }
--- a/app/testing/control_client_test.cc
+++ b/app/testing/control_client_test.cc
@@ -10,6 +10,7 @@
 #include "app/daemon_clock.h"
 #include "app/frames.h"
 #include "app/testing/loopback.h"
+#include "app/testing/silent_proxy.h"
 
 namespace bilberrycourse {
 namespace {
@@ -146,6 +147,43 @@
   }
 }
 
+// Guards against an instance that obeys an old configuration because its open
+// links lose all bytes without a close (review/5: 6 to 9 s). The users' bound
+// for an instance to be in touch again is 4 s.
+TEST_F(control_client_test, Tick_OpenLinksFallSilent_InTouchWithinBound) {
+  constexpr std::chrono::seconds kContactBound{4};
+  silent_proxy first(&context_, first_.port);
+  silent_proxy second(&context_, second_.port);
+  peer_transport_options options;
+  options.self = "e1";
+  options.listen = {"127.0.0.1", FreePort()};
+  options.shared_key = "a-long-shared-key";
+  options.ping_period = std::chrono::seconds(3);
+  options.silence_timeout = std::chrono::seconds(9);
+  transport_ =
+      std::make_unique<peer_transport>(context_.get_executor(), options, this);
+  client_ = std::make_unique<control_client>(config_, transport_.get(), nullptr,
+                                             this);
+  const auto run_until = [&](const auto& condition) {
+    return RunContextUntil(&context_, condition, [&] {
+      for (const silent_proxy* proxy : {&first, &second}) {
+        transport_->Dial("127.0.0.1:" + std::to_string(proxy->port()));
+      }
+      client_->Tick(Now());
+    });
+  };
+  ASSERT_TRUE(run_until([&] {
+    return client_->route_version() == 1 && transport_->Connected("c1") &&
+           transport_->Connected("c2");
+  }));
+  first.FallSilent();
+  second.FallSilent();
+  first_.version = second_.version = 2;
+  const time_point silent_at = Now();
+  ASSERT_TRUE(run_until([&] { return client_->route_version() == 2; }));
+  EXPECT_LT(Now() - silent_at, duration(kContactBound));
+}
+
 // Guards against a configuration that returns to an older version when a member
 // that lags behind answers.
 TEST_F(control_client_test, OnPollReply_OlderVersion_IsIgnored) {
--- a/app/testing/peer_transport_test.cc
+++ b/app/testing/peer_transport_test.cc
@@ -13,6 +13,7 @@
 
 #include "app/frames.h"
 #include "app/testing/loopback.h"
+#include "app/testing/silent_proxy.h"
 
 namespace bilberrycourse {
 namespace {
@@ -59,6 +60,7 @@
     options.handshake_timeout = std::chrono::milliseconds(300);
     options.ping_period = ping_period;
     options.silence_timeout = 3 * ping_period;
+    options.probe_timeout = std::chrono::milliseconds(150);
     new_node->address = options.listen.ToText();
     new_node->transport = std::make_unique<peer_transport>(
         context_.get_executor(), options, &new_node->handler);
@@ -183,6 +185,50 @@
   EXPECT_TRUE(a->handler.disconnected.empty());
 }
 
+// Guards against a link without pings that is used forever although it has
+// fallen silent, whichever side dialed it.
+TEST_F(peer_transport_test, Probe_SilentLink_IsClosedByEitherSide) {
+  for (const bool dialer_probes : {true, false}) {
+    auto a = Start("a", "a-long-shared-key");
+    auto b = Start("b", "a-long-shared-key");
+    socket_address address;
+    ASSERT_TRUE(ParseSocketAddress(b->address, &address));
+    silent_proxy proxy(&context_, address.port);
+    a->transport->Dial("127.0.0.1:" + std::to_string(proxy.port()));
+    ASSERT_TRUE(RunUntil([&] {
+      return a->transport->Connected("b") && b->transport->Connected("a");
+    }));
+    proxy.FallSilent();
+    peer_transport* prober =
+        dialer_probes ? a->transport.get() : b->transport.get();
+    const std::string peer = dialer_probes ? "b" : "a";
+    prober->Probe(peer);
+    EXPECT_TRUE(RunUntil([&] { return !prober->Connected(peer); }));
+    EXPECT_EQ(prober->counters().silent_links, 1u);
+    a->transport->Close();
+    b->transport->Close();
+  }
+}
+
+// Guards against closing a link whose peer answers.
+TEST_F(peer_transport_test, Probe_PeerAnswers_LinkStays) {
+  auto a = Start("a", "a-long-shared-key");
+  auto b = Start("b", "a-long-shared-key");
+  a->transport->Dial(b->address);
+  ASSERT_TRUE(RunUntil([&] {
+    return a->transport->Connected("b") && b->transport->Connected("a");
+  }));
+  for (int i = 0; i < 3; ++i) {
+    a->transport->Probe("b");
+    b->transport->Probe("a");
+    context_.restart();
+    context_.run_for(std::chrono::milliseconds(200));
+  }
+  EXPECT_TRUE(a->transport->Connected("b"));
+  EXPECT_TRUE(b->transport->Connected("a"));
+  EXPECT_EQ(a->transport->counters().silent_links, 0u);
+}
+
 TEST_F(peer_transport_test, Close_OneSide_NotifiesOtherSide) {
   auto a = Start("a", "a-long-shared-key");
   auto b = Start("b", "a-long-shared-key");
