--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -31,6 +31,8 @@
 constexpr std::size_t kMaxMissingListed = 12;
 // Deadline of a request whose caller sets none.
 constexpr duration kDefaultDeadline = std::chrono::hours(1);
+// Longer deadlines are cut to this, far above any timeout of a route.
+constexpr std::uint64_t kMaxDeadlineMs = 24ULL * 3600 * 1000;
 // Retry-After value while this instance has no configuration.
 constexpr double kUnconfiguredRetrySeconds = 0.7;
 // One-way network delays between the caller's start and the first byte of its
@@ -53,12 +55,14 @@
   return host.substr(0, host.find(':'));
 }
 
-std::optional<duration> ParseMillis(const std::string& text) {
-  std::int64_t value = 0;
+// Returns the time of a deadline header, or nullopt if it is no whole number.
+std::optional<duration> ParseDeadline(const std::string& text) {
+  std::uint64_t value = 0;
   const char* end = text.data() + text.size();
   const auto [last, error] = std::from_chars(text.data(), end, value);
-  if (error != std::errc() || last != end || value < 0) return std::nullopt;
-  return std::chrono::milliseconds(value);
+  if (error == std::errc::invalid_argument || last != end) return std::nullopt;
+  if (error == std::errc::result_out_of_range) value = kMaxDeadlineMs;
+  return std::chrono::milliseconds(std::min(value, kMaxDeadlineMs));
 }
 
 std::string Join(const std::vector<std::string>& items) {
@@ -177,7 +181,7 @@
   call.matched_route = matched_route;
   call.content = ContentOf(state.forwarded);
   call.sent_at = EstimateSendTime(request, now);
-  call.time_left = ParseMillis(HeaderValue(request, names.deadline))
+  call.time_left = ParseDeadline(HeaderValue(request, names.deadline))
                        .value_or(kDefaultDeadline);
   call.relays = ReachableGroups(*matched_route, now);
   route_effects effects;
--- a/app/testing/route_gateway_test.cc
+++ b/app/testing/route_gateway_test.cc
@@ -76,13 +76,13 @@
                            [this] { gateway_->Tick(Now()); });
   }
 
-  void SendRequest(tcp::socket* caller) {
+  void SendRequest(tcp::socket* caller, const std::string& deadline = "900") {
     caller->connect(
         {asio::ip::make_address("127.0.0.1"), config_.caller_listen.port});
-    asio::write(*caller,
-                asio::buffer(std::string("GET /look/x HTTP/1.1\r\nHost: "
-                                         "h.example\r\nX-Request-Id: r1\r\n"
-                                         "X-Deadline-Ms: 900\r\n\r\n")));
+    asio::write(*caller, asio::buffer("GET /look/x HTTP/1.1\r\nHost: "
+                                      "h.example\r\nX-Request-Id: r1\r\n"
+                                      "X-Deadline-Ms: " +
+                                      deadline + "\r\n\r\n"));
   }
 
   // Reads until the bytes contain `end`.
@@ -140,6 +140,31 @@
   EXPECT_NE(answer.find("Content-Type: a/b\r\n"), std::string::npos);
 }
 
+// Guards against a deadline that overflows: the request was sent and answered
+// 504 at once.
+TEST_F(route_gateway_test, Handle_HugeDeadline_IsBounded) {
+  for (const char* deadline :
+       {"9223372036854775", "9223372036854776", "9223372036854775807",
+        "9223372036854775808", "99999999999999999999999999"}) {
+    tcp::socket caller(context_);
+    SendRequest(&caller, deadline);
+    ASSERT_TRUE(RunUntil([&] { return gateway_->in_flight() == 1; }))
+        << deadline;
+    tcp::socket searcher(context_);
+    acceptor_.accept(searcher);
+    const std::string received = ReadUntil(&searcher, "\r\n\r\n");
+    // The route's timeout of 1 s bounds what the searcher gets.
+    EXPECT_NE(received.find("X-Deadline-Ms: 9"), std::string::npos) << received;
+    asio::write(searcher,
+                asio::buffer(std::string(
+                    "HTTP/1.1 200 X\r\nX-Server-Stamp: s\r\nX-Request-Id: r1"
+                    "\r\nConnection: close\r\nContent-Length: 4\r\n\r\n"
+                    "body")));
+    EXPECT_TRUE(ReadUntil(&caller, "body").starts_with("HTTP/1.1 200 "))
+        << deadline;
+  }
+}
+
 // Guards against requests to a searcher that leaves, while the control group,
 // which would announce it, can't be reached.
 TEST_F(route_gateway_test, Handle_SearcherHasSaidThatItLeaves_NotSent) {
