Bound the texts and the start time of heartbeats

Operators saw (reported for a similar system, shown here by an own trial): odd entries among those of the searchers stop the processes that read the list. Here 30 heartbeats with a zone of 3 MB were replicated; control instances held up to 273 MB, a restarted entry instance did not get ready, and no change was acknowledged any more.

Cause: the receiver checked types, but no sizes, of what all others have to hold and read.

Change: CheckSearcherReport() refuses texts over 256 bytes and start times that wrap, before anything is replicated. Apply() is unchanged, so that builds before and after keep the same directory.

Evidence: route_registry_test.Handle_UnboundedHeartbeat_IsRefused failed before and passes.

--- a/app/route_registry.cc
+++ b/app/route_registry.cc
@@ -101,6 +101,12 @@
 
 void route_registry::HandleCall(const searcher_call& call,
                                 http_responder respond) {
+  const std::string_view problem = CheckSearcherReport(call.report);
+  if (!problem.empty()) {
+    return HandleCall(
+        invalid_call{result_code::kInvalidField, std::string(problem)},
+        std::move(respond));
+  }
   if (IsRenewal(call.report)) return respond(Accepted());
   pending_.push_back({call.report, std::move(respond)});
 }
--- a/app/testing/control_service_test.cc
+++ b/app/testing/control_service_test.cc
@@ -9,8 +9,11 @@
 #include <optional>
 #include <string>
 
+#include "app/control_client.h"
 #include "app/daemon_clock.h"
+#include "app/route_registry.h"
 #include "app/testing/faulty_storage_files.h"
+#include "platform/platform_protocol.h"
 
 namespace bilberrycourse {
 namespace {
@@ -91,6 +94,59 @@
   StorageFilesFactory() = original_factory;
 }
 
+class route_registry_test : public control_service_test,
+                            public control_client_handler {
+ protected:
+  void OnPublished(const published_state&) override {}
+
+  // Returns the status of the answer, or 0 if the heartbeat was taken and waits
+  // for the group.
+  unsigned Heartbeat(const std::string& id, const std::string& field,
+                     const std::string& value) {
+    std::map<std::string, std::string> fields{
+        {"backend", "\"desk\""},  {"address", "\"127.0.0.9:80\""},
+        {"zone", "\"a\""},        {"slots", "2"},
+        {"state", "\"ready\""},   {"sequence", "1"},
+        {"born", "1700000000000"}};
+    fields[field] = value;
+    http_request request;
+    request.method = "PUT";
+    request.path = "/v1/instances/" + id;
+    for (const auto& [name, text] : fields) {
+      request.body += (request.body.empty() ? "{\"" : ",\"");
+      request.body += name + "\":" + text;
+    }
+    request.body += "}";
+    unsigned status = 0;
+    registry_->Handle(request,
+                      [&](http_response answer) { status = answer.status; });
+    return status;
+  }
+
+  std::unique_ptr<edge_protocol> protocol_ = MakePlatformProtocol();
+  std::unique_ptr<control_service> service_ = Start(Now());
+  control_client client_{config_, transport_.get(), service_.get(), this};
+  std::unique_ptr<route_registry> registry_ = std::make_unique<route_registry>(
+      protocol_.get(), service_.get(), &client_);
+};
+
+// Guards against entries of another writer that are replicated although the
+// list of searchers is then too large to be read: 30 heartbeats of 3 MB left a
+// restarted entry instance without a list and the group without changes.
+TEST_F(route_registry_test, Handle_UnboundedHeartbeat_IsRefused) {
+  const std::string longest = std::string(256, 'x');
+  const std::string too_long = longest + "x";
+  EXPECT_EQ(Heartbeat(too_long, "zone", "\"a\""), 400u);
+  for (const char* field : {"backend", "zone"}) {
+    EXPECT_EQ(Heartbeat("i1", field, "\"" + too_long + "\""), 400u) << field;
+    EXPECT_EQ(Heartbeat("i1", field, "\"" + longest + "\""), 0u) << field;
+  }
+  for (const char* born : {"9223372036854775808", "18446744073709551615"}) {
+    EXPECT_EQ(Heartbeat("i1", "born", born), 400u) << born;
+  }
+  EXPECT_EQ(Heartbeat("i1", "zone", "\"a\""), 0u);
+}
+
 // Guards against a frame of a peer that ends the process: the argument of the
 // view `request` is a JSON array of two strings, but a peer may send anything.
 TEST(request_argument_test, ParseRequestKey_WrongTypes_AreRefused) {
--- a/bilberrycourse/searcher_directory.cc
+++ b/bilberrycourse/searcher_directory.cc
@@ -10,8 +10,20 @@
 constexpr std::array<std::string_view, 3> kStateNames = {"serving", "draining",
                                                          "gone"};
 
+constexpr std::size_t kMaxTextBytes = 256;
+
 }  // namespace
 
+std::string_view CheckSearcherReport(const searcher_report& report) {
+  const bool too_long = report.id.size() > kMaxTextBytes ||
+                        report.service.size() > kMaxTextBytes ||
+                        report.address.size() > kMaxTextBytes ||
+                        report.zone.size() > kMaxTextBytes;
+  if (too_long) return "a text is longer than 256 bytes";
+  if (report.started_at_ms < 0) return "the start time is too large";
+  return {};
+}
+
 std::string_view ToString(searcher_state state) {
   return kStateNames.at(static_cast<std::size_t>(state));
 }
--- a/bilberrycourse/searcher_directory.h
+++ b/bilberrycourse/searcher_directory.h
@@ -52,6 +52,11 @@
   bool operator==(const searcher_report&) const = default;
 };
 
+// Returns what is wrong with the report, or an empty string. Called by the
+// receiver before the report is replicated, so that one odd entry can't make
+// the whole list unreadable: its texts are limited to 256 bytes each.
+std::string_view CheckSearcherReport(const searcher_report& report);
+
 struct searcher_record {
   searcher_report report;
   // Log index of the last change.
