Test replies that are cut in their head

Operators of a similar system saw: a searcher stopped in the middle of the head of its answer, and clients got a 200 with an empty or short body.

It does not happen here: searcher_client_test.Read_CutInHead_IsNoReply cuts the head at every byte, by close and by reset, with each way of ending the body, and route_relay_test.Handle_ReplyCutInHead_OutcomeIsUnknown does so while another instance waits; both passed without a change of the product.

--- a/app/testing/route_relay_test.cc
+++ b/app/testing/route_relay_test.cc
@@ -164,6 +164,20 @@
   EXPECT_EQ(relay_->gateway->in_flight(), 0u);
 }
 
+// Guards against a reply that is cut in its head while another instance waits
+// for it, and reaches the caller as a whole one.
+TEST_F(route_relay_test, Handle_ReplyCutInHead_OutcomeIsUnknown) {
+  Request();
+  ASSERT_TRUE(RunUntil([&] { return relay_->gateway->in_flight() == 1; }));
+  AcceptRequest();
+  asio::write(searcher_, asio::buffer(std::string(
+                             "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n"
+                             "X-Request-Id: r1\r\nContent-Le")));
+  searcher_.close();
+  ASSERT_TRUE(RunUntil([&] { return response_ != nullptr; }));
+  EXPECT_EQ(response_->status, 502u);
+}
+
 // Guards against a searcher that works on after the caller has left the origin.
 TEST_F(route_relay_test, Handle_CallerLeaves_RelayClosesConnection) {
   Request();
--- a/app/testing/searcher_client_test.cc
+++ b/app/testing/searcher_client_test.cc
@@ -171,6 +171,36 @@
   EXPECT_FALSE(keep_alive_);
 }
 
+// Guards against a reply whose head is cut and that is taken for a whole one
+// with an empty or short body: every cut of the head, by close and by reset,
+// whatever ends the body.
+TEST_F(searcher_client_test, Read_CutInHead_IsNoReply) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: r1\r\n";
+  const std::string heads[] = {head + "Content-Length: 4\r\n\r\n",
+                               head + "Transfer-Encoding: chunked\r\n\r\n",
+                               head + "Connection: close\r\n\r\n"};
+  for (const std::string& whole : heads) {
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+      for (const bool reset : {false, true}) {
+        Send("r1");
+        Write(whole.substr(0, size));
+        if (reset) socket_.set_option(asio::socket_base::linger(true, 0));
+        socket_.close();
+        ASSERT_TRUE(RunUntil([&] { return closed_ == 1; }))
+            << whole.substr(0, size);
+        EXPECT_TRUE(replies_.empty()) << whole.substr(0, size);
+        closed_ = opened_ = 0;
+        client_->Open(
+            kConnection,
+            "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()));
+        acceptor_.accept(socket_);
+        ASSERT_TRUE(RunUntil([&] { return opened_ == 1; }));
+      }
+    }
+  }
+}
+
 TEST_F(searcher_client_test, Read_InvalidReply_ClosesConnection) {
   Send("r1");
   Write("garbage garbage\r\n\r\n");
