Refuse transfer codings other than chunked

Cause: Beast ignores codings it does not know, and nothing checked them after it.

Change: such a request gets 400 and the connection is closed; such a reply is a failure of its searcher.

--- a/app/http_client.cc
+++ b/app/http_client.cc
@@ -146,7 +146,9 @@
   void ReadDone(const beast::error_code& error) {
     if (closed_) return;
     if (IsSizeLimit(error)) return Fail(connection_end::kReplyLimit);
-    if (error) return Fail(connection_end::kLost);
+    if (error || !IsTransferCodingSupported(reader_.parser().get())) {
+      return Fail(connection_end::kLost);
+    }
     const bool ends_at_close = reader_.parser().need_eof();
     client_response response = reader_.parser().release();
     if (response.result_int() < kFirstFinalStatus ||
--- a/app/http_message_reader.h
+++ b/app/http_message_reader.h
@@ -23,10 +23,12 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/read_size.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstdint>
+#include <iterator>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -57,6 +59,17 @@
          error == http::error::buffer_overflow;
 }
 
+// Returns true if the message has no transfer coding or only `chunked`, once.
+// Beast ignores other codings and would take the body for the next message.
+template <typename Fields>
+bool IsTransferCodingSupported(const Fields& fields) {
+  const auto [first, last] =
+      fields.equal_range(boost::beast::http::field::transfer_encoding);
+  if (first == last) return true;
+  return std::next(first) == last &&
+         boost::beast::iequals(first->value(), "chunked");
+}
+
 template <bool is_request>
 class http_message_reader {
  public:
--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -239,6 +239,11 @@
       keep_alive_ = false;
       return Write(ProblemResponse(ReadErrorCode(error)));
     }
+    if (!IsTransferCodingSupported(reader_.parser().get())) {
+      keep_alive_ = false;
+      return Write(ProblemResponse(result_code::kMalformedRequest,
+                                   "unsupported Transfer-Encoding"));
+    }
     Handle();
   }
 
--- a/app/testing/http_server_test.cc
+++ b/app/testing/http_server_test.cc
@@ -124,6 +124,38 @@
 
 // Guards against closing a connection as idle while its caller sends the next
 // request.
+// Guards against request smuggling: a request with a transfer coding other than
+// `chunked` reached the handler with an empty body, and its body ran as the
+// next request.
+TEST_F(http_server_test, Request_OtherTransferCoding_RefusedAndClosed) {
+  const std::string smuggled = "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n";
+  const std::string chunked = "1c\r\n" + smuggled + "\r\n0\r\n\r\n";
+  for (const char* codings :
+       {"Transfer-Encoding: gzip", "Transfer-Encoding: identity",
+        "Transfer-Encoding: chunked, identity",
+        "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: xchunked",
+        "Transfer-Encoding:",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: identity\r\nContent-Length: 0"}) {
+    for (const std::string& body : {smuggled, chunked}) {
+      const std::string answer =
+          Exchange("POST /x HTTP/1.1\r\nHost: a\r\n" + std::string(codings) +
+                       "\r\n\r\n" + body,
+                   "\r\n\r\nPOST");
+      EXPECT_TRUE(answer.starts_with("HTTP/1.1 400 ")) << codings << answer;
+      EXPECT_NE(answer.find("Connection: close"), std::string::npos) << codings;
+      // A second answer would be that of the smuggled request.
+      EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos)
+          << codings << answer;
+    }
+  }
+  EXPECT_NE(Exchange("POST /x HTTP/1.1\r\nHost: a\r\n"
+                     "Transfer-Encoding: Chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+                     "POSThi")
+                .find("POSThi"),
+            std::string::npos);
+}
+
 TEST_F(http_server_test, BeginDrain_NextAnswer_HasConnectionClose) {
   const std::string request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
   EXPECT_EQ(Exchange(request, "GET").find("Connection: close"),
--- a/app/testing/searcher_client_test.cc
+++ b/app/testing/searcher_client_test.cc
@@ -201,6 +201,17 @@
   }
 }
 
+// Guards against a body that is forwarded in a transfer coding that its caller
+// is not told of.
+TEST_F(searcher_client_test, Read_OtherTransferCoding_IsNoReply) {
+  Send("r1");
+  Write(
+      "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: r1\r\n"
+      "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+  EXPECT_TRUE(RunUntil([&] { return closed_ + replies_.size() == 1; }));
+  EXPECT_TRUE(replies_.empty());
+}
+
 TEST_F(searcher_client_test, Read_InvalidReply_ClosesConnection) {
   Send("r1");
   Write("garbage garbage\r\n\r\n");
