Keep the messages of two processes of one instance apart

Cause: relay ids counted from 1 in each process, a link that its dialer opened anew replaced the old one without a report of its loss, and results were accepted from any peer.

Change: ids that another process returns start at a random number, a replaced link counts as lost, and a result must come from the relay that was asked. The frames are unchanged.

--- a/app/control_client.h
+++ b/app/control_client.h
@@ -28,6 +28,7 @@
 #include <vector>
 
 #include "app/control_service.h"
+#include "app/message_ids.h"
 #include "app/peer_transport.h"
 #include "app/settings.h"
 #include "bilberrycourse/control_lease.h"
@@ -148,7 +149,7 @@
   // The instance to poll; changes when a poll is not confirmed.
   instance_name poll_target_;
   time_point poll_due_{};
-  std::uint64_t next_poll_id_ = 1;
+  std::uint64_t next_poll_id_ = FirstMessageId();
   std::map<std::uint64_t, outstanding_poll> polls_;
   bool poll_answered_;
   // Time of the last poll with a fresh answer, or of the first poll.
@@ -157,7 +158,7 @@
   std::map<instance_name, availability_zone> member_zones_;
   // Until then no other member is preferred, because one has not answered.
   time_point keep_target_until_{};
-  std::uint64_t next_call_id_ = 1;
+  std::uint64_t next_call_id_ = FirstMessageId();
   std::map<std::uint64_t, control_call> calls_;
 };
 
--- a/app/peer_transport.cc
+++ b/app/peer_transport.cc
@@ -483,17 +483,21 @@
 void peer_transport::impl::OnLinkOpened(const link_pointer& new_link) {
   const link_pointer existing_link = FindOpen(new_link->peer());
   if (existing_link != nullptr) {
-    // If both sides have dialed, the link dialed by the smaller name is kept. A
-    // second link from the same dialer replaces the first, which is broken
-    // although this side has not detected it.
-    const bool replace = new_link->dialed_by() <= existing_link->dialed_by();
-    if (!replace) {
+    // If both sides have dialed, the link dialed by the smaller name is kept.
+    if (new_link->dialed_by() > existing_link->dialed_by()) {
       asio::post(executor, [new_link] { new_link->Close(); });
       return;
     }
-    open[new_link->peer()] = new_link;
     asio::post(executor, [existing_link] { existing_link->Close(); });
-    return;
+    if (new_link->dialed_by() != existing_link->dialed_by()) {
+      open[new_link->peer()] = new_link;
+      return;
+    }
+    // A second link from the same dialer replaces the first, which is broken
+    // although this side has not detected it. The peer may be a new process, so
+    // what depends on the first link must end.
+    open.erase(new_link->peer());
+    handler->OnPeerDisconnected(new_link->peer());
   }
   open[new_link->peer()] = new_link;
   handler->OnPeerConnected(new_link->peer());
--- a/app/peer_transport.h
+++ b/app/peer_transport.h
@@ -14,7 +14,8 @@
 // and the number of such links is limited, so that unauthenticated connections
 // use few resources. There is one link for each pair of instances: if both dial
 // at the same time, the link dialed by the instance with the smaller name is
-// kept.
+// kept. A second link of the same dialer replaces the first and counts as its
+// loss: the peer has given it up or is a new process.
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/leaf/result.hpp>
--- a/app/query_service.h
+++ b/app/query_service.h
@@ -29,6 +29,7 @@
 
 #include "app/backend_client.h"
 #include "app/cluster_service.h"
+#include "app/message_ids.h"
 #include "app/metrics.h"
 #include "app/peer_transport.h"
 #include "app/settings.h"
@@ -189,7 +190,7 @@
   bool running_ = false;
   std::map<instance_name, outgoing_frames> outgoing_;
 
-  std::uint64_t next_query_ = 1;
+  std::uint64_t next_query_ = FirstMessageId();
   std::unordered_map<std::uint64_t, running_query> queries_;
   std::map<instance_name, owner_link> owners_;
   std::unordered_map<std::uint64_t, instance_name> owner_of_request_;
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -48,6 +48,7 @@
   options.budget.ratio = config.retry_ratio;
   options.budget.allowance = config.retry_allowance;
   options.answer_margin = config.caller_one_way + kAnswerProcessingTime;
+  options.first_limit_request = FirstMessageId();
   return options;
 }
 
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -19,6 +19,7 @@
 #include "app/edge_protocol.h"
 #include "app/http_server.h"
 #include "app/log_limiter.h"
+#include "app/message_ids.h"
 #include "app/metrics.h"
 #include "app/peer_transport.h"
 #include "app/searcher_client.h"
@@ -150,7 +151,8 @@
   void ExecuteEffect(fallback_wanted& effect);
   void OnRelayRequest(const instance_name& peer,
                       const wire::relay_request& request, time_point now);
-  void OnRelayResult(const wire::relay_result& result, time_point now);
+  void OnRelayResult(const instance_name& peer,
+                     const wire::relay_result& result, time_point now);
   void OnRelayCancel(const instance_name& peer,
                      const wire::relay_cancel& cancel, time_point now);
   bool Responsive(const instance_name& relay, time_point now) const;
@@ -206,7 +208,7 @@
   std::map<instance_name, time_point> silent_until_;
   // Groups of shards that relays are searching, by relay id.
   std::map<std::uint64_t, relayed_group> relayed_groups_;
-  std::uint64_t next_relay_id_ = 1;
+  std::uint64_t next_relay_id_ = FirstMessageId();
   // On a relay: requests of origins, by the origin's name and its relay id.
   std::map<std::pair<instance_name, std::uint64_t>, route_request_id>
       served_requests_;
--- a/app/route_gateway_relays.cc
+++ b/app/route_gateway_relays.cc
@@ -210,7 +210,7 @@
     return true;
   }
   if (const auto* result = frame.payload_as_relay_result()) {
-    OnRelayResult(*result, now);
+    OnRelayResult(peer, *result, now);
     return true;
   }
   if (const auto* cancel = frame.payload_as_relay_cancel()) {
@@ -442,10 +442,11 @@
   calls_.erase(found);
 }
 
-void route_gateway::OnRelayResult(const wire::relay_result& result,
+void route_gateway::OnRelayResult(const instance_name& peer,
+                                  const wire::relay_result& result,
                                   time_point now) {
   const auto found = relayed_groups_.find(result.relay_id());
-  if (found == relayed_groups_.end()) return;
+  if (found == relayed_groups_.end() || found->second.relay != peer) return;
   const relayed_group group = found->second;
   if (result.final()) relayed_groups_.erase(found);
   route_effects effects;
--- a/app/testing/peer_transport_test.cc
+++ b/app/testing/peer_transport_test.cc
@@ -210,6 +210,29 @@
   }
 }
 
+// Guards against a peer whose process is a new one, or that has given up its
+// link, and that still counts as the one before: what it had asked for must
+// end.
+TEST_F(peer_transport_test, Dial_AgainAfterSilence_OtherSideNotesLoss) {
+  auto a = Start("a", "a-long-shared-key");
+  auto b = Start("b", "a-long-shared-key");
+  socket_address address;
+  ASSERT_TRUE(ParseSocketAddress(b->address, &address));
+  silent_proxy proxy(&context_, address.port);
+  const std::string dialed = "127.0.0.1:" + std::to_string(proxy.port());
+  a->transport->Dial(dialed);
+  ASSERT_TRUE(RunUntil([&] { return b->transport->Connected("a"); }));
+  proxy.FallSilent();
+  a->transport->Probe("b");
+  ASSERT_TRUE(RunUntil([&] { return !a->transport->Connected("b"); }));
+  EXPECT_TRUE(b->handler.disconnected.empty());
+  a->transport->Dial(dialed);
+  ASSERT_TRUE(RunUntil([&] { return b->handler.connected.size() == 2; }));
+  EXPECT_EQ(b->handler.disconnected.size(), 1u);
+  EXPECT_TRUE(b->transport->Send("a", MakeTextFrame("new")));
+  EXPECT_TRUE(RunUntil([&] { return a->handler.frames.size() == 1; }));
+}
+
 // Guards against closing a link whose peer answers.
 TEST_F(peer_transport_test, Probe_PeerAnswers_LinkStays) {
   auto a = Start("a", "a-long-shared-key");
--- a/app/testing/route_relay_test.cc
+++ b/app/testing/route_relay_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "app/daemon_clock.h"
+#include "app/frames.h"
 #include "app/route_gateway.h"
 #include "app/testing/loopback.h"
 #include "platform/platform_protocol.h"
@@ -64,12 +65,17 @@
   }
   void OnPeerFrame(const instance_name& peer,
                    const wire::peer_frame& frame) override {
+    if (const auto* request = frame.payload_as_relay_request()) {
+      relay_ids.push_back(request->relay_id());
+    }
     gateway->OnPeerFrame(peer, frame, Now());
   }
 
   std::string address;
   std::unique_ptr<peer_transport> transport;
   std::unique_ptr<route_gateway> gateway;
+  // Of the requests that other instances have sent.
+  std::vector<std::uint64_t> relay_ids;
 
  private:
   settings config_;
@@ -79,12 +85,17 @@
 // The origin cannot reach the searcher, which the relay reaches.
 class route_relay_test : public ::testing::Test {
  protected:
-  void SetUp() override {
+  void SetUp() override { StartOrigin(); }
+
+  // Starts the origin's process, or a new one of the same name.
+  void StartOrigin() {
     // Nothing listens on the port that the origin is given.
     origin_ = std::make_unique<relay_node>(&context_, "e1", protocol_.get(),
                                            FreePort());
-    relay_ = std::make_unique<relay_node>(&context_, "e2", protocol_.get(),
-                                          acceptor_.local_endpoint().port());
+    if (relay_ == nullptr) {
+      relay_ = std::make_unique<relay_node>(&context_, "e2", protocol_.get(),
+                                            acceptor_.local_endpoint().port());
+    }
     origin_->gateway->SetEntryInstances(
         {{"e1", origin_->address, "a"}, {"e2", relay_->address, "a"}}, Now());
     origin_->transport->Dial(relay_->address);
@@ -191,6 +202,59 @@
   EXPECT_TRUE(error);
 }
 
+// Answers the origin's request with this id as if its searcher had answered
+// 200.
+wire::peer_frameT MakeResult(std::uint64_t relay_id) {
+  wire::relay_resultT result;
+  result.relay_id = relay_id;
+  result.answered = {0};
+  result.stamps = {"s"};
+  result.reply = std::make_unique<wire::forwarded_replyT>();
+  result.reply->status = 200;
+  result.reply->stamp = "s";
+  result.final = true;
+  return MakeFrame(std::move(result));
+}
+
+// Guards against answers to the process before that are taken for answers to
+// this one (review/2: callers got parts of other requests).
+TEST_F(route_relay_test, Handle_OriginRestarted_IdsAreNotUsedAgain) {
+  Request();
+  ASSERT_TRUE(RunUntil([&] { return relay_->relay_ids.size() == 1; }));
+  const std::uint64_t former = relay_->relay_ids.front();
+  StartOrigin();
+  Request();
+  ASSERT_TRUE(RunUntil([&] { return relay_->relay_ids.size() == 2; }));
+  EXPECT_NE(relay_->relay_ids.back(), former);
+  relay_->transport->Send("e1", MakeResult(former));
+  relay_->transport->Send("e1", MakeResult(1));
+  EXPECT_FALSE(
+      RunContextUntil(&context_,
+                      [&, end = Now() + std::chrono::milliseconds(100)] {
+                        return response_ != nullptr || Now() > end;
+                      }) &&
+      response_ != nullptr);
+  relay_->transport->Send("e1", MakeResult(relay_->relay_ids.back()));
+  ASSERT_TRUE(RunUntil([&] { return response_ != nullptr; }));
+  EXPECT_EQ(response_->status, 200u);
+}
+
+// Guards against a result of an instance that was not asked.
+TEST_F(route_relay_test, OnPeerFrame_ResultOfAnotherPeer_IsIgnored) {
+  Request();
+  ASSERT_TRUE(RunUntil([&] { return relay_->relay_ids.size() == 1; }));
+  const wire::peer_frameT result = MakeResult(relay_->relay_ids.front());
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(wire::peer_frame::Pack(builder, &result));
+  const auto* frame =
+      flatbuffers::GetRoot<wire::peer_frame>(builder.GetBufferPointer());
+  origin_->gateway->OnPeerFrame("e3", *frame, Now());
+  EXPECT_EQ(response_, nullptr);
+  origin_->gateway->OnPeerFrame("e2", *frame, Now());
+  ASSERT_NE(response_, nullptr);
+  EXPECT_EQ(response_->status, 200u);
+}
+
 // Guards against `not run` or a second run after the relay is lost.
 TEST_F(route_relay_test, Handle_RelayLost_OutcomeIsUnknown) {
   Request();
--- a/bilberrycourse/route_engine.cc
+++ b/bilberrycourse/route_engine.cc
@@ -41,6 +41,7 @@
                            availability_zone zone)
     : options_(options),
       pool_(options.pool, std::move(self), std::move(zone)),
+      next_limit_request_(options.first_limit_request),
       evidence_(EvidenceOptions()) {}
 
 void route_engine::SetRoutes(std::shared_ptr<const route_table> table,
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -106,6 +106,9 @@
   // A relay sends its first report this long before the origin answers. The
   // relay counts as silent if none has arrived this long after.
   duration relay_report_margin = std::chrono::milliseconds(6);
+  // Id of the first request to the limit_allocator. It differs between the
+  // processes of one instance, so that a reply to an earlier one is not used.
+  std::uint64_t first_limit_request = 1;
   // Upper limit of requests in flight; further requests are refused.
   std::size_t max_requests = 4096;
 };
@@ -565,7 +568,7 @@
   std::set<std::string> limit_changed_;
   // Id of the unanswered request to the allocator; 0 if there is none.
   std::uint64_t limit_request_ = 0;
-  std::uint64_t next_limit_request_ = 1;
+  std::uint64_t next_limit_request_;
   // Time at which the allocator was lost, and of the next try to reach it.
   std::optional<time_point> allocator_lost_at_;
   time_point allocator_retry_at_{};
