Log how each request ends while an instance stops

The hypotheses of docs/incidents/stopping-instance.md can't be told apart from the logs: successes are sampled, the end of a cancelled request leaves no line, and the end of the process states a count only.

No change of behaviour; http_server_test: 11 passed.

--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -1,5 +1,8 @@
 #include "app/http_server.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -66,6 +69,13 @@
   return headers;
 }
 
+// Returns the number of sent bytes that the caller's system has not
+// acknowledged; 0 if the system does not tell.
+int UnacknowledgedBytes(tcp::socket& socket) {
+  int bytes = 0;
+  return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
 std::string RetryAfterText(double seconds) {
   std::array<char, 32> text{};
   std::snprintf(text.data(), text.size(), "%.3g", seconds);
@@ -169,6 +179,20 @@
     });
   }
 
+  bool pending() const { return IsPending(state_); }
+
+  unfinished_connection Describe() {
+    unfinished_connection out;
+    out.state = ToString(state_);
+    out.target = target_;
+    if (state_ != session_state::kLastRequest) {
+      out.age = std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::steady_clock::now() - received_at_);
+    }
+    out.unacknowledged_bytes = UnacknowledgedBytes(stream_.socket());
+    return out;
+  }
+
   void Close() {
     if (state_ == session_state::kClosed) return;
     SetState(session_state::kClosed);
@@ -192,6 +216,12 @@
     kClosed = 5,
   };
 
+  static std::string_view ToString(session_state state) {
+    constexpr std::array<std::string_view, 6> kNames = {
+        "idle", "first_request", "reading", "handling", "draining", "closed"};
+    return kNames[static_cast<std::size_t>(state)];
+  }
+
   static bool IsPending(session_state state) {
     return state == session_state::kLastRequest ||
            state == session_state::kReading ||
@@ -210,6 +240,7 @@
   void ReadRequest() {
     SetState(session_state::kReading);
     received_at_ = std::chrono::steady_clock::now();
+    target_.clear();
     timed_out_ = false;
     timer_.expires_after(server_->options.read_timeout);
     timer_.async_wait([self = shared_from_this()](const beast::error_code& e) {
@@ -262,6 +293,7 @@
     const std::size_t query_mark = target.find('?');
     request.path = target.substr(0, query_mark);
     request.target = target;
+    target_ = target;
     request.host = Field(message, "Host");
     request.received_at = received_at_;
     request.first_on_connection = !request_received_;
@@ -370,6 +402,8 @@
   http::response<http::string_body> response_;
   std::shared_ptr<std::function<void()>> on_disconnect_;
   std::chrono::steady_clock::time_point received_at_;
+  // Of the current request.
+  std::string target_;
   bool request_received_ = false;
   bool head_request_ = false;
   bool keep_alive_ = true;
@@ -450,6 +484,16 @@
 
 std::size_t http_server::pending() const { return impl_->pending; }
 
+std::vector<unfinished_connection> http_server::Unfinished(
+    std::size_t limit) const {
+  std::vector<unfinished_connection> out;
+  for (const auto& open_session : impl_->sessions) {
+    if (out.size() == limit) break;
+    if (open_session->pending()) out.push_back(open_session->Describe());
+  }
+  return out;
+}
+
 void http_server::Close() {
   impl_->closed = true;
   StopAccepting();
--- a/app/http_server.h
+++ b/app/http_server.h
@@ -92,6 +92,19 @@
   std::chrono::milliseconds first_request_timeout{300};
 };
 
+// A connection with a request that has not been answered in full.
+struct unfinished_connection {
+  // What the server waits for: `reading`, `handling`, or
+  // `first_request` of a new connection in a shutdown.
+  std::string_view state;
+  // Of the current request, empty until it has been read.
+  std::string target;
+  // Time since its first byte; 0 without a byte.
+  std::chrono::milliseconds age{0};
+  // Bytes of the answer that the caller's system has not acknowledged.
+  int unacknowledged_bytes = 0;
+};
+
 class http_server {
  public:
   http_server(boost::asio::any_io_executor executor,
@@ -111,6 +124,8 @@
   // Returns the number of connections with a request that is being read, runs
   // or is being answered, or whose first request is awaited in a shutdown.
   std::size_t pending() const;
+  // Returns the connections that pending() counts, `limit` of them at most.
+  std::vector<unfinished_connection> Unfinished(std::size_t limit) const;
   void Close();
 
  private:
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds kConnectTimeout{400};
 // Log lines per second about failed and refused requests.
 constexpr double kFailureLogsPerSecond = 40;
+// Log lines per second about requests that end during a shutdown.
+constexpr double kStopLogsPerSecond = 200;
 // Log lines per second about attempts after a refusal or a failure.
 constexpr double kRetryLogsPerSecond = 20;
 // Log lines per second about replies beyond a limit.
@@ -87,6 +89,7 @@
       metrics_(counters),
       wake_(std::move(wake)),
       log_limiter_(kFailureLogsPerSecond),
+      stop_log_limiter_(kStopLogsPerSecond),
       retry_log_limiter_(kRetryLogsPerSecond),
       limit_log_limiter_(kLimitLogsPerSecond),
       request_limit_log_limiter_(kRequestLimitLogsPerSecond),
@@ -194,14 +197,23 @@
 void route_gateway::OnCallerDisconnected(route_request_id id) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
-  const http_responder respond = std::move(found->second.respond);
+  const call_state call = std::move(found->second);
   calls_.erase(found);
+  const time_point now = Now();
+  log_limiter& limiter = finish_log_limiter();
+  if (limiter.Allow(now)) {
+    LogDecision("request_cancelled",
+                {{"request", call.forwarded.request_id},
+                 {"route", call.matched_route->name},
+                 {"last_searcher", call.forwarded.searcher},
+                 {"left_out", limiter.TakeSuppressedCount()}});
+  }
   route_effects effects;
-  engine_.Cancel(id, Now(), &effects);
+  engine_.Cancel(id, now, &effects);
   Execute(&effects);
   http_response abandoned;
   abandoned.abort = true;
-  respond(std::move(abandoned));
+  call.respond(std::move(abandoned));
 }
 
 // Estimates when the caller began its request; the latency objective is
@@ -269,6 +281,7 @@
 }
 
 void route_gateway::StopAt(time_point end, time_point now) {
+  stopping_ = true;
   route_effects effects;
   engine_.StopAt(end, now, &effects);
   Execute(&effects);
@@ -475,12 +488,14 @@
 }
 
 // Logs failed, refused and partial requests up to the limiter's rate, and other
-// requests at the configured sampling rate.
+// requests at the configured sampling rate. During a shutdown every request is
+// logged up to a higher rate, so that the log tells how each one ended.
 void route_gateway::LogFinish(const call_state& call,
                               const finish_route_request& finish) {
   const bool routine =
       finish.code == result_code::kOk && finish.missing.empty();
-  if (routine ? !SampleDecision() : !log_limiter_.Allow(Now())) return;
+  log_limiter& limiter = finish_log_limiter();
+  if (routine && !stopping_ ? !SampleDecision() : !limiter.Allow(Now())) return;
   boost::json::array missing;
   for (const missing_part& part : finish.missing) {
     if (missing.size() == kMaxMissingListed) break;
@@ -502,7 +517,7 @@
        {"missing", std::move(missing)},
        {"elapsed_us", finish.elapsed.count()},
        {"retry_after_ms", finish.retry_after.count() / 1000},
-       {"left_out", log_limiter_.TakeSuppressedCount()}});
+       {"left_out", limiter.TakeSuppressedCount()}});
 }
 
 void route_gateway::UpdateMetrics() {
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -112,6 +112,9 @@
 
  private:
   static void LogSearchers(const route_update& update, bool full_list);
+  log_limiter& finish_log_limiter() {
+    return stopping_ ? stop_log_limiter_ : log_limiter_;
+  }
 
   struct call_state {
     forwarded_request forwarded;
@@ -187,6 +190,9 @@
   bool crash_evidence_unsent_ = false;
   std::function<void()> relays_changed_;
   log_limiter log_limiter_;
+  // Replaces log_limiter_ for the ends of requests while the instance stops.
+  log_limiter stop_log_limiter_;
+  bool stopping_ = false;
   log_limiter retry_log_limiter_;
   log_limiter limit_log_limiter_;
   log_limiter request_limit_log_limiter_;
