Wait at a stop until answers have been received

Callers that received slowly lost the end of an answer when the entry instance stopped: a connection whose last answer was written did not count as pending, so the process ended at once. What the caller sent after that reset the connection, and the system dropped the bytes that were still to be sent.

Such a connection now counts until its caller has closed it, for 1 s, and longer while the caller acknowledges bytes; the end of the grace period still ends it. Idle connections don't count, as before.

--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -25,7 +25,11 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
+// How long a connection stays open after its last answer, for a caller that has
+// not closed it yet.
 constexpr std::chrono::seconds kDrainTimeout{1};
+// A caller that still receives its answer then gets that time again, so often.
+constexpr int kMaxDrainTimeouts = 10;
 
 http_read_limits ReadLimits(const http_server_options& options) {
   http_read_limits limits;
@@ -169,13 +173,13 @@
         accepted_at_ + server_->options.first_request_timeout;
     if (request_received_ ||
         std::chrono::steady_clock::now() >= first_request_due) {
-      return CloseGracefully();
+      return CloseGracefully(session_state::kDraining);
     }
     SetState(session_state::kLastRequest);
     timer_.expires_at(first_request_due);
     timer_.async_wait([self = shared_from_this()](const beast::error_code& e) {
       if (!e && self->state_ == session_state::kLastRequest)
-        self->CloseGracefully();
+        self->CloseGracefully(session_state::kDraining);
     });
   }
 
@@ -211,21 +215,26 @@
     kLastRequest = 1,
     kReading = 2,
     kHandling = 3,
-    // Our side is closed; the caller's input is read and dropped.
-    kDraining = 4,
-    kClosed = 5,
+    // The last answer has been written and our side is closed, but the caller
+    // may not have received all of it.
+    kDelivering = 4,
+    // As kDelivering, without an answer since the connection became idle.
+    kDraining = 5,
+    kClosed = 6,
   };
 
   static std::string_view ToString(session_state state) {
-    constexpr std::array<std::string_view, 6> kNames = {
-        "idle", "first_request", "reading", "handling", "draining", "closed"};
+    constexpr std::array<std::string_view, 7> kNames = {
+        "idle",       "first_request", "reading", "handling",
+        "delivering", "draining",      "closed"};
     return kNames[static_cast<std::size_t>(state)];
   }
 
   static bool IsPending(session_state state) {
     return state == session_state::kLastRequest ||
            state == session_state::kReading ||
-           state == session_state::kHandling;
+           state == session_state::kHandling ||
+           state == session_state::kDelivering;
   }
 
   void SetState(session_state state) {
@@ -366,7 +375,9 @@
 
   void WriteDone(const beast::error_code& error) {
     if (error) return Close();
-    if (!response_.keep_alive()) return CloseGracefully();
+    if (!response_.keep_alive()) {
+      return CloseGracefully(session_state::kDelivering);
+    }
     Read();
     if (server_->stopping) CloseIfIdle();
   }
@@ -374,14 +385,30 @@
   // Closing a socket with unread input resets the connection, and the caller
   // could lose the response. Further input is read and dropped, within limits
   // of time and size.
-  void CloseGracefully() {
-    SetState(session_state::kDraining);
+  void CloseGracefully(session_state state) {
+    SetState(state);
     beast::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    stream_.expires_after(kDrainTimeout);
+    stream_.expires_never();
+    LimitDrainTime(kMaxDrainTimeouts, UnacknowledgedBytes(stream_.socket()));
     Drain(server_->options.max_request_bytes);
   }
 
+  // Closes the connection after kDrainTimeout, but not while the caller still
+  // receives the answer.
+  void LimitDrainTime(int timeouts_left, int unacknowledged) {
+    timer_.expires_after(kDrainTimeout);
+    timer_.async_wait([self = shared_from_this(), timeouts_left,
+                       unacknowledged](const beast::error_code& error) {
+      if (error || self->state_ == session_state::kClosed) return;
+      const int left = UnacknowledgedBytes(self->stream_.socket());
+      if (left == 0 || left >= unacknowledged || timeouts_left <= 1) {
+        return self->Close();
+      }
+      self->LimitDrainTime(timeouts_left - 1, left);
+    });
+  }
+
   void Drain(std::size_t remaining) {
     if (state_ == session_state::kClosed) return;
     stream_.async_read_some(
--- a/app/http_server.h
+++ b/app/http_server.h
@@ -94,7 +94,7 @@
 
 // A connection with a request that has not been answered in full.
 struct unfinished_connection {
-  // What the server waits for: `reading`, `handling`, or
+  // What the server waits for: `reading`, `handling`, `delivering`, or
   // `first_request` of a new connection in a shutdown.
   std::string_view state;
   // Of the current request, empty until it has been read.
@@ -122,7 +122,9 @@
   // may still send its first request for `first_request_timeout`.
   void StopAccepting();
   // Returns the number of connections with a request that is being read, runs
-  // or is being answered, or whose first request is awaited in a shutdown.
+  // or is being answered, or whose first request is awaited in a shutdown. A
+  // request that ends its connection is being answered until the caller has
+  // closed it or kDrainTimeout has passed without progress.
   std::size_t pending() const;
   // Returns the connections that pending() counts, `limit` of them at most.
   std::vector<unfinished_connection> Unfinished(std::size_t limit) const;
--- a/app/testing/http_server_test.cc
+++ b/app/testing/http_server_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -20,6 +21,10 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+// Fits into the send buffer of the server's socket, but not into the receive
+// buffer that the test gives a slow caller.
+constexpr std::size_t kLargeBytes = 1024 * 1024;
+
 class http_server_test : public ::testing::Test {
  protected:
   void SetUp() override {
@@ -50,6 +55,9 @@
             response.retry_after = 0.25;
             return respond(std::move(response));
           }
+          if (request.path == "/large") {
+            return respond({200, "text/plain", std::string(kLargeBytes, 'x')});
+          }
           respond({200, "text/plain", request.method + request.body, 0});
         });
     ASSERT_TRUE(server_->Listen());
@@ -82,6 +90,9 @@
   }
 
   asio::io_context context_;
+  // Keeps the thread running after the server has closed everything.
+  asio::executor_work_guard<asio::io_context::executor_type> work_{
+      context_.get_executor()};
   std::uint16_t port_ = 0;
   std::unique_ptr<http_server> server_;
   std::vector<http_responder> pending_responders_;
@@ -283,6 +294,46 @@
   RunOnServer([&] { EXPECT_EQ(server_->pending(), 0u); });
 }
 
+// Guards against a shutdown that ends while an answer is still under way: what
+// the caller sends after the close resets the connection, and the part that it
+// has not received is lost.
+TEST_F(http_server_stop_test, StopAccepting_AnswerReadSlowly_IsWhole) {
+  caller_.open(tcp::v4());
+  caller_.set_option(tcp::socket::receive_buffer_size(64 * 1024));
+  Connect();
+  RunOnServer([&] { server_->BeginDrain(); });
+  asio::write(caller_, asio::buffer("GET /large HTTP/1.1\r\nHost: a\r\n\r\n"));
+  std::string answer;
+  asio::read_until(caller_, asio::dynamic_buffer(answer), "\r\n\r\n");
+  // The shutdown of the process: closes everything once nothing is pending.
+  bool ended = false;
+  const auto end_if_idle = [&] {
+    if (ended) return;
+    RunOnServer([&] {
+      server_->StopAccepting();
+      ended = server_->pending() == 0;
+      if (ended) server_->Close();
+    });
+  };
+  for (int i = 0; i < 10; ++i) {
+    end_if_idle();
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  // The caller reuses the connection before it has read to `close`.
+  boost::system::error_code error;
+  asio::write(caller_, asio::buffer(request_), error);
+  asio::read(caller_, asio::dynamic_buffer(answer), error);
+  EXPECT_EQ(error, asio::error::eof);
+  const std::size_t head = answer.find("\r\n\r\n") + 4;
+  EXPECT_EQ(answer.size() - head, kLargeBytes);
+  caller_.close();
+  for (int i = 0; i < 100 && !ended; ++i) {
+    end_if_idle();
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  EXPECT_TRUE(ended);
+}
+
 // Guards against passing on hop-by-hop headers and against losing or joining
 // end-to-end headers.
 TEST_F(http_server_test, Read_Headers_EndToEndOnesReachHandler) {
