Answer callers that close their sending side

So the request is still cancelled, but it is answered with 502, outcome unknown. A caller that is gone ignores it. http_response::abort has no user any more.

route_gateway_test.Handle_CallerClosesSendingSide_GetsAnswer: failed before (no answer within 20 s), passes now.

--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -343,7 +343,6 @@
   void Write(http_response response) {
     on_disconnect_.reset();
     if (state_ == session_state::kClosed) return;
-    if (response.abort) return Close();
     response_ = {};
     response_.result(response.status);
     response_.version(11);
--- a/app/http_server.h
+++ b/app/http_server.h
@@ -65,8 +65,6 @@
   double retry_after = 0;
   // Headers to add. If `content_type` is empty, they may include Content-Type.
   header_list headers = {};
-  // Closes the connection without sending a response.
-  bool abort = false;
 };
 
 // Returns problem details (RFC 9457) with the number and name of `code` and the
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -193,7 +193,8 @@
   Execute(&effects);
 }
 
-// The responder must still be called, because it releases the connection.
+// The caller may have closed only its sending side, which can't be told apart,
+// and then still reads the answer. Its request may have run.
 void route_gateway::OnCallerDisconnected(route_request_id id) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
@@ -211,9 +212,7 @@
   route_effects effects;
   engine_.Cancel(id, now, &effects);
   Execute(&effects);
-  http_response abandoned;
-  abandoned.abort = true;
-  call.respond(std::move(abandoned));
+  call.respond(ProblemResponse(result_code::kOutcomeUnknown));
 }
 
 // Estimates when the caller began its request; the latency objective is
--- a/app/testing/route_gateway_test.cc
+++ b/app/testing/route_gateway_test.cc
@@ -108,6 +108,18 @@
   tcp::acceptor acceptor_{context_, {asio::ip::make_address("127.0.0.1"), 0}};
 };
 
+// Guards against a caller that closes only its sending side and gets no answer,
+// although its request has run.
+TEST_F(route_gateway_test, Handle_CallerClosesSendingSide_GetsAnswer) {
+  tcp::socket caller(context_);
+  SendRequest(&caller);
+  ASSERT_TRUE(RunUntil([&] { return gateway_->in_flight() == 1; }));
+  caller.shutdown(tcp::socket::shutdown_send);
+  EXPECT_TRUE(ReadUntil(&caller, "\r\n\r\n").starts_with("HTTP/1.1 502 "));
+  EXPECT_TRUE(RunUntil([&] { return gateway_->in_flight() == 0; }));
+  EXPECT_TRUE(RunUntil([&] { return server_->pending() == 0; }));
+}
+
 // Guards against a request that stays pending forever after its caller has
 // disconnected. Its connection was never released, so that each shutdown waited
 // for the whole grace period (soak seed 223: requests cut off at its end).
