Compact the log while the disk has room for it

Here the group refuses every change (503, code 704) for good once its log has grown so far that the next generation, which is written beside it, does not fit: compaction was due after 256 entries, however large they are.

The class of fault is a store that needs room to make room. log_room decides by bytes: compaction is due after 4 MB of log or when the room falls below twice the next generation; a leader refuses changes that would take the room for it and gives up the lead; a compaction without room waits and leaves the log as it is. An unfinished generation is removed at once. Entries kept for followers are bounded by bytes, too. Log lines and two gauges state the length of the log and the room.

Proposals whose member stops are failed at once. Their callbacks were dropped, so a change got no answer from its member.

full_disk_test.Propose_LargeDocuments_LogStaysWithinDisk (2 MB disk, 60 KB documents): with the decisions before, refused with 408 and then for good; passes now, 120 of 120 changes. Propose_DiskFullForAWhile_*: without FailProposals() no answer within 10 s; passes now. The unit tests of store, member and consensus pass.

--- a/app/control_service.cc
+++ b/app/control_service.cc
@@ -23,6 +23,12 @@
 // and a second one may be lost seconds later.
 constexpr duration kRoutesMemberLostAfter = std::chrono::milliseconds(1500);
 constexpr std::size_t kMaxHistoryEntries = 200;
+// Age up to which the room on the disk is not asked for again.
+constexpr duration kRoomCheckPeriod = std::chrono::milliseconds(250);
+// Delay after a compaction for which the disk had no room.
+constexpr duration kCompactionRetryDelay = std::chrono::seconds(1);
+// Log lines about a lack of room are at least this far apart.
+constexpr duration kRoomLogPeriod = std::chrono::seconds(1);
 
 // A log payload is the leader's wall clock followed by the command, so that
 // every member expires records at the same entry.
@@ -72,8 +78,10 @@
   member_.reset();
   store_.reset();
   state_ = control_state();
-  proposals_.clear();
+  FailProposals();
   reads_.clear();
+  room_ = log_room();
+  room_check_due_ = now;
   if (discard_folder_) {
     discard_folder_ = false;
     // Destroyed first, because it holds the lock of the folder.
@@ -105,11 +113,18 @@
       !state_.LoadSnapshot(*opened.log.snapshot->state)) {
     return Stop(result_code::kLogDamaged, "the log snapshot does not decode");
   }
+  room_.Reset(opened.log.snapshot.has_value() &&
+                      opened.log.snapshot->state != nullptr
+                  ? opened.log.snapshot->state->size()
+                  : 0);
+  CheckRoom(now);
   LogEvent(log_level::kInfo, "log_opened",
            {{"member", static_cast<std::uint64_t>(opened.log.identity.id)},
             {"created", opened.created},
             {"torn_tail", opened.torn_tail},
             {"entries", opened.log.entries.size()},
+            {"log_bytes", log_bytes()},
+            {"disk_room", room_.disk().value_or(0)},
             {"snapshot_index",
              opened.log.snapshot ? opened.log.snapshot->index : 0}});
   consensus_settings options;
@@ -165,9 +180,14 @@
 void control_service::Propose(const std::string& command,
                               control_callback callback) {
   if (member_ == nullptr) return callback({stop_code_, "", ""});
+  const time_point now = Now();
+  CheckRoom(now);
+  if (leads() && !room_.Fits(command.size())) {
+    return RefuseForRoom(now, callback);
+  }
   consensus_effects effects;
   const proposal_result proposal =
-      member_->Propose(WrapCommand(WallNow(), command), Now(), &effects);
+      member_->Propose(WrapCommand(WallNow(), command), now, &effects);
   if (proposal.code != result_code::kOk) {
     callback({proposal.code, "", leader()});
   } else {
@@ -176,6 +196,38 @@
   Execute(std::move(effects));
 }
 
+void control_service::CheckRoom(time_point now) {
+  if (now < room_check_due_ || files_ == nullptr) return;
+  room_check_due_ = now + kRoomCheckPeriod;
+  room_.SetDisk(files_->Room());
+}
+
+// Another member's disk may have room.
+void control_service::RefuseForRoom(time_point now,
+                                    const control_callback& callback) {
+  if (now >= room_log_due_) {
+    room_log_due_ = now + kRoomLogPeriod;
+    LogEvent(log_level::kWarning, "command_refused",
+             {{"code", bilberrycourse::Describe(result_code::kDiskFull).number},
+              {"log_bytes", log_bytes()},
+              {"disk_room", room_.disk().value_or(0)}});
+  }
+  callback({result_code::kDiskFull, "", ""});
+  TransferLeadership(now);
+}
+
+void control_service::FailProposals() {
+  const auto proposals = std::move(proposals_);
+  proposals_.clear();
+  for (const auto& [index, pending] : proposals) {
+    pending.callback({result_code::kProposalLost, "", ""});
+  }
+}
+
+std::uint64_t control_service::log_bytes() const {
+  return store_ == nullptr ? 0 : store_->log_bytes();
+}
+
 void control_service::Read(const std::string& view, const std::string& argument,
                            control_callback callback) {
   if (member_ == nullptr) return callback({stop_code_, "", ""});
@@ -294,7 +346,7 @@
   control_outcome outcome;
   outcome.code = result_code::kInternal;
   const log_entry& entry = effect.entry;
-  if (entry.payload != nullptr) bytes_since_snapshot_ += entry.payload->size();
+  if (entry.payload != nullptr) room_.Add(entry.payload->size());
   if (entry.kind == entry_kind::kCommand && entry.payload != nullptr &&
       entry.payload->size() >= kWallClockBytes) {
     const auto wall = boost::endian::load_little_s64(
@@ -319,8 +371,7 @@
     return Stop(result_code::kLogDamaged,
                 "a log snapshot of the leader does not decode");
   }
-  snapshot_bytes_ = effect.snapshot.state->size();
-  bytes_since_snapshot_ = 0;
+  room_.Reset(effect.snapshot.state->size());
   // The outcome of proposals that the snapshot covers is unknown here.
   while (!proposals_.empty() &&
          proposals_.begin()->first <= effect.snapshot.index) {
@@ -353,7 +404,10 @@
 void control_service::ExecuteEffect(stopped_effect& effect) {
   LogEvent(log_level::kError, "control_stopped",
            {{"code", bilberrycourse::Describe(effect.code).number},
-            {"reason", effect.reason}});
+            {"reason", effect.reason},
+            {"log_bytes", log_bytes()},
+            {"disk_room", files_->Room().value_or(0)}});
+  FailProposals();
   ScheduleReopen(effect.code, Now());
 }
 
@@ -370,14 +424,23 @@
 }
 
 void control_service::CompactIfDue() {
-  if (member_ == nullptr || !member_->compaction_due()) return;
-  // A log snapshot takes time in proportion to the state. Writing one only
-  // after as many bytes of log bounds the cost per command, and a restart reads
-  // at most twice the size of the state.
-  if (bytes_since_snapshot_ < snapshot_bytes_) return;
+  if (member_ == nullptr || !room_.CompactionDue(member_->compaction_due())) {
+    return;
+  }
+  const time_point now = Now();
+  if (now < compaction_due_) return;
+  CheckRoom(now);
   auto state = std::make_shared<const std::string>(state_.SaveSnapshot());
-  snapshot_bytes_ = state->size();
-  bytes_since_snapshot_ = 0;
+  if (!room_.CompactionFits(state->size())) {
+    compaction_due_ = now + kCompactionRetryDelay;
+    LogEvent(log_level::kWarning, "compaction_postponed",
+             {{"snapshot_bytes", state->size()},
+              {"log_bytes", log_bytes()},
+              {"disk_room", room_.disk().value_or(0)}});
+    return;
+  }
+  room_.Reset(state->size());
+  room_check_due_ = now;
   consensus_effects effects;
   member_->Compact(member_->applied_index(), std::move(state), &effects);
   for (consensus_effect& effect : effects) {
--- a/app/control_service.h
+++ b/app/control_service.h
@@ -15,6 +15,10 @@
 // folder: after a failed write the folder is reopened until that succeeds, and
 // a damaged or foreign folder is discarded, so that the instance rejoins as one
 // that lost its disk.
+//
+// A full disk must not end in a log that can't be compacted any more. The log
+// is compacted while there is room for that (log_room), and a leader whose disk
+// is short of room refuses changes and gives up the lead, but keeps voting.
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/json.hpp>
@@ -32,6 +36,7 @@
 #include "app/settings.h"
 #include "bilberrycourse/consensus_member.h"
 #include "bilberrycourse/control_state.h"
+#include "bilberrycourse/log_room.h"
 #include "bilberrycourse/member_repair.h"
 
 namespace bilberrycourse {
@@ -106,6 +111,11 @@
   // State of the member for status replies and logs.
   boost::json::object Describe(time_point now) const;
 
+  // Length of the log and room left on its disk in bytes; the room is unknown
+  // on some file systems.
+  std::uint64_t log_bytes() const;
+  std::optional<std::uint64_t> disk_room() const { return room_.disk(); }
+
   // Hands leadership over; the member keeps following until the process ends.
   void TransferLeadership(time_point now);
   // Blocks until everything written so far is synced or has failed.
@@ -134,6 +144,11 @@
   void Open(time_point now);
   void ScheduleReopen(result_code code, time_point now);
   void CompactIfDue();
+  // Asks the disk for its room, kRoomCheckPeriod apart.
+  void CheckRoom(time_point now);
+  void RefuseForRoom(time_point now, const control_callback& callback);
+  // Fails the proposals under way; they may be committed all the same.
+  void FailProposals();
   void Repair(time_point now);
   std::string View(const std::string& view, const std::string& argument) const;
   std::string RequestView(const std::string& argument) const;
@@ -151,9 +166,11 @@
   std::map<log_index, pending_proposal> proposals_;
   std::map<std::uint64_t, pending_read> reads_;
   std::uint64_t next_read_ = 1;
-  // Size of the last log snapshot and of the commands applied since.
-  std::size_t snapshot_bytes_ = 0;
-  std::size_t bytes_since_snapshot_ = 0;
+  log_room room_;
+  time_point room_check_due_{};
+  // Earliest time of the next try after a compaction that had no room.
+  time_point compaction_due_{};
+  time_point room_log_due_{};
   mutable std::uint64_t published_cache_version_ = 0;
   mutable std::string published_cache_;
   // Number of times the folder was opened. Completions that belong to an
--- a/app/log_store.cc
+++ b/app/log_store.cc
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <sys/file.h>
 #include <sys/stat.h>
+#include <sys/statvfs.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -178,6 +179,14 @@
                                           : result_code::kSyncFailed;
 }
 
+std::optional<std::uint64_t> posix_storage_files::Room() {
+  struct statvfs room {};
+  if (folder_descriptor_ < 0 || ::fstatvfs(folder_descriptor_, &room) != 0) {
+    return std::nullopt;
+  }
+  return static_cast<std::uint64_t>(room.f_bavail) * room.f_frsize;
+}
+
 storage_files_factory& StorageFilesFactory() {
   static storage_files_factory factory = [](const std::string& folder) {
     return std::make_unique<posix_storage_files>(folder);
@@ -225,7 +234,11 @@
   const std::string bytes = EncodeLogFile(generation, contents);
   *reason = "cannot write " + temporary;
   result_code code = files_->Write(temporary, 0, bytes);
-  if (code != result_code::kOk) return code;
+  if (code != result_code::kOk) {
+    // The part that was written would take the room that the log needs.
+    files_->Remove(temporary);
+    return code;
+  }
   *reason = "cannot sync " + temporary;
   code = files_->Sync(temporary);
   if (code != result_code::kOk) return code;
@@ -241,7 +254,7 @@
     if (code != result_code::kOk) return code;
   }
   generation_ = generation;
-  length_ = bytes.size();
+  log_bytes_ = length_ = bytes.size();
   reason->clear();
   return result_code::kOk;
 }
@@ -265,6 +278,8 @@
   std::vector<std::uint64_t> generations;
   bool has_mark = false;
   for (const std::string& name : names) {
+    // An unfinished generation takes the room that the steps below may need.
+    if (name.ends_with(kTemporarySuffix)) files_->Remove(name);
     if (const std::uint64_t generation = GenerationOf(name)) {
       generations.push_back(generation);
     }
@@ -324,7 +339,7 @@
     if (mark) mark_ = *mark;
     result.log = std::move(recovered.log);
     result.torn_tail = recovered.torn_tail;
-    length_ = recovered.valid_length;
+    log_bytes_ = length_ = recovered.valid_length;
     if (length_ < bytes.size()) {
       code = files_->Truncate(LogName(generation_), length_);
       if (code != result_code::kOk)
@@ -341,9 +356,7 @@
     return failed(code, "cannot sync the sync mark");
   for (const std::string& name : names) {
     const std::uint64_t generation = GenerationOf(name);
-    const bool leftover = (generation != 0 && generation != generation_) ||
-                          name.ends_with(kTemporarySuffix);
-    if (leftover) files_->Remove(name);
+    if (generation != 0 && generation != generation_) files_->Remove(name);
   }
   identity_ = result.log.identity;
   worker_ = std::thread([this] { Run(); });
@@ -390,7 +403,7 @@
     *reason = "cannot sync " + name;
     code = files_->Sync(name);
     if (code != result_code::kOk) return code;
-    length_ += bytes.size();
+    log_bytes_ = length_ += bytes.size();
   }
   return WriteSyncMark(reason);
 }
--- a/app/log_store.h
+++ b/app/log_store.h
@@ -16,16 +16,21 @@
 // failure once and accepts no more effects: data of a failed sync may be lost
 // even if a second sync succeeds.
 //
+// A new generation is written beside the log that it replaces, so the disk
+// needs room for both; see log_room.h.
+//
 // A folder without any log file gets a new random member id. Open() returns
 // kDataFolderForeign for a folder of another group or instance, and kLogDamaged
 // for a damaged one.
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -55,6 +60,9 @@
                              const std::string& to) = 0;
   virtual result_code Remove(const std::string& name) = 0;
   virtual result_code SyncFolder() = 0;
+  // Returns the bytes that the disk still takes, or nullopt if that is unknown.
+  // Called on any thread.
+  virtual std::optional<std::uint64_t> Room() { return std::nullopt; }
 };
 
 class posix_storage_files : public storage_files {
@@ -75,6 +83,7 @@
   result_code Rename(const std::string& from, const std::string& to) override;
   result_code Remove(const std::string& name) override;
   result_code SyncFolder() override;
+  std::optional<std::uint64_t> Room() override;
 
  private:
   struct open_file {
@@ -140,6 +149,9 @@
 
   void Persist(persist_effect effect);
 
+  // Length of the log file in bytes.
+  std::uint64_t log_bytes() const { return log_bytes_; }
+
   // Blocks until everything queued is synced or has failed.
   void Drain();
 
@@ -159,6 +171,8 @@
   std::uint64_t generation_ = 0;
   std::uint64_t length_ = 0;
   sync_mark mark_;
+  // Copy of length_ for other threads.
+  std::atomic<std::uint64_t> log_bytes_ = 0;
 
   std::mutex mutex_;
   std::condition_variable queue_changed_;
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -407,6 +407,14 @@
     metrics_.SetGauge("bilberrycourse_control_leads",
                       "1 while this member leads the control group.",
                       control_service_->leads() ? 1 : 0);
+    metrics_.SetGauge("bilberrycourse_log_bytes",
+                      "Length of the replicated log on disk.",
+                      static_cast<double>(control_service_->log_bytes()));
+    if (const auto room = control_service_->disk_room()) {
+      metrics_.SetGauge("bilberrycourse_disk_room_bytes",
+                        "Room on the disk of the replicated log.",
+                        static_cast<double>(*room));
+    }
     metrics_.SetGauge("bilberrycourse_entry_instances",
                       "Entry instances linked to this member.",
                       entry_instances_);
--- a/app/testing/control_service_test.cc
+++ b/app/testing/control_service_test.cc
@@ -13,6 +13,7 @@
 #include "app/daemon_clock.h"
 #include "app/route_registry.h"
 #include "app/testing/faulty_storage_files.h"
+#include "app/testing/loopback.h"
 #include "platform/platform_protocol.h"
 
 namespace bilberrycourse {
@@ -94,6 +95,87 @@
   StorageFilesFactory() = original_factory;
 }
 
+// A group of one member on a small disk, with documents of which a few dozen
+// fill the disk.
+class full_disk_test : public control_service_test {
+ protected:
+  static constexpr std::uint64_t kCapacity = 2 * 1024 * 1024;
+  static constexpr std::size_t kDocumentBytes = 60 * 1024;
+  static constexpr int kChanges = 120;
+
+  full_disk_test() {
+    config_.initial_members = {config_.name};
+    marker_ = folder_.string() + "_full";
+    StorageFilesFactory() = [this](const std::string& folder) {
+      return std::make_unique<faulty_storage_files>(
+          original_factory_(folder),
+          storage_faults{.capacity_bytes = kCapacity,
+                         .full_marker = marker_.string()},
+          folder);
+    };
+  }
+  ~full_disk_test() override {
+    std::filesystem::remove(marker_);
+    StorageFilesFactory() = original_factory_;
+  }
+
+  // Runs the service until `condition` holds; returns false after 10 s.
+  template <typename Condition>
+  bool RunUntil(control_service* service, Condition condition) {
+    return RunContextUntil(&context_, condition,
+                           [service] { service->Tick(Now()); });
+  }
+  // Returns the code of the change, or nullopt if it gets no answer.
+  std::optional<result_code> Change(control_service* service,
+                                    std::uint64_t version) {
+    std::optional<result_code> code;
+    service->Propose(EncodeCommand(route_document{version, Document(version)}),
+                     [&](const control_reply& reply) { code = reply.code; });
+    return RunUntil(service, [&] { return code.has_value(); }) ? code
+                                                               : std::nullopt;
+  }
+  static std::string Document(std::uint64_t version) {
+    return std::string(kDocumentBytes, static_cast<char>('a' + version % 26));
+  }
+
+  std::filesystem::path marker_;
+  storage_files_factory original_factory_ = StorageFilesFactory();
+};
+
+// Guards against a log that outgrows its disk: its next generation then has no
+// room, and the group never takes a change again.
+TEST_F(full_disk_test, Propose_LargeDocuments_LogStaysWithinDisk) {
+  const auto service = Start(Now());
+  ASSERT_TRUE(RunUntil(service.get(), [&] { return service->leads(); }));
+  for (int version = 1; version <= kChanges; ++version) {
+    ASSERT_EQ(Change(service.get(), version), result_code::kOk) << version;
+  }
+  EXPECT_EQ(service->state().routes().document, Document(kChanges));
+}
+
+// Guards against a member that never takes changes again after its disk was
+// full for a short time, and against changes that then get no answer.
+TEST_F(full_disk_test, Propose_DiskFullForAWhile_TakesChangesAfterwards) {
+  const auto service = Start(Now());
+  ASSERT_TRUE(RunUntil(service.get(), [&] { return service->leads(); }));
+  std::uint64_t version = 0;
+  for (int round = 0; round < 3; ++round) {
+    for (int i = 0; i < 10; ++i) {
+      ASSERT_EQ(Change(service.get(), ++version), result_code::kOk) << version;
+    }
+    std::ofstream(marker_).put('x');
+    const auto refused = Change(service.get(), ++version);
+    ASSERT_TRUE(refused.has_value());
+    EXPECT_NE(*refused, result_code::kOk);
+    std::filesystem::remove(marker_);
+    ASSERT_TRUE(RunUntil(service.get(), [&] {
+      return service->leads() &&
+             Change(service.get(), ++version) == result_code::kOk;
+    }));
+  }
+  EXPECT_EQ(service->state().routes().document, Document(version));
+}
+
 class route_registry_test : public control_service_test,
                             public control_client_handler {
  protected:
--- a/app/testing/faulty_main.cc
+++ b/app/testing/faulty_main.cc
@@ -2,7 +2,8 @@
 // variable sets the faults:
 //
 //   BILBERRYCOURSE_FAULTS="clock_rate=1.004 wall_offset_ms=-60000
-//     sync_failure=0.01 write_failure=0.01 sync_delay_ms=30 seed=7"
+//     sync_failure=0.01 write_failure=0.01 sync_delay_ms=30 seed=7
+//     capacity_kb=512 full_marker=/path"
 
 #include <cstdlib>
 #include <iostream>
@@ -44,6 +45,11 @@
     } else if (name == "sync_delay_ms") {
       in >> milliseconds;
       faults->storage.sync_delay = std::chrono::milliseconds(milliseconds);
+    } else if (name == "capacity_kb") {
+      in >> faults->storage.capacity_bytes;
+      faults->storage.capacity_bytes *= 1024;
+    } else if (name == "full_marker") {
+      in >> faults->storage.full_marker;
     } else if (name == "seed") {
       in >> faults->storage.seed;
     } else {
@@ -74,7 +80,8 @@
     storage_faults faults_of_opening = storage;
     faults_of_opening.seed += ++openings;
     return std::make_unique<faulty_storage_files>(
-        std::make_unique<posix_storage_files>(folder), faults_of_opening);
+        std::make_unique<posix_storage_files>(folder), faults_of_opening,
+        folder);
   };
   return RunCommandLine(argc, argv);
 }
--- a/bilberrycourse/consensus_member.cc
+++ b/bilberrycourse/consensus_member.cc
@@ -220,7 +220,14 @@
     memberships_.erase(memberships_.begin(), std::prev(next));
   }
   snapshot_ = {index, term, memberships_.front().membership, std::move(state)};
-  while (base_index_ + settings_.trailing_entries < index) {
+  std::size_t trailing_bytes = 0;
+  for (std::size_t i = 0; i < index - base_index_; ++i) {
+    trailing_bytes += log_[i].payload == nullptr ? 0 : log_[i].payload->size();
+  }
+  while (base_index_ + settings_.trailing_entries < index ||
+         (base_index_ < index && trailing_bytes > settings_.trailing_bytes)) {
+    const shared_body& payload = log_.front().payload;
+    trailing_bytes -= payload == nullptr ? 0 : payload->size();
     base_term_ = log_.front().term;
     ++base_index_;
     log_.pop_front();
--- a/bilberrycourse/consensus_member.h
+++ b/bilberrycourse/consensus_member.h
@@ -107,9 +107,11 @@
   std::size_t max_uncommitted_entries = 4096;
   std::size_t max_pending_reads = 4096;
   // Applied entries since the last snapshot after which compaction_due() is
-  // true, and entries that stay in memory for followers that lag slightly.
+  // true, and entries that stay in memory for followers that lag slightly, with
+  // their payloads up to `trailing_bytes`.
   std::size_t compaction_entries = 256;
   std::size_t trailing_entries = 128;
+  std::size_t trailing_bytes = 4 * 1024 * 1024;
   consensus_test_faults faults;
 };
 
