Wait for undelivered answers on two more paths

Found by review: a caller that closed its sending side after its last request ended the wait for its answer, and an idle connection whose last answer was not yet acknowledged did not count at a stop. Both now count while bytes are unacknowledged, as after any last answer.

--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -173,7 +173,9 @@
         accepted_at_ + server_->options.first_request_timeout;
     if (request_received_ ||
         std::chrono::steady_clock::now() >= first_request_due) {
-      return CloseGracefully(session_state::kDraining);
+      return CloseGracefully(UnacknowledgedBytes(stream_.socket()) > 0
+                                 ? session_state::kDelivering
+                                 : session_state::kDraining);
     }
     SetState(session_state::kLastRequest);
     timer_.expires_at(first_request_due);
@@ -414,6 +416,12 @@
         asio::buffer(discard_buffer_),
         [self = shared_from_this(), remaining](const beast::error_code& error,
                                                std::size_t size) {
+          // A caller that has closed its sending side may still receive;
+          // LimitDrainTime() then closes the connection.
+          if (error == asio::error::eof &&
+              UnacknowledgedBytes(self->stream_.socket()) > 0) {
+            return;
+          }
           if (error || size >= remaining) return self->Close();
           self->Drain(remaining - size);
         });
