Decide about log room by the bytes on the disk

The length of the log file and the writes under way now count. A leader that refuses a change compacts if that frees anything, and hands the lead over at most every 5 s, because the disks of all members may be full. A postponed compaction is tried again as soon as the room has grown.

--- a/app/control_service.cc
+++ b/app/control_service.cc
@@ -23,10 +23,15 @@
 // and a second one may be lost seconds later.
 constexpr duration kRoutesMemberLostAfter = std::chrono::milliseconds(1500);
 constexpr std::size_t kMaxHistoryEntries = 200;
-// Age up to which the room on the disk is not asked for again.
+// The room on the disk is asked for after each write and this often.
 constexpr duration kRoomCheckPeriod = std::chrono::milliseconds(250);
 // Delay after a compaction for which the disk had no room.
 constexpr duration kCompactionRetryDelay = std::chrono::seconds(1);
+// Bytes of the header of one record in the log, at most.
+constexpr std::size_t kRecordBytes = 64;
+// A leader without room hands the lead over this often at most, as the disks of
+// all members may be full.
+constexpr duration kRoomTransferPeriod = std::chrono::seconds(5);
 // Log lines about a lack of room are at least this far apart.
 constexpr duration kRoomLogPeriod = std::chrono::seconds(1);
 
@@ -81,7 +86,7 @@
   FailProposals();
   reads_.clear();
   room_ = log_room();
-  room_check_due_ = now;
+  compaction_position_ = 0;
   if (discard_folder_) {
     discard_folder_ = false;
     // Destroyed first, because it holds the lock of the folder.
@@ -117,7 +122,7 @@
                       opened.log.snapshot->state != nullptr
                   ? opened.log.snapshot->state->size()
                   : 0);
-  CheckRoom(now);
+  CheckRoom();
   LogEvent(log_level::kInfo, "log_opened",
            {{"member", static_cast<std::uint64_t>(opened.log.identity.id)},
             {"created", opened.created},
@@ -162,6 +167,10 @@
     Open(now);
   }
   if (member_ == nullptr) return;
+  if (now >= room_check_due_) {
+    room_check_due_ = now + kRoomCheckPeriod;
+    CheckRoom();
+  }
   consensus_effects effects;
   member_->Tick(now, &effects);
   Execute(std::move(effects));
@@ -181,7 +190,6 @@
                               control_callback callback) {
   if (member_ == nullptr) return callback({stop_code_, "", ""});
   const time_point now = Now();
-  CheckRoom(now);
   if (leads() && !room_.Fits(command.size())) {
     return RefuseForRoom(now, callback);
   }
@@ -196,13 +204,15 @@
   Execute(std::move(effects));
 }
 
-void control_service::CheckRoom(time_point now) {
-  if (now < room_check_due_ || files_ == nullptr) return;
-  room_check_due_ = now + kRoomCheckPeriod;
-  room_.SetDisk(files_->Room());
+void control_service::CheckRoom() {
+  if (files_ == nullptr) return;
+  const std::optional<std::uint64_t> room = files_->Room();
+  if (room > room_.disk()) compaction_due_ = {};
+  room_.SetDisk(room, log_bytes());
 }
 
-// Another member's disk may have room.
+// Makes room if a compaction can, so that a repetition of the command fits.
+// Otherwise the disk of another member may have room.
 void control_service::RefuseForRoom(time_point now,
                                     const control_callback& callback) {
   if (now >= room_log_due_) {
@@ -213,6 +223,9 @@
               {"disk_room", room_.disk().value_or(0)}});
   }
   callback({result_code::kDiskFull, "", ""});
+  if (room_.CompactionFrees()) Compact(now);
+  if (compaction_position_ > 0 || now < room_transfer_due_) return;
+  room_transfer_due_ = now + kRoomTransferPeriod;
   TransferLeadership(now);
 }
 
@@ -339,6 +352,16 @@
 }
 
 void control_service::ExecuteEffect(persist_effect& effect) {
+  if (effect.snapshot.has_value() && effect.snapshot->state != nullptr) {
+    compaction_position_ = effect.position;
+    compacted_bytes_ = effect.snapshot->state->size();
+  }
+  std::size_t bytes = kRecordBytes;
+  for (const log_entry& entry : effect.entries) {
+    bytes += kRecordBytes;
+    if (entry.payload != nullptr) bytes += entry.payload->size();
+  }
+  room_.Queue(effect.position, bytes);
   store_->Persist(std::move(effect));
 }
 
@@ -346,7 +369,6 @@
   control_outcome outcome;
   outcome.code = result_code::kInternal;
   const log_entry& entry = effect.entry;
-  if (entry.payload != nullptr) room_.Add(entry.payload->size());
   if (entry.kind == entry_kind::kCommand && entry.payload != nullptr &&
       entry.payload->size() >= kWallClockBytes) {
     const auto wall = boost::endian::load_little_s64(
@@ -371,7 +393,6 @@
     return Stop(result_code::kLogDamaged,
                 "a log snapshot of the leader does not decode");
   }
-  room_.Reset(effect.snapshot.state->size());
   // The outcome of proposals that the snapshot covers is unknown here.
   while (!proposals_.empty() &&
          proposals_.begin()->first <= effect.snapshot.index) {
@@ -416,6 +437,7 @@
   if (member_ == nullptr || opening != opening_) return;
   consensus_effects effects;
   if (event.code == result_code::kOk) {
+    OnWritten(event.position);
     member_->OnPersisted(event.position, Now(), &effects);
   } else {
     member_->OnPersistFailed(event.code, event.reason, &effects);
@@ -423,14 +445,28 @@
   Execute(std::move(effects));
 }
 
+void control_service::OnWritten(std::uint64_t position) {
+  room_.Written(position);
+  if (compaction_position_ > 0 && position >= compaction_position_) {
+    compaction_position_ = 0;
+    room_.Reset(compacted_bytes_);
+  }
+  CheckRoom();
+}
+
 void control_service::CompactIfDue() {
-  if (member_ == nullptr || !room_.CompactionDue(member_->compaction_due())) {
+  if (member_ != nullptr && room_.CompactionDue(member_->compaction_due())) {
+    Compact(Now());
+  }
+}
+
+void control_service::Compact(time_point now) {
+  if (member_ == nullptr || compaction_position_ > 0 || now < compaction_due_ ||
+      member_->applied_index() <= member_->snapshot_index()) {
     return;
   }
-  const time_point now = Now();
-  if (now < compaction_due_) return;
-  CheckRoom(now);
   auto state = std::make_shared<const std::string>(state_.SaveSnapshot());
+  CheckRoom();
   if (!room_.CompactionFits(state->size())) {
     compaction_due_ = now + kCompactionRetryDelay;
     LogEvent(log_level::kWarning, "compaction_postponed",
@@ -439,8 +475,6 @@
               {"disk_room", room_.disk().value_or(0)}});
     return;
   }
-  room_.Reset(state->size());
-  room_check_due_ = now;
   consensus_effects effects;
   member_->Compact(member_->applied_index(), std::move(state), &effects);
   for (consensus_effect& effect : effects) {
--- a/app/control_service.h
+++ b/app/control_service.h
@@ -144,8 +144,9 @@
   void Open(time_point now);
   void ScheduleReopen(result_code code, time_point now);
   void CompactIfDue();
-  // Asks the disk for its room, kRoomCheckPeriod apart.
-  void CheckRoom(time_point now);
+  void Compact(time_point now);
+  void OnWritten(std::uint64_t position);
+  void CheckRoom();
   void RefuseForRoom(time_point now, const control_callback& callback);
   // Fails the proposals under way; they may be committed all the same.
   void FailProposals();
@@ -170,7 +171,12 @@
   time_point room_check_due_{};
   // Earliest time of the next try after a compaction that had no room.
   time_point compaction_due_{};
+  // Position of the write of the last compaction, 0 once it is done.
+  std::uint64_t compaction_position_ = 0;
+  // Size of its snapshot.
+  std::size_t compacted_bytes_ = 0;
   time_point room_log_due_{};
+  time_point room_transfer_due_{};
   mutable std::uint64_t published_cache_version_ = 0;
   mutable std::string published_cache_;
   // Number of times the folder was opened. Completions that belong to an
