Deliver frames to peers before a stop closes their links

Review of the incident: the end of a shutdown closed links between instances at once, with frames still queued. The results of a relay, or of the owner of a shard, were lost although its searchers had answered; the origin searched again or answered without them. The class is that of the incident: a close that does not ask whether what was written has arrived.

Both daemons now wait until the systems of all peers have acknowledged every frame, 200 ms and the grace period at most, because a peer may be cut off. The daemon with POST /query logs connection_cut_off as well.

--- a/app/daemon.cc
+++ b/app/daemon.cc
@@ -9,6 +9,7 @@
 #include "app/daemon_clock.h"
 #include "app/frames.h"
 #include "app/json_log.h"
+#include "app/shutdown_log.h"
 
 namespace bilberrycourse {
 namespace {
@@ -429,8 +430,16 @@
   // Responses that are being written may finish before connections close.
   http_.StopAccepting();
   if (http_.pending() > 0 && !grace_expired) return;
+  if (!links_close_at_.has_value()) {
+    links_close_at_ = std::min(now + kStopLinkTime,
+                               shutdown_started_ + config_.shutdown_grace);
+  }
+  if (!transport_.delivered() && now < *links_close_at_) return;
+  LogCutOffConnections(http_);
   LogEvent(log_level::kInfo, "shutdown_finished",
-           {{"unfinished", callers_.in_flight()}});
+           {{"unfinished", callers_.in_flight()},
+            {"connections", http_.pending()},
+            {"elapsed_ms", (now - shutdown_started_).count() / 1000}});
   http_.Close();
   transport_.Close();
   context_.stop();
--- a/app/daemon.h
+++ b/app/daemon.h
@@ -16,6 +16,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/leaf/result.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "app/caller_api.h"
@@ -109,6 +110,8 @@
   std::set<std::pair<std::string, index_version>> proposed_shard_sets_;
   bool shutting_down_ = false;
   time_point shutdown_started_{};
+  // Set once nothing but frames to peers is unfinished.
+  std::optional<time_point> links_close_at_;
 };
 
 }  // namespace bilberrycourse
--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -1,8 +1,5 @@
 #include "app/http_server.h"
 
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
-
 #include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -15,6 +12,7 @@
 
 #include "app/http_message_reader.h"
 #include "app/problem_details.h"
+#include "app/socket_state.h"
 #include "bilberrycourse/result_code.h"
 
 namespace bilberrycourse {
@@ -73,13 +71,6 @@
   return headers;
 }
 
-// Returns the number of sent bytes that the caller's system has not
-// acknowledged; 0 if the system does not tell.
-int UnacknowledgedBytes(tcp::socket& socket) {
-  int bytes = 0;
-  return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 ? bytes : 0;
-}
-
 std::string RetryAfterText(double seconds) {
   std::array<char, 32> text{};
   std::snprintf(text.data(), text.size(), "%.3g", seconds);
--- a/app/peer_transport.cc
+++ b/app/peer_transport.cc
@@ -5,6 +5,7 @@
 #include <openssl/hmac.h>
 #include <openssl/rand.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -16,6 +17,7 @@
 #include <set>
 #include <utility>
 
+#include "app/socket_state.h"
 #include "bilberrycourse/result_code.h"
 
 namespace bilberrycourse {
@@ -193,6 +195,9 @@
     owner_->Remove(shared_from_this());
   }
 
+  bool delivered() {
+    return backlog_bytes_ == 0 && UnacknowledgedBytes(socket_) == 0;
+  }
   const instance_name& peer() const { return peer_; }
   const std::string& address() const { return address_; }
   bool open() const { return state_ == link_state::kOpen; }
@@ -567,6 +572,12 @@
   return true;
 }
 
+bool peer_transport::delivered() const {
+  return std::all_of(
+      impl_->open.begin(), impl_->open.end(),
+      [](const auto& entry) { return entry.second->delivered(); });
+}
+
 void peer_transport::Close() { impl_->Close(); }
 
 const peer_transport_counters& peer_transport::counters() const {
--- a/app/peer_transport.h
+++ b/app/peer_transport.h
@@ -99,6 +99,9 @@
   // Sends to the peer that was dialed at `address`.
   bool SendToAddress(const std::string& address,
                      const wire::peer_frameT& frame);
+  // Returns whether the systems of all peers have acknowledged every frame sent
+  // to them. Close() may lose the others.
+  bool delivered() const;
   void Close();
   const peer_transport_counters& counters() const;
 
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -12,6 +12,7 @@
 #include "app/frames.h"
 #include "app/json_log.h"
 #include "app/limit_frames.h"
+#include "app/shutdown_log.h"
 
 namespace bilberrycourse {
 namespace {
@@ -44,9 +45,6 @@
 // A control instance transfers its leadership at once, and none of its requests
 // is in flight for longer than this.
 constexpr duration kControlShutdownTime = std::chrono::milliseconds(300);
-// Log lines at the end of a shutdown, one for each connection that it cuts off;
-// the total is always logged.
-constexpr std::size_t kMaxCutOffLogs = 100;
 // Large enough for the headers of every caller that keeps to its limits.
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
 
@@ -519,14 +517,11 @@
       main_server_.pending() +
       (gateway_ == nullptr ? 0 : gateway_->relayed_in_flight());
   if (unfinished > 0 && elapsed < grace) return;
-  for (const unfinished_connection& connection :
-       main_server_.Unfinished(kMaxCutOffLogs)) {
-    LogEvent(log_level::kWarning, "connection_cut_off",
-             {{"state", connection.state},
-              {"target", connection.target},
-              {"age_ms", connection.age.count()},
-              {"unacknowledged_bytes", connection.unacknowledged_bytes}});
+  if (!links_close_at_.has_value()) {
+    links_close_at_ = std::min(now + kStopLinkTime, shutdown_started_ + grace);
   }
+  if (!transport_.delivered() && now < *links_close_at_) return;
+  LogCutOffConnections(main_server_);
   LogEvent(log_level::kInfo, "shutdown_finished",
            {{"unfinished", unfinished},
             {"connections", main_server_.pending()},
--- a/app/route_daemon.h
+++ b/app/route_daemon.h
@@ -18,6 +18,7 @@
 #include <boost/leaf/result.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -112,6 +113,8 @@
   time_point started_at_{};
   bool shutting_down_ = false;
   bool closing_idle_ = false;
+  // Set once nothing but frames to peers is unfinished.
+  std::optional<time_point> links_close_at_;
   time_point shutdown_started_{};
 };
 
--- a/app/settings.h
+++ b/app/settings.h
@@ -48,6 +48,9 @@
 // On shutdown, every request has been answered this long before the end of the
 // grace period, so that the answers reach their callers.
 inline constexpr std::chrono::milliseconds kStopAnswerMargin{200};
+// At the end of a shutdown, how long the last frames to peers may take. Results
+// of relays and owners are among them; a peer may be cut off.
+inline constexpr std::chrono::milliseconds kStopLinkTime{200};
 
 struct settings {
   std::string file;
--- a/app/testing/peer_transport_test.cc
+++ b/app/testing/peer_transport_test.cc
@@ -262,5 +262,26 @@
   EXPECT_FALSE(b->transport->Send("a", MakeTextFrame("lost")));
 }
 
+// Guards against a shutdown that closes a link with queued frames: the results
+// of a relay are then lost, although its searchers have answered.
+TEST_F(peer_transport_test, Delivered_FramesQueued_NotBeforeAllAreReceived) {
+  const auto a = Start("a", "key");
+  const auto b = Start("b", "key");
+  a->transport->Dial(b->address);
+  ASSERT_TRUE(RunUntil([&] { return a->transport->Connected("b"); }));
+  ASSERT_TRUE(RunUntil([&] { return a->transport->delivered(); }));
+  constexpr std::size_t kFrames = 20;
+  wire::gossipT gossip;
+  gossip.payload.assign(1 << 20, 'x');
+  for (std::size_t i = 0; i < kFrames; ++i) {
+    ASSERT_TRUE(a->transport->Send("b", MakeFrame(wire::gossipT(gossip))));
+  }
+  EXPECT_FALSE(a->transport->delivered());
+  ASSERT_TRUE(RunUntil([&] { return a->transport->delivered(); }));
+  a->transport->Close();
+  EXPECT_TRUE(RunUntil([&] { return b->handler.disconnected.size() == 1; }));
+  EXPECT_EQ(b->handler.frames.size(), kFrames);
+}
+
 }  // namespace
 }  // namespace bilberrycourse
