--- a/app/http_server.h
+++ b/app/http_server.h
@@ -120,9 +120,9 @@
   // may still send its first request for `first_request_timeout`.
   void StopAccepting();
   // Returns the number of connections with a request that is being read, runs
-  // or is being answered, or whose first request is awaited in a shutdown. A
-  // request that ends its connection is being answered until the caller has
-  // closed it or kDrainTimeout has passed without progress.
+  // or is being answered, or whose first request is awaited in a shutdown. The
+  // last answer on a connection is under way until the caller has closed it, or
+  // has received nothing more for a second.
   std::size_t pending() const;
   // Returns the connections that pending() counts, `limit` of them at most.
   std::vector<unfinished_connection> Unfinished(std::size_t limit) const;
--- a/app/testing/http_server_test.cc
+++ b/app/testing/http_server_test.cc
@@ -133,8 +133,6 @@
   }
 }
 
-// Guards against closing a connection as idle while its caller sends the next
-// request.
 // Guards against request smuggling: a request with a transfer coding other than
 // `chunked` reached the handler with an empty body, and its body ran as the
 // next request.
@@ -167,6 +165,8 @@
             std::string::npos);
 }
 
+// Guards against closing a connection as idle while its caller sends the next
+// request.
 TEST_F(http_server_test, BeginDrain_NextAnswer_HasConnectionClose) {
   const std::string request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
   EXPECT_EQ(Exchange(request, "GET").find("Connection: close"),
