Log why a process ends or can't start

process_ends names the signal and the place in the program, or the type and text of the exception, and start_failed the code, the setting or address and the exit code.

Before: no line in any of the cases.

--- a/app/serve.cc
+++ b/app/serve.cc
@@ -9,6 +9,7 @@
 
 #include "app/daemon.h"
 #include "app/json_log.h"
+#include "app/process_end_log.h"
 #include "app/route_daemon.h"
 #include "app/settings.h"
 #include "bilberrycourse/result_code.h"
@@ -20,6 +21,9 @@
 namespace leaf = boost::leaf;
 namespace po = boost::program_options;
 
+// A log line has at most 4095 bytes; escapes may double the text.
+constexpr std::size_t kMaxLoggedDetailBytes = 1500;
+
 // Parses --config into `file`. Returns an exit code if the command must not
 // continue.
 std::optional<int> ReadConfigOption(const std::string& command,
@@ -50,26 +54,44 @@
   return std::nullopt;
 }
 
-// Loads the settings, calls `use` with them and prints every error. Returns the
-// exit code.
-int WithSettings(const std::string& file,
-                 const std::function<leaf::result<int>(settings)>& use) {
+// A daemon's log is read without its standard error, so the log names the cause
+// as well.
+void LogStartFailure(result_code code, const std::string& detail) {
+  const result_code_info& info = Describe(code);
+  LogEvent(log_level::kError, "start_failed",
+           {{"code", info.number},
+            {"reason", info.name},
+            {"exit_code", info.exit_code},
+            {"detail", detail.substr(0, kMaxLoggedDetailBytes)}});
+}
+
+// Loads the settings, calls `use` with them, and prints and passes to `failed`
+// every error. Returns the exit code.
+int WithSettings(
+    const std::string& file,
+    const std::function<leaf::result<int>(settings)>& use,
+    const std::function<void(result_code, const std::string&)>& failed =
+        [](result_code, const std::string&) {}) {
   return leaf::try_handle_all(
       [&]() -> leaf::result<int> {
         BOOST_LEAF_AUTO(config, LoadSettings(file));
         return use(std::move(config));
       },
-      [](result_code code, const settings_errors& errors) {
-        std::cerr << ToText(errors);
+      [&](result_code code, const settings_errors& errors) {
+        const std::string text = ToText(errors);
+        std::cerr << text;
+        failed(code, text);
         return Describe(code).exit_code;
       },
-      [](result_code code, const std::string& detail) {
+      [&](result_code code, const std::string& detail) {
         const result_code_info& info = Describe(code);
+        failed(code, detail);
         std::cerr << "error " << info.number << " " << info.name << ": "
                   << info.explanation << " (" << detail << ")\n";
         return info.exit_code;
       },
-      [] {
+      [&] {
+        failed(result_code::kInternal, "");
         std::cerr << "error 901 internal\n";
         return Describe(result_code::kInternal).exit_code;
       });
@@ -82,17 +104,22 @@
   if (const auto code = ReadConfigOption("serve", args, &file)) {
     return *code;
   }
-  return WithSettings(file, [](settings config) -> leaf::result<int> {
-    ConfigureLog({config.name, config.level, config.decision_rate});
-    if (config.interface == serving_interface::kRoutes) {
-      route_daemon process(std::move(config), MakePlatformProtocol());
-      BOOST_LEAF_CHECK(process.Run());
-      return 0;
-    }
-    daemon_process process(std::move(config));
-    BOOST_LEAF_CHECK(process.Run());
-    return 0;
-  });
+  ConfigureLog({});
+  return WithSettings(
+      file,
+      [](settings config) -> leaf::result<int> {
+        ConfigureLog({config.name, config.level, config.decision_rate});
+        LogProcessEnds(config.name);
+        if (config.interface == serving_interface::kRoutes) {
+          route_daemon process(std::move(config), MakePlatformProtocol());
+          BOOST_LEAF_CHECK(process.Run());
+          return 0;
+        }
+        daemon_process process(std::move(config));
+        BOOST_LEAF_CHECK(process.Run());
+        return 0;
+      },
+      LogStartFailure);
 }
 
 int RunCheckConfig(const std::vector<std::string>& args) {
