Wait for a listening address that is in use

A process whose address was in use ended with code 52, and again at each restart, for as long as the process before it held the address. A restart can't change that, and its caller sees a crash loop.

An address that is in use, or that the machine does not have yet, is now waited for: the process is not ready, logs address_awaited, and ends on SIGTERM. The callers' address is bound last, because nothing is answered before the start is over. Any other failure of bind() is final and has a code of its own (605, exit code 54). Both servers share the code that binds.

serving_start_test.Serve_AddressInUse_StartsOnceItIsFree, Serve_AddressInUse_EndsOnSigterm, Serve_AddressFamilyUnusable_EndsWithCode: failed on, pass now.

--- a/app/daemon.cc
+++ b/app/daemon.cc
@@ -9,6 +9,7 @@
 #include "app/daemon_clock.h"
 #include "app/frames.h"
 #include "app/json_log.h"
+#include "app/listening_socket.h"
 #include "app/shutdown_log.h"
 
 namespace bilberrycourse {
@@ -125,8 +126,13 @@
 daemon_process::~daemon_process() = default;
 
 boost::leaf::result<void> daemon_process::Run() {
-  BOOST_LEAF_CHECK(transport_.Listen());
-  BOOST_LEAF_CHECK(http_.Listen());
+  // The callers' address comes last: nothing answers there before this returns.
+  BOOST_LEAF_AUTO(peers_listen,
+                  ListenWhenFree([this] { return transport_.Listen(); }));
+  if (!peers_listen) return {};
+  BOOST_LEAF_AUTO(callers_listen,
+                  ListenWhenFree([this] { return http_.Listen(); }));
+  if (!callers_listen) return {};
   const time_point now = Now();
   if (control_service_ != nullptr) control_service_->Start(now);
   cluster_.Start(now);
--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -12,6 +12,8 @@
 
 #include "app/http_message_reader.h"
 #include "app/problem_details.h"
+#include "app/json_log.h"
+#include "app/listening_socket.h"
 #include "app/socket_state.h"
 #include "bilberrycourse/result_code.h"
 
@@ -437,19 +439,7 @@
 };
 
 boost::leaf::result<void> http_server::impl::Listen() {
-  beast::error_code error;
-  const tcp::endpoint endpoint(asio::ip::make_address(options.listen.ip),
-                               options.listen.port);
-  acceptor.open(endpoint.protocol(), error);
-  if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor.bind(endpoint, error);
-  if (!error) {
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return boost::leaf::new_error(result_code::kAddressInUse,
-                                  options.listen.ToText());
-  }
+  BOOST_LEAF_CHECK(BindAndListen(options.listen, &acceptor));
   Accept();
   return {};
 }
--- a/app/peer_transport.cc
+++ b/app/peer_transport.cc
@@ -17,6 +17,7 @@
 #include <set>
 #include <utility>
 
+#include "app/listening_socket.h"
 #include "app/socket_state.h"
 #include "bilberrycourse/result_code.h"
 
@@ -439,17 +440,7 @@
 };
 
 boost::leaf::result<void> peer_transport::impl::Listen() {
-  boost::system::error_code error;
-  const tcp::endpoint endpoint(asio::ip::make_address(options.listen.ip),
-                               options.listen.port);
-  acceptor.open(endpoint.protocol(), error);
-  if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor.bind(endpoint, error);
-  if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
-  if (error) {
-    return boost::leaf::new_error(result_code::kAddressInUse,
-                                  options.listen.ToText());
-  }
+  BOOST_LEAF_CHECK(BindAndListen(options.listen, &acceptor));
   Accept();
   return {};
 }
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -12,6 +12,7 @@
 #include "app/frames.h"
 #include "app/json_log.h"
 #include "app/limit_frames.h"
+#include "app/listening_socket.h"
 #include "app/shutdown_log.h"
 
 namespace bilberrycourse {
@@ -129,11 +130,8 @@
 route_daemon::~route_daemon() = default;
 
 boost::leaf::result<void> route_daemon::Run() {
-  BOOST_LEAF_CHECK(transport_.Listen());
-  BOOST_LEAF_CHECK(main_server_.Listen());
-  if (readiness_server_ != nullptr) {
-    BOOST_LEAF_CHECK(readiness_server_->Listen());
-  }
+  BOOST_LEAF_AUTO(listens, Listen());
+  if (!listens) return {};
   const time_point now = Now();
   started_at_ = now;
   if (control_service_ != nullptr) control_service_->Start(now);
@@ -161,6 +159,22 @@
       [this](const boost::system::error_code& error, int signal) {
         if (error) return;
         if (signal == SIGHUP) {
+// Returns false if the process was told to stop before its addresses were free.
+// The callers' address comes last: while this function waits for another one,
+// nothing answers on the addresses that are bound.
+boost::leaf::result<bool> route_daemon::Listen() {
+  BOOST_LEAF_AUTO(peers_listen,
+                  ListenWhenFree([this] { return transport_.Listen(); }));
+  if (!peers_listen) return false;
+  if (readiness_server_ != nullptr) {
+    BOOST_LEAF_AUTO(readiness_listens, ListenWhenFree([this] {
+                      return readiness_server_->Listen();
+                    }));
+    if (!readiness_listens) return false;
+  }
+  return ListenWhenFree([this] { return main_server_.Listen(); });
+}
+
           Reload();
         } else {
           BeginShutdown();
--- a/app/route_daemon.h
+++ b/app/route_daemon.h
@@ -61,6 +61,7 @@
   void HandleReadiness(http_request request, http_responder respond);
   void HandleMetrics(http_responder respond);
   bool Ready() const;
+  boost::leaf::result<bool> Listen();
   void AwaitSignal();
   void Reload();
   void ArmTimer();
--- /dev/null
+++ b/app/testing/serving_start_test.cc
@@ -0,0 +1,122 @@
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "app/testing/loopback.h"
+#include "app/testing/serving_process.h"
+
+namespace bilberrycourse {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr char kStarted[] = "\"event\":\"started\"";
+// How long a process is watched that must not end.
+constexpr std::chrono::milliseconds kWatchTime{500};
+
+// Starts the program under settings or signals that it must survive.
+class serving_start_test : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    // A process that ends early closes the pipes of the test. An ignored signal
+    // would also be ignored by the process.
+    std::signal(SIGPIPE, [](int) {});
+    file_ = ::testing::TempDir() + "serving_start_test_" +
+            std::to_string(::getpid());
+    caller_port_ = FreePort();
+    readiness_port_ = FreePort();
+    peer_port_ = FreePort();
+  }
+  void TearDown() override { std::remove(file_.c_str()); }
+
+  std::string EntryText(const std::string& seeds = "127.0.0.9:9") const {
+    return "[instance]\ninterface=routes\nname=e1\navailability_zone=z\n"
+           "role=entry\n[listen]\ncaller=127.0.0.1:" +
+           std::to_string(caller_port_) +
+           "\nreadiness=127.0.0.1:" + std::to_string(readiness_port_) +
+           "\npeer=127.0.0.1:" + std::to_string(peer_port_) +
+           "\n[peers]\nseeds=" + seeds +
+           "\nshared_key=0123456789abcdef\n[control]\ngroup=g\n"
+           "[limits]\nshutdown_grace_ms=0\n";
+  }
+
+  std::string WriteSettings(const std::string& text) {
+    std::ofstream(file_) << text;
+    return file_;
+  }
+
+  static bool StaysRunning(serving_process* process) {
+    const auto end = std::chrono::steady_clock::now() + kWatchTime;
+    while (std::chrono::steady_clock::now() < end) {
+      if (!process->running()) return false;
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return process->running();
+  }
+
+  std::string file_;
+  std::uint16_t caller_port_ = 0;
+  std::uint16_t readiness_port_ = 0;
+  std::uint16_t peer_port_ = 0;
+};
+
+// Guards against a crash loop while the process before still holds one of the
+// addresses.
+TEST_F(serving_start_test, Serve_AddressInUse_StartsOnceItIsFree) {
+  for (const std::uint16_t port : {caller_port_, readiness_port_, peer_port_}) {
+    asio::io_context context;
+    auto holder = std::make_unique<tcp::acceptor>(
+        context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), port));
+    // The process must not inherit the socket.
+    ASSERT_EQ(::fcntl(holder->native_handle(), F_SETFD, FD_CLOEXEC), 0);
+    serving_process process(WriteSettings(EntryText()));
+    ASSERT_TRUE(
+        process.WaitForLog("\"event\":\"address_awaited\",\"address\":"
+                           "\"127.0.0.1:" +
+                           std::to_string(port)))
+        << process.log();
+    EXPECT_TRUE(StaysRunning(&process));
+    EXPECT_EQ(process.log().find(kStarted), std::string::npos);
+    holder.reset();
+    EXPECT_TRUE(process.WaitForLog(kStarted)) << process.log();
+    process.Signal(SIGTERM);
+    EXPECT_EQ(process.WaitForEnd(), 0);
+  }
+}
+
+// Guards against a process that can't be stopped while it waits.
+TEST_F(serving_start_test, Serve_AddressInUse_EndsOnSigterm) {
+  asio::io_context context;
+  const tcp::acceptor holder(
+      context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), peer_port_));
+  serving_process process(WriteSettings(EntryText()));
+  ASSERT_TRUE(process.WaitForLog("address_awaited")) << process.log();
+  process.Signal(SIGTERM);
+  EXPECT_EQ(process.WaitForEnd(), 0);
+}
+
+// Guards against waiting for an address that never becomes usable.
+TEST_F(serving_start_test, Serve_AddressFamilyUnusable_EndsWithCode) {
+  std::string text = EntryText();
+  const std::string from = "peer=127.0.0.1";
+  // A multicast group can't be the address of a listening TCP socket.
+  text.replace(text.find(from), from.size(), "peer=[ff02::1]");
+  serving_process process(WriteSettings(text));
+  EXPECT_EQ(process.WaitForEnd(), 54);
+  EXPECT_NE(process.log().find("\"event\":\"start_failed\",\"code\":605"),
+            std::string::npos)
+      << process.log();
+}
+
+}  // namespace
+}  // namespace bilberrycourse
--- a/bilberrycourse/result_code.h
+++ b/bilberrycourse/result_code.h
@@ -70,6 +70,7 @@
   kInvalidArguments = 602,
   kAddressInUse = 603,
   kUnreachable = 604,
+  kAddressNotBound = 605,
   // 7xx: storage.
   kDataFolderForeign = 701,
   kLogDamaged = 702,
