Build messages without exceptions

What callers saw: nothing yet, but one request was enough. A TRACE request with a body ended the entry instance that got it, and its repetitions the next ones; so did a query whose searchers had long signatures (12 of 7 KB), which each searcher may send.

Cause: Beast refuses some messages by an exception, prepare_payload() a TRACE request with a body and a response with a body and status 204 or 304, insert() a field of more than 64 KB, result() a status above 999. What is forwarded comes from callers and searchers, the exceptions leave the handler, and nothing catches them between io_context::run() and main(). The class of fault is a library function that throws for data which others choose.

Forwarded messages are now built by functions that take every message or return false (app/http_message.h). TRACE is forwarded as it came. The signatures of a query go into as many X-Part-Stamps fields as they need, 8 KB each, which the protocol allows. A response that HTTP can't express becomes 500 with code 901 and a log line. Every other call of the kind in app/ was replaced as well.

--- a/app/backend_client.cc
+++ b/app/backend_client.cc
@@ -7,6 +7,7 @@
 #include <deque>
 #include <utility>
 
+#include "app/http_message.h"
 #include "app/http_message_reader.h"
 #include "app/settings.h"
 #include "bilberrycourse/rest_time.h"
@@ -83,7 +84,7 @@
   void Write() {
     request_ = MakePost("/cancel", address_);
     request_.set("X-Attempt-Id", queue_.front());
-    request_.prepare_payload();
+    SetContentLength(&request_);
     http::async_write(stream_, request_,
                       [self = shared_from_this()](
                           const beast::error_code& error, std::size_t) {
@@ -159,7 +160,7 @@
   }
   request.set(http::field::content_type, "application/json");
   if (attempt.body != nullptr) request.body() = *attempt.body;
-  request.prepare_payload();
+  SetContentLength(&request);
   http_.Send(id, std::move(request));
 }
 
--- a/app/cli_http.cc
+++ b/app/cli_http.cc
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 #include <utility>
 
+#include "app/http_message.h"
 #include "app/http_message_reader.h"
 
 namespace bilberrycourse {
@@ -57,7 +58,7 @@
       message.set(http::field::content_type, "application/json");
     }
     message.body() = request.body;
-    message.prepare_payload();
+    SetContentLength(&message);
     return message;
   }
 
--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -10,10 +10,11 @@
 #include <cstdio>
 #include <set>
 
+#include "app/http_message.h"
 #include "app/http_message_reader.h"
-#include "app/problem_details.h"
 #include "app/json_log.h"
 #include "app/listening_socket.h"
+#include "app/problem_details.h"
 #include "app/socket_state.h"
 #include "bilberrycourse/result_code.h"
 
@@ -341,8 +342,22 @@
     response_ = {};
     response_.result(response.status);
     response_.version(11);
+    if (!Build(std::move(response))) {
+      LogEvent(log_level::kError, "response_not_built", {{"target", target_}});
+      Build(ProblemResponse(result_code::kInternal));
+    }
+    stream_.expires_after(server_->options.read_timeout);
+    http::async_write(
+        stream_, response_,
+        [self = shared_from_this()](const beast::error_code& error,
+                                    std::size_t) { self->WriteDone(error); });
+  }
+
+  // Returns false if HTTP can't express the response.
+  bool Build(http_response response) {
     for (const auto& [name, value] : response.headers) {
-      response_.insert(name, value);
+    if (response.status > kMaxHttpStatus) return false;
+      if (!AddField(&response_, name, value)) return false;
     }
     if (!response.content_type.empty()) {
       response_.set(http::field::content_type, response.content_type);
@@ -354,17 +369,13 @@
     response_.keep_alive(keep_alive_ && !server_->draining);
     response_.body() = std::move(response.body);
     if (head_request_) {
-      // Content-Length would be that of the body that GET returns, so
-      // prepare_payload() must not set it to 0.
+      // Content-Length would be that of the body that GET returns, so it must
+      // not be set to 0.
       response_.body().clear();
     } else {
-      response_.prepare_payload();
+      SetContentLength(&response_);
     }
-    stream_.expires_after(server_->options.read_timeout);
-    http::async_write(
-        stream_, response_,
-        [self = shared_from_this()](const beast::error_code& error,
-                                    std::size_t) { self->WriteDone(error); });
+    return true;
   }
 
   void WriteDone(const beast::error_code& error) {
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -31,6 +31,9 @@
 // Missing shards listed in one log line; their total is always logged. A line
 // must stay below 4 KB, the size up to which writes to a pipe are atomic.
 constexpr std::size_t kMaxMissingListed = 12;
+// Signatures beyond this size go into a further header field. Common HTTP
+// implementations accept lines of 8 KB.
+constexpr std::size_t kMaxListFieldBytes = 8000;
 // Deadline of a request whose caller sets none.
 constexpr duration kDefaultDeadline = std::chrono::hours(1);
 // Longer deadlines are cut to this, far above any timeout of a route.
@@ -68,13 +71,19 @@
   return std::chrono::milliseconds(std::min(value, kMaxDeadlineMs));
 }
 
-std::string Join(const std::vector<std::string>& items) {
-  std::string out;
+// Adds the items as a list, with as few fields as their size allows.
+void AddListFields(const std::string& name,
+                   const std::vector<std::string>& items,
+                   header_list* headers) {
+  std::string list;
   for (const std::string& item : items) {
-    if (!out.empty()) out += ", ";
-    out += item;
+    if (!list.empty() && list.size() + item.size() > kMaxListFieldBytes) {
+      headers->emplace_back(name, std::exchange(list, {}));
+    }
+    if (!list.empty()) list += ", ";
+    list += item;
   }
-  return out;
+  headers->emplace_back(name, std::move(list));
 }
 
 }  // namespace
@@ -470,7 +479,7 @@
   const edge_headers& names = protocol_->headers();
   if (finish.merged) {
     http_response response{200, "application/octet-stream", finish.body};
-    response.headers.emplace_back(names.shard_stamps, Join(finish.stamps));
+    AddListFields(names.shard_stamps, finish.stamps, &response.headers);
     response.headers.emplace_back(names.missing_shards,
                                   std::to_string(finish.missing.size()));
     return response;
--- a/app/searcher_client.cc
+++ b/app/searcher_client.cc
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <utility>
 
+#include "app/http_message.h"
 #include "bilberrycourse/rest_time.h"
 
 namespace bilberrycourse {
@@ -86,7 +87,7 @@
   request.set(names_.deadline, std::to_string(forwarded.remaining.count()));
   request.set(names_.expected_searcher, forwarded.searcher);
   if (forwarded.body != nullptr) request.body() = *forwarded.body;
-  request.prepare_payload();
+  SetContentLength(&request);
   request_ids_[id] = forwarded.request_id;
   http_.Send(id, std::move(request));
 }
--- a/app/testing/http_server_test.cc
+++ b/app/testing/http_server_test.cc
@@ -58,6 +58,15 @@
           if (request.path == "/large") {
             return respond({200, "text/plain", std::string(kLargeBytes, 'x')});
           }
+          if (request.path == "/long-field") {
+            http_response response{200, "text/plain", "body"};
+            response.headers = {{"X-Long", std::string(70000, 'x')}};
+            return respond(std::move(response));
+          }
+          if (request.path == "/no-content") {
+            return respond({204, "text/plain", "body"});
+          }
+          if (request.path == "/status") return respond({1000, "", "body"});
           respond({200, "text/plain", request.method + request.body, 0});
         });
     ASSERT_TRUE(server_->Listen());
@@ -350,5 +359,26 @@
   EXPECT_NE(answer.find("Retry-After: 0.25\r\n"), std::string::npos);
 }
 
+// Guards against a response that ends the process, because Beast refuses to
+// build it by an exception.
+TEST_F(http_server_test, Respond_NotExpressibleInHttp_GetsInternalError) {
+  for (const std::string path : {"/long-field", "/status"}) {
+    const std::string answer =
+        Exchange("GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n", "}");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 500 ")) << path;
+    EXPECT_NE(answer.find("\"code\":901"), std::string::npos) << path;
+  }
+}
+
+// Guards as above, and against a body where HTTP allows none, which the caller
+// would take for the next answer.
+TEST_F(http_server_test, Respond_StatusWithoutBody_DropsBody) {
+  const std::string answer = Exchange(
+      "GET /no-content HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+      "unreached");
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 204 ")) << answer;
+  EXPECT_TRUE(answer.ends_with("\r\n\r\n")) << answer;
+}
+
 }  // namespace
 }  // namespace bilberrycourse
