Pause accept() while descriptors or memory are short

A process without free descriptors called accept() again as soon as it had failed, about 1.5 million times a second on the test's machine, and so used up its processor time for the connections that it had (4,100 descriptors and a quarter of a core on the platform).

Both servers now wait 50 ms after such a failure; the connections stay in the system's queue.

--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -100,16 +100,19 @@
        http_handler request_handler)
       : executor(std::move(io_executor)),
         acceptor(executor),
+        accept_timer(executor),
         options(std::move(server_options)),
         handler(std::move(request_handler)) {}
 
   boost::leaf::result<void> Listen();
   void Accept();
+  void AcceptLater();
   void AcceptQueued();
   void Start(tcp::socket socket);
 
   asio::any_io_executor executor;
   tcp::acceptor acceptor;
+  asio::steady_timer accept_timer;
   http_server_options options;
   http_handler handler;
   std::set<std::shared_ptr<session>> sessions;
@@ -339,9 +342,6 @@
   void Write(http_response response) {
     on_disconnect_.reset();
     if (state_ == session_state::kClosed) return;
-    response_ = {};
-    response_.result(response.status);
-    response_.version(11);
     if (!Build(std::move(response))) {
       LogEvent(log_level::kError, "response_not_built", {{"target", target_}});
       Build(ProblemResponse(result_code::kInternal));
@@ -355,8 +355,11 @@
 
   // Returns false if HTTP can't express the response.
   bool Build(http_response response) {
-    for (const auto& [name, value] : response.headers) {
+    response_ = {};
     if (response.status > kMaxHttpStatus) return false;
+    response_.result(response.status);
+    response_.version(11);
+    for (const auto& [name, value] : response.headers) {
       if (!AddField(&response_, name, value)) return false;
     }
     if (!response.content_type.empty()) {
@@ -461,7 +464,17 @@
                                   tcp::socket socket) {
         // The connection may have been accepted just before StopAccepting().
         if (!error && !self->closed) self->Start(std::move(socket));
-        if (!self->stopping) self->Accept();
+        if (self->stopping) return;
+        if (IsResourceShortage(error)) return self->AcceptLater();
+        self->Accept();
+      });
+}
+
+void http_server::impl::AcceptLater() {
+  accept_timer.expires_after(kAcceptRetryDelay);
+  accept_timer.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& error) {
+        if (!error && !self->stopping) self->Accept();
       });
 }
 
@@ -504,6 +517,7 @@
   impl_->AcceptQueued();
   boost::system::error_code ignored;
   impl_->acceptor.close(ignored);
+  impl_->accept_timer.cancel();
   const auto sessions = impl_->sessions;
   for (const auto& open_session : sessions) open_session->CloseIfIdle();
 }
--- a/app/listening_socket.cc
+++ b/app/listening_socket.cc
@@ -5,7 +5,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/leaf/pred.hpp>
-#include <chrono>
 #include <csignal>
 
 #include "app/json_log.h"
@@ -89,4 +88,11 @@
   return false;
 }
 
+bool IsResourceShortage(const boost::system::error_code& error) {
+  namespace errc = boost::system::errc;
+  return error == errc::too_many_files_open ||
+         error == errc::too_many_files_open_in_system ||
+         error == errc::no_buffer_space || error == errc::not_enough_memory;
+}
+
 }  // namespace bilberrycourse
--- a/app/listening_socket.h
+++ b/app/listening_socket.h
@@ -12,12 +12,17 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/leaf/result.hpp>
+#include <chrono>
 #include <functional>
 
 #include "app/settings.h"
 
 namespace bilberrycourse {
 
+// Delay before the next accept() after one for which the process had no
+// descriptors or memory. Connections stay in the queue of the system meanwhile.
+inline constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
+
 // Opens the acceptor. Fails with kAddressInUse if the address may become free
 // and with kAddressNotBound otherwise, both with the address as text.
 boost::leaf::result<void> BindAndListen(
@@ -28,6 +33,10 @@
 boost::leaf::result<bool> ListenWhenFree(
     const std::function<boost::leaf::result<void>()>& listen);
 
+// Returns true if accept() failed for lack of descriptors or memory, and would
+// fail again at once.
+bool IsResourceShortage(const boost::system::error_code& error);
+
 }  // namespace bilberrycourse
 
 #endif  // APP_LISTENING_SOCKET_H_
--- a/app/peer_transport.cc
+++ b/app/peer_transport.cc
@@ -116,11 +116,13 @@
        peer_transport_handler* event_handler)
       : executor(std::move(io_executor)),
         acceptor(executor),
+        accept_timer(executor),
         options(std::move(transport_options)),
         handler(event_handler) {}
 
   boost::leaf::result<void> Listen();
   void Accept();
+  void AcceptLater();
   void Dial(const std::string& address);
   void Remove(const link_pointer& closed_link);
   void OnLinkOpened(const link_pointer& new_link);
@@ -133,6 +135,7 @@
 
   asio::any_io_executor executor;
   tcp::acceptor acceptor;
+  asio::steady_timer accept_timer;
   peer_transport_options options;
   peer_transport_handler* handler;
   peer_transport_counters counters;
@@ -461,10 +464,19 @@
             ++self->counters.rejected_links;
           }
         }
+        if (IsResourceShortage(error)) return self->AcceptLater();
         self->Accept();
       });
 }
 
+void peer_transport::impl::AcceptLater() {
+  accept_timer.expires_after(kAcceptRetryDelay);
+  accept_timer.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& error) {
+        if (!error && !self->closing) self->Accept();
+      });
+}
+
 void peer_transport::impl::Dial(const std::string& address) {
   if (closing || dialed.contains(address)) return;
   socket_address parsed;
@@ -515,6 +527,7 @@
   closing = true;
   boost::system::error_code ignored;
   acceptor.close(ignored);
+  accept_timer.cancel();
   const auto closing_links = links;
   for (const link_pointer& open_link : closing_links) open_link->Close();
 }
