Survive SIGHUP before the start and a closed log

SIGHUP ended a process that had not installed its handler yet (the platform may send it as soon as the process exists), and SIGPIPE one whose log had lost its reader: a pipe without a reader counts as ready for writing.

SIGHUP is blocked until the daemon handles it, which then reads the settings once more; the time before main() remains. SIGPIPE is ignored, and the lines count as dropped.

serving_start_test.Serve_HangupBeforeSettingsAreRead_KeepsRunning and Serve_LogReaderEnds_KeepsRunning: the process ended on, pass now.

--- a/app/serve.cc
+++ b/app/serve.cc
@@ -3,6 +3,7 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/leaf/result.hpp>
 #include <boost/program_options.hpp>
+#include <csignal>
 #include <functional>
 #include <iostream>
 #include <optional>
@@ -54,6 +55,27 @@
   return std::nullopt;
 }
 
+// Postpones SIGHUP until the daemon handles it. Without a handler it would end
+// the process, and the platform may send it at any moment after the start.
+class hangup_block {
+ public:
+  hangup_block() { Apply(SIG_BLOCK); }
+  hangup_block(const hangup_block&) = delete;
+  hangup_block& operator=(const hangup_block&) = delete;
+  ~hangup_block() { Release(); }
+
+  // Must be called before other threads start, which inherit the block.
+  void Release() { Apply(SIG_UNBLOCK); }
+
+ private:
+  static void Apply(int how) {
+    sigset_t hangup;
+    ::sigemptyset(&hangup);
+    ::sigaddset(&hangup, SIGHUP);
+    ::sigprocmask(how, &hangup, nullptr);
+  }
+};
+
 // A daemon's log is read without its standard error, so the log names the cause
 // as well.
 void LogStartFailure(result_code code, const std::string& detail) {
@@ -100,6 +122,9 @@
 }  // namespace
 
 int RunServe(const std::vector<std::string>& args) {
+  // A closed log must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  hangup_block hangups;
   std::string file;
   if (const auto code = ReadConfigOption("serve", args, &file)) {
     return *code;
@@ -107,15 +132,17 @@
   ConfigureLog({});
   return WithSettings(
       file,
-      [](settings config) -> leaf::result<int> {
+      [&](settings config) -> leaf::result<int> {
         ConfigureLog({config.name, config.level, config.decision_rate});
         LogProcessEnds(config.name);
         if (config.interface == serving_interface::kRoutes) {
           route_daemon process(std::move(config), MakePlatformProtocol());
+          hangups.Release();
           BOOST_LEAF_CHECK(process.Run());
           return 0;
         }
         daemon_process process(std::move(config));
+        hangups.Release();
         BOOST_LEAF_CHECK(process.Run());
         return 0;
       },
--- a/app/testing/serving_start_test.cc
+++ b/app/testing/serving_start_test.cc
@@ -118,5 +118,32 @@
       << process.log();
 }
 
+// Guards against a SIGHUP that ends a process that has not installed its
+// handler yet: the platform may announce new settings at any moment.
+TEST_F(serving_start_test, Serve_HangupBeforeSettingsAreRead_KeepsRunning) {
+  ASSERT_EQ(::mkfifo(file_.c_str(), 0600), 0);
+  serving_process process(file_);
+  // The open returns when the process reads its settings.
+  std::ofstream settings(file_);
+  process.Signal(SIGHUP);
+  EXPECT_TRUE(StaysRunning(&process));
+  // The reload that the signal asks for finds a file.
+  settings << EntryText();
+  std::remove(file_.c_str());
+  std::ofstream(file_) << EntryText();
+  settings.close();
+  EXPECT_TRUE(process.WaitForLog("settings_reloaded")) << process.log();
+  EXPECT_TRUE(process.running());
+}
+
+// Guards against a process that ends by SIGPIPE with the reader of its log.
+TEST_F(serving_start_test, Serve_LogReaderEnds_KeepsRunning) {
+  serving_process process(WriteSettings(EntryText()));
+  ASSERT_TRUE(process.WaitForLog(kStarted)) << process.log();
+  process.CloseLog();
+  process.Signal(SIGHUP);  // Writes a line.
+  EXPECT_TRUE(StaysRunning(&process));
+}
+
 }  // namespace
 }  // namespace bilberrycourse
