Start without seeds and wait for some

An instance whose settings list no seed ended with code 50, and again at each restart under the same settings. The platform lists the control instances that run when it writes the file, so the list may be empty while they are down, and a control instance that refuses to start for that keeps it empty.

With interface routes an empty list is accepted. The process runs, not ready, logs seeds_awaited, and reads its settings every second for as long as it has no seed or no link to any peer: the file may change without a signal. A control instance with a log rejoins by the group that the log names. One without looks for its group at new seeds too, which it did not do after SIGHUP either; it forms no group with them, since all members must base that on the same list.

--- a/app/control_client.cc
+++ b/app/control_client.cc
@@ -38,6 +38,7 @@
 // Spreads the polls of entry instances over the control members.
 instance_name FirstPollTarget(const settings& config, bool local) {
   if (local) return config.name;
+  if (config.initial_members.empty()) return {};
   const std::size_t hash = std::hash<std::string>()(config.name);
   return config.initial_members[hash % config.initial_members.size()];
 }
@@ -325,7 +326,8 @@
   const std::vector<instance_name> peers = transport_->connected_peers();
   const auto next = std::upper_bound(peers.begin(), peers.end(), previous);
   if (next != peers.end()) return *next;
-  return peers.empty() ? names.front() : peers.front();
+  if (!peers.empty()) return peers.front();
+  return names.empty() ? instance_name() : names.front();
 }
 
 instance_name control_client::PreferredTarget(time_point now) const {
--- a/app/control_service.cc
+++ b/app/control_service.cc
@@ -159,6 +159,12 @@
                     code == result_code::kLogDamaged;
 }
 
+void control_service::OnSeedsChanged() {
+  if (member_ != nullptr) {
+    member_->SetDiscoveryTargets(ControlInstances(config_));
+  }
+}
+
 void control_service::Tick(time_point now) {
   if (reopen_at_.has_value() && now >= *reopen_at_) {
     reopen_at_.reset();
--- a/app/control_service.h
+++ b/app/control_service.h
@@ -89,6 +89,9 @@
   ~control_service();
 
   void Start(time_point now);
+  // The seeds of the settings have changed. A member without a group looks for
+  // one there as well.
+  void OnSeedsChanged();
   void Tick(time_point now);
   void OnConsensusFrame(std::string_view bytes, time_point now);
 
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -34,6 +34,7 @@
 // would show by nothing else while another member answers the polls.
 constexpr duration kLeaderProbePeriod = std::chrono::milliseconds(1500);
 constexpr std::chrono::milliseconds kHandshakeTimeout{1000};
+constexpr duration kSettingsCheckPeriod = std::chrono::seconds(1);
 // An entry instance that was disconnected for less than this keeps its share of
 // the retry budget, because it may have spent it already.
 constexpr duration kEntryCountHoldTime = std::chrono::seconds(10);
@@ -146,6 +147,10 @@
             {"availability_zone", config_.zone},
             {"caller_address", config_.caller_listen.ToText()},
             {"peer_address", config_.peer_listen.ToText()}});
+  if (config_.seeds.empty()) {
+    LogEvent(log_level::kWarning, "seeds_awaited", {{"file", config_.file}});
+  }
+  settings_check_due_ = now + kSettingsCheckPeriod;
   DialPeers(now);
   ArmTimer();
   context_.run();
@@ -154,11 +159,6 @@
   return {};
 }
 
-void route_daemon::AwaitSignal() {
-  signals_.async_wait(
-      [this](const boost::system::error_code& error, int signal) {
-        if (error) return;
-        if (signal == SIGHUP) {
 // Returns false if the process was told to stop before its addresses were free.
 // The callers' address comes last: while this function waits for another one,
 // nothing answers on the addresses that are bound.
@@ -175,7 +175,12 @@
   return ListenWhenFree([this] { return main_server_.Listen(); });
 }
 
-          Reload();
+void route_daemon::AwaitSignal() {
+  signals_.async_wait(
+      [this](const boost::system::error_code& error, int signal) {
+        if (error) return;
+        if (signal == SIGHUP) {
+          Reload(/*log_unchanged=*/true);
         } else {
           BeginShutdown();
         }
@@ -184,11 +189,14 @@
 }
 
 // Applies new seeds. Addresses and roles can't change while the process runs.
-void route_daemon::Reload() {
+void route_daemon::Reload(bool log_unchanged) {
   boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<void> {
         BOOST_LEAF_AUTO(loaded, LoadSettings(config_.file));
+        if (loaded.seeds == config_.seeds && !log_unchanged) return {};
         config_.seeds = loaded.seeds;
+        config_.initial_members = loaded.initial_members;
+        if (control_service_ != nullptr) control_service_->OnSeedsChanged();
         LogEvent(log_level::kInfo, "settings_reloaded",
                  {{"seeds", config_.seeds.size()}});
         return {};
@@ -200,6 +208,15 @@
       [] { LogEvent(log_level::kError, "settings_refused", {}); });
 }
 
+// The settings may change without a signal. They are read again while this
+// process knows nobody: with no seeds, or with seeds that are all gone.
+void route_daemon::CheckSeeds(time_point now) {
+  settings_check_due_ = now + kSettingsCheckPeriod;
+  if (config_.seeds.empty() || transport_.connected_peers().empty()) {
+    Reload(/*log_unchanged=*/false);
+  }
+}
+
 // Arms the timer for the next tick or the gateway's next due time, whichever is
 // earlier.
 void route_daemon::ArmTimer() {
@@ -234,6 +251,7 @@
     leader_probe_due_ = now + kLeaderProbePeriod;
     transport_.Probe(control_client_.leader());
   }
+  if (now >= settings_check_due_) CheckSeeds(now);
   if (now >= dial_due_) DialPeers(now);
   if (shutting_down_) CheckShutdown(now);
 }
--- a/app/route_daemon.h
+++ b/app/route_daemon.h
@@ -63,7 +63,8 @@
   bool Ready() const;
   boost::leaf::result<bool> Listen();
   void AwaitSignal();
-  void Reload();
+  void Reload(bool log_unchanged);
+  void CheckSeeds(time_point now);
   void ArmTimer();
   void Tick(time_point now);
   void DialPeers(time_point now);
@@ -106,6 +107,7 @@
   // describe them.
   std::map<instance_name, entry_instance> entries_;
   time_point dial_due_{};
+  time_point settings_check_due_{};
   time_point leader_probe_due_{};
   // What the last hello frames said of this instance.
   bool stated_isolated_ = false;
--- a/app/settings.cc
+++ b/app/settings.cc
@@ -336,10 +336,6 @@
     errors->push_back(
         {"peers", "shared_key", "is missing", "shared_key or shared_key_file"});
   }
-  if (s.seeds.empty()) {
-    errors->push_back({"peers", "seeds", "names no control instance",
-                       "the addresses of one or more control instances"});
-  }
   if (s.control && s.name != s.peer_advertised.ip) {
     errors->push_back({"instance", "name",
                        "is not the IP number of this instance",
--- a/app/settings.h
+++ b/app/settings.h
@@ -70,6 +70,8 @@
   // with interface routes.
   socket_address readiness_listen;
   // [peers]
+  // May be empty with interface routes: the platform lists the control
+  // instances that run when it writes the file.
   std::vector<socket_address> seeds;
   // If not 0, the port for peer connections at every seed, in place of the port
   // in `seeds`.
--- a/app/testing/serving_start_test.cc
+++ b/app/testing/serving_start_test.cc
@@ -145,5 +145,44 @@
   EXPECT_TRUE(StaysRunning(&process));
 }
 
+// Guards against a crash loop on each machine that starts while no control
+// instance is listed. The process waits for seeds, which the settings may name
+// later without a signal.
+TEST_F(serving_start_test, Serve_NoSeeds_WaitsUntilSettingsNameThem) {
+  serving_process process(WriteSettings(EntryText("")));
+  ASSERT_TRUE(process.WaitForLog("\"event\":\"seeds_awaited\""))
+      << process.log();
+  EXPECT_TRUE(StaysRunning(&process));
+  const std::string next = file_ + "_next";
+  std::ofstream(next) << EntryText("127.0.0.8:9,127.0.0.9:9");
+  ASSERT_EQ(std::rename(next.c_str(), file_.c_str()), 0);
+  EXPECT_TRUE(process.WaitForLog("\"event\":\"settings_reloaded\",\"seeds\":2"))
+      << process.log();
+  process.Signal(SIGTERM);
+  EXPECT_EQ(process.WaitForEnd(), 0);
+}
+
+// Guards as above on a control instance, whose group may not form without
+// seeds.
+TEST_F(serving_start_test, Serve_ControlWithoutSeeds_WaitsWithoutGroup) {
+  const std::string folder = file_ + "_data";
+  serving_process process(WriteSettings(
+      "[instance]\ninterface=routes\nname=127.0.0.1\navailability_zone=z\n"
+      "role=control\n[listen]\ncaller=127.0.0.1:" +
+      std::to_string(caller_port_) +
+      "\npeer=127.0.0.1:" + std::to_string(peer_port_) +
+      "\n[peers]\nseeds=\nshared_key=0123456789abcdef\n[control]\ngroup=g\n"
+      "bootstrap=true\ndata_dir=" +
+      folder + "\n"));
+  ASSERT_TRUE(process.WaitForLog("\"event\":\"seeds_awaited\""))
+      << process.log();
+  EXPECT_TRUE(StaysRunning(&process));
+  EXPECT_EQ(process.log().find("\"event\":\"control_role\""), std::string::npos)
+      << process.log();
+  process.Signal(SIGTERM);
+  EXPECT_EQ(process.WaitForEnd(), 0);
+  std::filesystem::remove_all(folder);
+}
+
 }  // namespace
 }  // namespace bilberrycourse
--- a/bilberrycourse/consensus_member.h
+++ b/bilberrycourse/consensus_member.h
@@ -214,6 +214,12 @@
             consensus_effects* out);
   void Tick(time_point now, consensus_effects* out);
 
+  // Further instances at which a group may be found. They have no part in its
+  // formation, which all members must base on the same instances.
+  void SetDiscoveryTargets(std::vector<control_instance> targets) {
+    discovery_targets_ = std::move(targets);
+  }
+
   // Appends a command if this member is the leader. Returns kNotLeader,
   // kOverloaded, kShuttingDown (leadership is being transferred) or
   // kRequestTooLarge otherwise.
@@ -474,6 +480,7 @@
   time_point transfer_deadline_{};
 
   time_point discover_due_{};
+  std::vector<control_instance> discovery_targets_;
   // True if this member has formed the group but has never led it, so that no
   // other member can hold its first entry.
   bool formation_unsent_ = false;
--- a/bilberrycourse/consensus_member_formation.cc
+++ b/bilberrycourse/consensus_member_formation.cc
@@ -59,6 +59,9 @@
     add({kNoMember, configured.instance, configured.address,
          member_role::kLearner});
   }
+  for (const control_instance& target : discovery_targets_) {
+    add({kNoMember, target.instance, target.address, member_role::kLearner});
+  }
   for (const log_member& member : membership().members) add(member);
   for (const log_member& member : known_group_) add(member);
   return targets;
--- a/bilberrycourse/testing/consensus_member_test.cc
+++ b/bilberrycourse/testing/consensus_member_test.cc
@@ -46,6 +46,33 @@
   EXPECT_LT(Elect(), cluster_.size());
 }
 
+// Guards against an empty member that never finds its group, because its first
+// settings named no instance and new ones were not used, and against a group
+// that it forms with the instances of the new ones.
+TEST(consensus_formation_test, SetDiscoveryTargets_NoSeeds_AsksThem) {
+  consensus_settings settings;
+  settings.may_form_group = true;
+  recovered_log log;
+  log.identity = {"g", member_id{7}, "c1"};
+  time_point now{};
+  consensus_member member(settings, log, now);
+  const auto asked = [&] {
+    std::vector<instance_name> names;
+    now += std::chrono::seconds(1);
+    consensus_effects effects;
+    member.Tick(now, &effects);
+    for (const consensus_effect& effect : effects) {
+      const auto* send = std::get_if<send_message_effect>(&effect);
+      if (send != nullptr) names.push_back(send->to);
+    }
+    return names;
+  };
+  EXPECT_EQ(asked(), std::vector<instance_name>{});
+  member.SetDiscoveryTargets({{"c1", "", true}, {"c2", "", true}});
+  EXPECT_EQ(asked(), std::vector<instance_name>{"c2"});
+  EXPECT_EQ(member.role(), consensus_role::kUnformed);
+}
+
 // Guards against a second group: a member of an existing deployment must not
 // form a group from an empty data folder.
 TEST(consensus_formation_test, FirstStart_BootstrapOff_NoGroupForms) {
