--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -10,7 +10,10 @@
 #include <cstdio>
 #include <set>
 
+#include "app/http_message.h"
 #include "app/http_message_reader.h"
+#include "app/json_log.h"
+#include "app/listening_socket.h"
 #include "app/problem_details.h"
 #include "app/socket_state.h"
 #include "bilberrycourse/result_code.h"
@@ -97,16 +100,19 @@
        http_handler request_handler)
       : executor(std::move(io_executor)),
         acceptor(executor),
+        accept_timer(executor),
         options(std::move(server_options)),
         handler(std::move(request_handler)) {}
 
   boost::leaf::result<void> Listen();
   void Accept();
+  void AcceptLater();
   void AcceptQueued();
   void Start(tcp::socket socket);
 
   asio::any_io_executor executor;
   tcp::acceptor acceptor;
+  asio::steady_timer accept_timer;
   http_server_options options;
   http_handler handler;
   std::set<std::shared_ptr<session>> sessions;
@@ -336,11 +342,25 @@
   void Write(http_response response) {
     on_disconnect_.reset();
     if (state_ == session_state::kClosed) return;
+    if (!Build(std::move(response))) {
+      LogEvent(log_level::kError, "response_not_built", {{"target", target_}});
+      Build(ProblemResponse(result_code::kInternal));
+    }
+    stream_.expires_after(server_->options.read_timeout);
+    http::async_write(
+        stream_, response_,
+        [self = shared_from_this()](const beast::error_code& error,
+                                    std::size_t) { self->WriteDone(error); });
+  }
+
+  // Returns false if HTTP can't express the response.
+  bool Build(http_response response) {
     response_ = {};
+    if (response.status > kMaxHttpStatus) return false;
     response_.result(response.status);
     response_.version(11);
     for (const auto& [name, value] : response.headers) {
-      response_.insert(name, value);
+      if (!AddField(&response_, name, value)) return false;
     }
     if (!response.content_type.empty()) {
       response_.set(http::field::content_type, response.content_type);
@@ -352,17 +372,13 @@
     response_.keep_alive(keep_alive_ && !server_->draining);
     response_.body() = std::move(response.body);
     if (head_request_) {
-      // Content-Length would be that of the body that GET returns, so
-      // prepare_payload() must not set it to 0.
+      // Content-Length would be that of the body that GET returns, so it must
+      // not be set to 0.
       response_.body().clear();
     } else {
-      response_.prepare_payload();
+      SetContentLength(&response_);
     }
-    stream_.expires_after(server_->options.read_timeout);
-    http::async_write(
-        stream_, response_,
-        [self = shared_from_this()](const beast::error_code& error,
-                                    std::size_t) { self->WriteDone(error); });
+    return true;
   }
 
   void WriteDone(const beast::error_code& error) {
@@ -437,19 +453,7 @@
 };
 
 boost::leaf::result<void> http_server::impl::Listen() {
-  beast::error_code error;
-  const tcp::endpoint endpoint(asio::ip::make_address(options.listen.ip),
-                               options.listen.port);
-  acceptor.open(endpoint.protocol(), error);
-  if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor.bind(endpoint, error);
-  if (!error) {
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return boost::leaf::new_error(result_code::kAddressInUse,
-                                  options.listen.ToText());
-  }
+  BOOST_LEAF_CHECK(BindAndListen(options.listen, &acceptor));
   Accept();
   return {};
 }
@@ -460,7 +464,17 @@
                                   tcp::socket socket) {
         // The connection may have been accepted just before StopAccepting().
         if (!error && !self->closed) self->Start(std::move(socket));
-        if (!self->stopping) self->Accept();
+        if (self->stopping) return;
+        if (IsResourceShortage(error)) return self->AcceptLater();
+        self->Accept();
+      });
+}
+
+void http_server::impl::AcceptLater() {
+  accept_timer.expires_after(kAcceptRetryDelay);
+  accept_timer.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& error) {
+        if (!error && !self->stopping) self->Accept();
       });
 }
 
@@ -503,6 +517,7 @@
   impl_->AcceptQueued();
   boost::system::error_code ignored;
   impl_->acceptor.close(ignored);
+  impl_->accept_timer.cancel();
   const auto sessions = impl_->sessions;
   for (const auto& open_session : sessions) open_session->CloseIfIdle();
 }
--- a/app/peer_transport.cc
+++ b/app/peer_transport.cc
@@ -17,6 +17,7 @@
 #include <set>
 #include <utility>
 
+#include "app/listening_socket.h"
 #include "app/socket_state.h"
 #include "bilberrycourse/result_code.h"
 
@@ -115,11 +116,13 @@
        peer_transport_handler* event_handler)
       : executor(std::move(io_executor)),
         acceptor(executor),
+        accept_timer(executor),
         options(std::move(transport_options)),
         handler(event_handler) {}
 
   boost::leaf::result<void> Listen();
   void Accept();
+  void AcceptLater();
   void Dial(const std::string& address);
   void Remove(const link_pointer& closed_link);
   void OnLinkOpened(const link_pointer& new_link);
@@ -132,6 +135,7 @@
 
   asio::any_io_executor executor;
   tcp::acceptor acceptor;
+  asio::steady_timer accept_timer;
   peer_transport_options options;
   peer_transport_handler* handler;
   peer_transport_counters counters;
@@ -439,17 +443,7 @@
 };
 
 boost::leaf::result<void> peer_transport::impl::Listen() {
-  boost::system::error_code error;
-  const tcp::endpoint endpoint(asio::ip::make_address(options.listen.ip),
-                               options.listen.port);
-  acceptor.open(endpoint.protocol(), error);
-  if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor.bind(endpoint, error);
-  if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
-  if (error) {
-    return boost::leaf::new_error(result_code::kAddressInUse,
-                                  options.listen.ToText());
-  }
+  BOOST_LEAF_CHECK(BindAndListen(options.listen, &acceptor));
   Accept();
   return {};
 }
@@ -470,10 +464,19 @@
             ++self->counters.rejected_links;
           }
         }
+        if (IsResourceShortage(error)) return self->AcceptLater();
         self->Accept();
       });
 }
 
+void peer_transport::impl::AcceptLater() {
+  accept_timer.expires_after(kAcceptRetryDelay);
+  accept_timer.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& error) {
+        if (!error && !self->closing) self->Accept();
+      });
+}
+
 void peer_transport::impl::Dial(const std::string& address) {
   if (closing || dialed.contains(address)) return;
   socket_address parsed;
@@ -524,6 +527,7 @@
   closing = true;
   boost::system::error_code ignored;
   acceptor.close(ignored);
+  accept_timer.cancel();
   const auto closing_links = links;
   for (const link_pointer& open_link : closing_links) open_link->Close();
 }
