Let no library catch what a daemon throws

An exception that left a handler did not end the process by SIGABRT, as docs/incidents/ended-processes.md assumed: LEAF caught it around the whole run, and the process ended with code 99, "error 901 internal" on standard error, and neither the type nor the text of the exception.

The daemon now runs in a noexcept function, so that an exception ends the process where it was thrown, with the line and a core dump.

process_end_log_test.Serve_DaemonThrows_LogsExceptionAndAborts: the line was missing before, passes now.

--- a/app/serve.cc
+++ b/app/serve.cc
@@ -132,7 +132,8 @@
   ConfigureLog({});
   return WithSettings(
       file,
-      [&](settings config) -> leaf::result<int> {
+      // LEAF would catch an exception, and its text and place would be lost.
+      [&](settings config) noexcept -> leaf::result<int> {
         ConfigureLog({config.name, config.level, config.decision_rate});
         LogProcessEnds(config.name);
         if (config.interface == serving_interface::kRoutes) {
--- a/app/testing/process_end_log_test.cc
+++ b/app/testing/process_end_log_test.cc
@@ -86,6 +86,19 @@
       "\"what\":\"field ..x.. too large\"");
 }
 
+// Guards against an exception that a library catches on its way out of the
+// daemon: the process ended with code 99 and nothing told which one it was.
+TEST_F(process_end_log_test, Serve_DaemonThrows_LogsExceptionAndAborts) {
+  // Enough to read the settings, but not for an io_context.
+  constexpr rlim_t kMaxDescriptors = 6;
+  serving_process process(WriteSettings("entry"), kMaxDescriptors);
+  EXPECT_EQ(process.WaitForEnd(), 128 + SIGABRT);
+  EXPECT_NE(process.log().find("\"event\":\"process_ends\",\"exception\":"),
+            std::string::npos)
+      << process.log();
+  EXPECT_NE(process.log().find("Too many open files"), std::string::npos);
+}
+
 // Guards against a crash loop whose cause stands on standard error only, which
 // the log of a daemon does not contain.
 TEST_F(process_end_log_test, Serve_SettingsInvalid_NamesSettingInLog) {
--- a/app/testing/serving_process.h
+++ b/app/testing/serving_process.h
@@ -13,6 +13,7 @@
 
 #include <fcntl.h>
 #include <poll.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -26,7 +27,9 @@
 
 class serving_process {
  public:
-  explicit serving_process(const std::string& settings_file) {
+  // `max_descriptors` bounds the open files of the process; 0 for no bound.
+  explicit serving_process(const std::string& settings_file,
+                           rlim_t max_descriptors = 0) {
     const std::string program =
         (std::filesystem::read_symlink("/proc/self/exe").parent_path() /
          "bilberrycourse")
@@ -37,6 +40,9 @@
     id_ = ::fork();
     if (id_ == 0) {
       ::dup2(ends[1], STDOUT_FILENO);
+      ::close_range(STDERR_FILENO + 1, ~0U, 0);
+      const rlimit limit{max_descriptors, max_descriptors};
+      if (max_descriptors > 0) ::setrlimit(RLIMIT_NOFILE, &limit);
       ::execl(program.c_str(), program.c_str(), "serve", "--config",
               settings_file.c_str(), nullptr);
       ::_exit(127);
