Read the settings again at a start before refusing them

A process that read its settings while the platform wrote them ended with code 50: the file lacked its end.

serve now reads the file up to four times within 0.75 s; check-config still reads it once.

--- a/app/serve.cc
+++ b/app/serve.cc
@@ -3,10 +3,12 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/leaf/result.hpp>
 #include <boost/program_options.hpp>
+#include <chrono>
 #include <csignal>
 #include <functional>
 #include <iostream>
 #include <optional>
+#include <thread>
 
 #include "app/daemon.h"
 #include "app/json_log.h"
@@ -24,6 +26,9 @@
 
 // A log line has at most 4095 bytes; escapes may double the text.
 constexpr std::size_t kMaxLoggedDetailBytes = 1500;
+// A file that is being written while the daemon starts is read again.
+constexpr int kSettingsReads = 4;
+constexpr std::chrono::milliseconds kSettingsReadDelay{250};
 
 // Parses --config into `file`. Returns an exit code if the command must not
 // continue.
@@ -55,6 +60,15 @@
   return std::nullopt;
 }
 
+leaf::result<settings> LoadSettingsOnceWritten(const std::string& file) {
+  for (int reads = 1; reads < kSettingsReads; ++reads) {
+    auto loaded = LoadSettings(file);
+    if (loaded) return loaded;
+    std::this_thread::sleep_for(kSettingsReadDelay);
+  }
+  return LoadSettings(file);
+}
+
 // Postpones SIGHUP until the daemon handles it. Without a handler it would end
 // the process, and the platform may send it at any moment after the start.
 class hangup_block {
@@ -90,13 +104,13 @@
 // Loads the settings, calls `use` with them, and prints and passes to `failed`
 // every error. Returns the exit code.
 int WithSettings(
-    const std::string& file,
+    const std::function<leaf::result<settings>()>& load,
     const std::function<leaf::result<int>(settings)>& use,
     const std::function<void(result_code, const std::string&)>& failed =
         [](result_code, const std::string&) {}) {
   return leaf::try_handle_all(
       [&]() -> leaf::result<int> {
-        BOOST_LEAF_AUTO(config, LoadSettings(file));
+        BOOST_LEAF_AUTO(config, load());
         return use(std::move(config));
       },
       [&](result_code code, const settings_errors& errors) {
@@ -131,7 +145,7 @@
   }
   ConfigureLog({});
   return WithSettings(
-      file,
+      [&] { return LoadSettingsOnceWritten(file); },
       // LEAF would catch an exception, and its text and place would be lost.
       [&](settings config) noexcept -> leaf::result<int> {
         ConfigureLog({config.name, config.level, config.decision_rate});
@@ -155,10 +169,11 @@
   if (const auto code = ReadConfigOption("check-config", args, &file)) {
     return *code;
   }
-  return WithSettings(file, [](const settings& config) -> leaf::result<int> {
-    std::cout << config.file << ": ok\n";
-    return 0;
-  });
+  return WithSettings([&] { return LoadSettings(file); },
+                      [](const settings& config) -> leaf::result<int> {
+                        std::cout << config.file << ": ok\n";
+                        return 0;
+                      });
 }
 
 }  // namespace bilberrycourse
--- a/app/testing/serving_start_test.cc
+++ b/app/testing/serving_start_test.cc
@@ -118,6 +118,16 @@
       << process.log();
 }
 
+// Guards against a process that ends because it reads its settings while the
+// platform writes them.
+TEST_F(serving_start_test, Serve_SettingsHalfWritten_StartsOnceTheyAreWhole) {
+  const std::string whole = EntryText();
+  serving_process process(WriteSettings(whole.substr(0, whole.size() / 2)));
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  WriteSettings(whole);
+  EXPECT_TRUE(process.WaitForLog(kStarted)) << process.log();
+}
+
 // Guards against a SIGHUP that ends a process that has not installed its
 // handler yet: the platform may announce new settings at any moment.
 TEST_F(serving_start_test, Serve_HangupBeforeSettingsAreRead_KeepsRunning) {
