--- a/app/process_end_log.cc
+++ b/app/process_end_log.cc
@@ -20,7 +20,8 @@
 #include <typeinfo>
 #include <utility>
 
-// First byte of the program in memory; set by the linker.
+// First byte of the program in memory. The linker sets the name.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" const char __executable_start;
 
 namespace bilberrycourse {
