Form no group with seeds that come after the start

Found by reading; no run has shown it.

Serve_ControlWithoutSeeds_WaitsWithoutGroup now goes on until the settings name a seed and checks that no group forms; the folder is not opened again in it.

--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -193,10 +193,16 @@
   boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<void> {
         BOOST_LEAF_AUTO(loaded, LoadSettings(config_.file));
-        if (loaded.seeds == config_.seeds && !log_unchanged) return {};
-        config_.seeds = loaded.seeds;
-        config_.initial_members = loaded.initial_members;
-        if (control_service_ != nullptr) control_service_->OnSeedsChanged();
+        if (loaded.seeds != config_.seeds) {
+          config_.seeds = loaded.seeds;
+          config_.initial_members = loaded.initial_members;
+          // A group forms among the seeds of the first start only: members that
+          // go by other seeds could form a second one.
+          config_.bootstrap = false;
+          if (control_service_ != nullptr) control_service_->OnSeedsChanged();
+        } else if (!log_unchanged) {
+          return {};
+        }
         LogEvent(log_level::kInfo, "settings_reloaded",
                  {{"seeds", config_.seeds.size()}});
         return {};
--- a/app/testing/serving_start_test.cc
+++ b/app/testing/serving_start_test.cc
@@ -172,25 +172,30 @@
   EXPECT_EQ(process.WaitForEnd(), 0);
 }
 
-// Guards as above on a control instance, whose group may not form without
-// seeds.
+// Guards as above on a control instance, and against a second group: it may not
+// form one, neither without seeds nor with those that come later.
 TEST_F(serving_start_test, Serve_ControlWithoutSeeds_WaitsWithoutGroup) {
   const std::string folder = file_ + "_data";
-  serving_process process(WriteSettings(
-      "[instance]\ninterface=routes\nname=127.0.0.1\navailability_zone=z\n"
-      "role=control\n[listen]\ncaller=127.0.0.1:" +
-      std::to_string(caller_port_) +
-      "\npeer=127.0.0.1:" + std::to_string(peer_port_) +
-      "\n[peers]\nseeds=\nshared_key=0123456789abcdef\n[control]\ngroup=g\n"
-      "bootstrap=true\ndata_dir=" +
-      folder + "\n"));
+  const std::string peer = "127.0.0.1:" + std::to_string(peer_port_);
+  const auto text = [&](const std::string& seeds) {
+    return "[instance]\ninterface=routes\nname=127.0.0.1\n"
+           "availability_zone=z\nrole=control\n[listen]\ncaller=127.0.0.1:" +
+           std::to_string(caller_port_) + "\npeer=" + peer +
+           "\n[peers]\nseeds=" + seeds +
+           "\nshared_key=0123456789abcdef\n[control]\ngroup=g\n"
+           "bootstrap=true\ndata_dir=" +
+           folder + "\n";
+  };
+  serving_process process(WriteSettings(text("")));
   ASSERT_TRUE(process.WaitForLog("\"event\":\"seeds_awaited\""))
       << process.log();
+  WriteSettings(text(peer));
+  ASSERT_TRUE(process.WaitForLog("settings_reloaded")) << process.log();
   EXPECT_TRUE(StaysRunning(&process));
-  EXPECT_EQ(process.log().find("\"event\":\"control_role\""), std::string::npos)
-      << process.log();
   process.Signal(SIGTERM);
   EXPECT_EQ(process.WaitForEnd(), 0);
+  EXPECT_EQ(process.log().find("\"event\":\"control_role\""), std::string::npos)
+      << process.log();
   std::filesystem::remove_all(folder);
 }
 
