Lose no frames when two instances dial each other

What callers saw: by reading, an answer without a shard, late by the whole deadline (301, deadline_exceeded), or a relay that seems silent.

Cause: of two links between the same instances, each side closed the one that the larger name had dialed as soon as it knew of both. The peer may have used it until then. What it had sent there was lost, and no loss was reported, since another link was open; nobody sent it again. The same held for a link to a process of the peer that had ended unnoticed.

The link that is given up now reads on for the handshake timeout. If nothing arrives on it, not even the reply to a ping, its loss is reported. A link that is kept although the peer has dialed again is probed. Frames are unchanged; a build that closes at once is noticed as a loss, which is true for what was under way.

--- a/app/peer_transport.cc
+++ b/app/peer_transport.cc
@@ -126,6 +126,7 @@
   void Dial(const std::string& address);
   void Remove(const link_pointer& closed_link);
   void OnLinkOpened(const link_pointer& new_link);
+  void OnRetiredLinkLost(const instance_name& peer);
   void Close();
 
   link_pointer FindOpen(const instance_name& peer) const {
@@ -182,6 +183,22 @@
     ArmProbe();
   }
 
+  // Closes the link after a while in favour of another one to the same peer.
+  // Until then it still reads, because the peer may use it until it knows of
+  // the other link. `heard` is false if the link may belong to a process of the
+  // peer that has ended.
+  void Retire(bool heard) {
+    if (state_ != link_state::kOpen || retiring_) return;
+    retiring_ = true;
+    heard_ = heard;
+    SendPing(false);
+    timer_.expires_after(owner_->options.handshake_timeout);
+    timer_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error) {
+          if (!error) self->Close();
+        });
+  }
+
   void Close() {
     if (state_ == link_state::kClosed) return;
     const bool was_open = state_ == link_state::kOpen;
@@ -197,6 +214,7 @@
       }
     }
     owner_->Remove(shared_from_this());
+    if (retiring_ && !heard_) owner_->OnRetiredLinkLost(peer_);
   }
 
   bool delivered() {
@@ -317,6 +335,7 @@
 
   void HandleBody() {
     silent_periods_ = 0;
+    heard_ = true;
     if (std::exchange(probe_periods_left_, 0) > 0) probe_timer_.cancel();
     ++owner_->counters.frames_received;
     owner_->counters.bytes_received += kLengthBytes + body_.size();
@@ -382,7 +401,7 @@
     timer_.expires_after(owner_->options.ping_period);
     timer_.async_wait(
         [self = shared_from_this()](const boost::system::error_code& error) {
-          if (!error && self->open()) self->OnPingTimer();
+          if (!error && self->open() && !self->retiring_) self->OnPingTimer();
         });
   }
 
@@ -437,6 +456,10 @@
   std::vector<encoded_frame> frames_in_write_;
   std::size_t backlog_bytes_ = 0;
   bool writing_ = false;
+  // Set once another link to the peer is used.
+  bool retiring_ = false;
+  // Whether something has arrived since then.
+  bool heard_ = false;
   int silent_periods_ = 0;
   // 0 unless a probe is unanswered.
   int probe_periods_left_ = 0;
@@ -492,15 +515,19 @@
   const link_pointer existing_link = FindOpen(new_link->peer());
   if (existing_link != nullptr) {
     // If both sides have dialed, the link dialed by the smaller name is kept.
+    // The peer may be a new process that does not know of the link that it
+    // dialed before, so the older link must show that it still works.
     if (new_link->dialed_by() > existing_link->dialed_by()) {
-      asio::post(executor, [new_link] { new_link->Close(); });
+      new_link->Retire(/*heard=*/true);
+      existing_link->Probe();
       return;
     }
-    asio::post(executor, [existing_link] { existing_link->Close(); });
     if (new_link->dialed_by() != existing_link->dialed_by()) {
+      existing_link->Retire(/*heard=*/false);
       open[new_link->peer()] = new_link;
       return;
     }
+    asio::post(executor, [existing_link] { existing_link->Close(); });
     // A second link from the same dialer replaces the first, which is broken
     // although this side has not detected it. The peer may be a new process, so
     // what depends on the first link must end.
@@ -511,6 +538,14 @@
   handler->OnPeerConnected(new_link->peer());
 }
 
+// What was sent on the link has not arrived, although another link to the peer
+// is open.
+void peer_transport::impl::OnRetiredLinkLost(const instance_name& peer) {
+  if (closing || !open.contains(peer)) return;
+  handler->OnPeerDisconnected(peer);
+  if (open.contains(peer)) handler->OnPeerConnected(peer);
+}
+
 void peer_transport::impl::Remove(const link_pointer& closed_link) {
   links.erase(closed_link);
   const auto dialed_entry = dialed.find(closed_link->address());
--- a/app/peer_transport.h
+++ b/app/peer_transport.h
@@ -14,8 +14,10 @@
 // and the number of such links is limited, so that unauthenticated connections
 // use few resources. There is one link for each pair of instances: if both dial
 // at the same time, the link dialed by the instance with the smaller name is
-// kept. A second link of the same dialer replaces the first and counts as its
-// loss: the peer has given it up or is a new process.
+// kept. The other one still reads for the handshake timeout, because the peer
+// may use it until it knows of both, and counts as lost if nothing arrives on
+// it meanwhile. A second link of the same dialer replaces the first and counts
+// as its loss: the peer has given it up or is a new process.
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/leaf/result.hpp>
--- a/app/testing/peer_transport_test.cc
+++ b/app/testing/peer_transport_test.cc
@@ -152,6 +152,49 @@
   EXPECT_TRUE(b->handler.disconnected.empty());
 }
 
+// Guards against frames that are lost with the second of two links, without any
+// notice that would let their sender repeat them: it is closed while the peer
+// still uses it.
+TEST_F(peer_transport_test, Dial_BothAtOnceWhileSending_NoFrameIsLost) {
+  constexpr int kRounds = 30;
+  constexpr std::size_t kFrames = 100;
+  for (int round = 0; round < kRounds; ++round) {
+    auto a = Start("a", "a-long-shared-key");
+    auto b = Start("b", "a-long-shared-key");
+    b->transport->Dial(a->address);
+    // The second dial comes while the first link opens.
+    for (int i = 0; i < round; ++i) context_.poll_one();
+    a->transport->Dial(b->address);
+    std::size_t sent_by_a = 0;
+    std::size_t sent_by_b = 0;
+    ASSERT_TRUE(RunUntil([&] {
+      for (int i = 0; i < 5; ++i) {
+        context_.restart();
+        context_.poll_one();
+        if (sent_by_a < kFrames) {
+          sent_by_a += a->transport->Send("b", MakeTextFrame("x")) ? 1 : 0;
+        }
+        if (sent_by_b < kFrames) {
+          sent_by_b += b->transport->Send("a", MakeTextFrame("x")) ? 1 : 0;
+        }
+      }
+      return sent_by_a == kFrames && sent_by_b == kFrames;
+    }));
+    EXPECT_TRUE(RunContextUntil(&context_,
+                                [&] {
+                                  return (a->handler.frames.size() == kFrames &&
+                                          b->handler.frames.size() ==
+                                              kFrames) ||
+                                         !a->handler.disconnected.empty();
+                                }))
+        << "round " << round << ": " << b->handler.frames.size() << " and "
+        << a->handler.frames.size() << " of " << kFrames;
+    EXPECT_EQ(a->handler.disconnected.size(), 0u);
+    EXPECT_EQ(b->handler.disconnected.size(), 0u);
+    if (HasFailure()) return;
+  }
+}
+
 // Guards against using a link forever whose packets are lost without a reset.
 // The peer here stops reading and answering, but keeps its socket open.
 TEST_F(peer_transport_test, Ping_UnresponsivePeer_LinkIsClosed) {
@@ -233,6 +276,31 @@
   EXPECT_TRUE(RunUntil([&] { return a->handler.frames.size() == 1; }));
 }
 
+// Guards against waiting for what was sent on a link that is dead, when another
+// one to the same peer opens before that is noticed: no loss was reported.
+TEST_F(peer_transport_test, Dial_OtherLinkSilent_BothSidesNoteLoss) {
+  auto a = Start("a", "a-long-shared-key");
+  auto b = Start("b", "a-long-shared-key");
+  socket_address address;
+  ASSERT_TRUE(ParseSocketAddress(a->address, &address));
+  silent_proxy proxy(&context_, address.port);
+  b->transport->Dial("127.0.0.1:" + std::to_string(proxy.port()));
+  ASSERT_TRUE(RunUntil([&] {
+    return a->transport->Connected("b") && b->transport->Connected("a");
+  }));
+  proxy.FallSilent();
+  EXPECT_TRUE(a->transport->Send("b", MakeTextFrame("lost")));
+  a->transport->Dial(b->address);
+  EXPECT_TRUE(RunUntil([&] {
+    return a->handler.disconnected.size() == 1 &&
+           b->handler.disconnected.size() == 1;
+  }));
+  EXPECT_EQ(a->handler.connected.size(), 2u);
+  EXPECT_EQ(b->handler.connected.size(), 2u);
+  EXPECT_TRUE(a->transport->Send("b", MakeTextFrame("new")));
+  EXPECT_TRUE(RunUntil([&] { return b->handler.frames.size() == 1; }));
+}
+
 // Guards against closing a link whose peer answers.
 TEST_F(peer_transport_test, Probe_PeerAnswers_LinkStays) {
   auto a = Start("a", "a-long-shared-key");
