Bound what all callers hold together

Callers saw connections that were closed and instances that were not there: the platform ends a process that passes its memory limit, it starts again, and the same callers end the next one.

Cause: requests that are read, parsed heads and answers that are not read had a bound each, but none together, and others decide how many there are. Heads of short fields also take fourteen times their bytes once they are parsed, which no bound counted.

Change: memory_budget bounds a group of connections. Beyond it, the largest holder gives its memory up: a request that is still being read is refused as not run (503, code 212, Retry-After), an answer that its caller does not read is cut off. What has been handed over stays, and small messages pass beside it. The reader of replies uses the same class in place of its equal share, which let the group hold twice its budget. Readiness checks have memory of their own.

--- a/app/daemon.cc
+++ b/app/daemon.cc
@@ -43,6 +43,7 @@
   options.listen = config.caller_listen;
   options.max_request_bytes = config.max_request_bytes;
   options.max_connections = config.max_connections;
+  options.max_buffered_bytes = MemoryShares(config).callers;
   options.read_timeout = config.read_timeout;
   return options;
 }
--- a/app/http_client.cc
+++ b/app/http_client.cc
@@ -35,7 +35,7 @@
   options.connect_timeout = connect_timeout;
   options.max_reply_bytes = config.max_reply_bytes;
   options.max_exchange_bytes = config.max_exchange_bytes;
-  options.max_buffered_bytes = config.max_buffered_bytes;
+  options.max_buffered_bytes = MemoryShares(config).replies;
   return options;
 }
 
@@ -47,15 +47,13 @@
       : executor(std::move(io_executor)),
         options(client_options),
         handler(event_handler),
-        read_budget(std::make_shared<http_read_budget>()) {
-    read_budget->max_bytes = options.max_buffered_bytes;
-  }
+        budget(options.max_buffered_bytes) {}
 
   asio::any_io_executor executor;
   http_client_options options;
   http_client_handler* handler;
   std::unordered_map<connection_id, std::shared_ptr<connection>> connections;
-  std::shared_ptr<http_read_budget> read_budget;
+  memory_budget budget;
   std::uint64_t limit_closes = 0;
 };
 
@@ -68,7 +66,8 @@
         id_(id),
         address_(std::move(address)),
         stream_(client_->executor),
-        reader_(ReadLimits(client_->options), client_->read_budget) {}
+        holder_(&client_->budget, [this] { CloseForMemory(); }),
+        reader_(ReadLimits(client_->options), &holder_) {}
 
   void Open() {
     socket_address parsed;
@@ -111,6 +110,13 @@
   }
 
  private:
+  // Another connection reads, and its handler must not be called within.
+  void CloseForMemory() {
+    asio::post(client_->executor, [self = shared_from_this()] {
+      self->Fail(connection_end::kReplyLimit);
+    });
+  }
+
   void OnOpened() {
     if (closed_) return;
     stream_.expires_never();
@@ -145,7 +151,9 @@
 
   void ReadDone(const beast::error_code& error) {
     if (closed_) return;
-    if (IsSizeLimit(error)) return Fail(connection_end::kReplyLimit);
+    if (IsSizeLimit(error) || error == kOutOfMemory) {
+      return Fail(connection_end::kReplyLimit);
+    }
     if (error || !IsTransferCodingSupported(reader_.parser().get())) {
       return Fail(connection_end::kLost);
     }
@@ -181,6 +189,7 @@
   const connection_id id_;
   const std::string address_;
   beast::tcp_stream stream_;
+  memory_holder holder_;
   http_message_reader<false> reader_;
   std::uint32_t skipped_replies_ = 0;
   client_request request_;
@@ -229,4 +238,8 @@
 
 std::uint64_t http_client::limit_closes() const { return impl_->limit_closes; }
 
+std::uint64_t http_client::buffered_bytes() const {
+  return impl_->budget.used_bytes();
+}
+
 }  // namespace bilberrycourse
--- a/app/http_client.h
+++ b/app/http_client.h
@@ -67,8 +67,8 @@
   // Interim replies and replies to other requests before the expected one. A
   // searcher sends at most a few.
   std::uint32_t max_skipped_replies = 16;
-  // Memory for the replies on all connections. Beyond it, connections that hold
-  // more than an equal share are closed.
+  // Memory for the replies on all connections. Beyond it, the connection that
+  // holds most is closed.
   std::uint64_t max_buffered_bytes = 32 << 20;
 };
 
@@ -91,6 +91,8 @@
   std::size_t connections() const;
   // Returns how many connections were closed because of a limit.
   std::uint64_t limit_closes() const;
+  // Memory in bytes of the replies that are being read.
+  std::uint64_t buffered_bytes() const;
 
  private:
   class impl;
--- a/app/http_message_reader.h
+++ b/app/http_message_reader.h
@@ -13,10 +13,12 @@
 // chunk extensions, trailer fields or further messages, which a faulty peer can
 // send without end. This reader therefore also limits the buffer in which Beast
 // collects an incomplete element, and counts all bytes of an exchange: heads,
-// interim and foreign messages, chunk framing and trailers.
+// interim and foreign messages, chunk framing and trailers. A memory_holder
+// bounds what a group of readers holds together.
 //
 // Reading stops at the first byte beyond a limit; IsSizeLimit() is true for the
-// error. The caller then closes the connection.
+// error. If the memory must be given up, the error is kOutOfMemory. The caller
+// then closes the connection.
 
 #include <algorithm>
 #include <boost/asio/error.hpp>
@@ -27,12 +29,14 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <boost/system/errc.hpp>
 #include <cstdint>
 #include <iterator>
-#include <memory>
 #include <optional>
 #include <utility>
 
+#include "bilberrycourse/memory_budget.h"
+
 namespace bilberrycourse {
 
 struct http_read_limits {
@@ -42,14 +46,8 @@
   std::uint64_t max_exchange_bytes = 2 << 20;
 };
 
-// Bounds the memory of a group of readers. Beyond `max_bytes`, a reader that
-// holds more than an equal share of it fails, so that one faulty peer can't
-// end the reads of all others.
-struct http_read_budget {
-  std::uint64_t max_bytes = 0;
-  std::uint64_t used_bytes = 0;
-  std::size_t readers = 0;
-};
+// The error of a reader whose memory_holder has been refused.
+inline constexpr auto kOutOfMemory = boost::system::errc::not_enough_memory;
 
 // Returns true if `error` reports that a message exceeds its limits.
 inline bool IsSizeLimit(const boost::beast::error_code& error) {
@@ -76,33 +74,29 @@
   using message_parser =
       boost::beast::http::parser<is_request, boost::beast::http::string_body>;
 
-  // `budget` may be null.
-  explicit http_message_reader(
-      const http_read_limits& limits,
-      std::shared_ptr<http_read_budget> budget = nullptr)
+  // Resizes `holder`, which may be null, to the memory that the reader holds.
+  explicit http_message_reader(const http_read_limits& limits,
+                               memory_holder* holder = nullptr)
       : limits_(limits),
-        budget_(std::move(budget)),
+        holder_(holder),
         buffer_(std::size_t{limits.max_head_bytes} + kMaxReadBytes) {
-    if (budget_ != nullptr) ++budget_->readers;
     BeginMessage();
   }
   http_message_reader(const http_message_reader&) = delete;
   http_message_reader& operator=(const http_message_reader&) = delete;
-  ~http_message_reader() {
-    if (budget_ == nullptr) return;
-    --budget_->readers;
-    budget_->used_bytes -= charged_bytes_;
-  }
 
   // Starts counting the bytes of the next exchange.
   void BeginExchange() { exchange_bytes_ = 0; }
   // Discards the current message. Bytes received after it are kept.
   void BeginMessage() {
     parser_.emplace();
+    head_bytes_ = 0;
+    head_lines_ = 0;
+    field_bytes_.reset();
     parser_->header_limit(limits_.max_head_bytes);
     parser_->body_limit(limits_.max_body_bytes);
     parser_->eager(true);
-    // Returns the share of the previous message to the budget.
+    // Frees what the previous message held.
     ChargeMemory();
   }
 
@@ -113,6 +107,7 @@
   template <typename Stream, typename Handler>
   void AsyncRead(Stream& stream, Handler handler) {
     const boost::beast::error_code parsed = Parse();
+    if (!ChargeMemory()) return handler(make_error_code(kOutOfMemory));
     if (parsed != boost::beast::http::error::need_more) return handler(parsed);
     const std::size_t size = boost::beast::read_size(buffer_, kMaxReadBytes);
     if (size == 0) {
@@ -131,10 +126,6 @@
             return handler(
                 make_error_code(boost::beast::http::error::body_limit));
           }
-          if (!ChargeMemory()) {
-            return handler(
-                make_error_code(boost::beast::http::error::buffer_overflow));
-          }
           AsyncRead(stream, std::move(handler));
         });
   }
@@ -143,8 +134,8 @@
   // Returns true if bytes were received after the current message.
   bool has_unread_bytes() const { return buffer_.size() > 0; }
   // Memory in bytes that the reader holds for the connection.
-  std::size_t held_bytes() const {
-    return buffer_.capacity() + parser_->get().body().capacity();
+  std::size_t held_bytes() {
+    return buffer_.capacity() + FieldBytes() + parser_->get().body().capacity();
   }
   void Clear() {
     buffer_.clear();
@@ -153,15 +144,28 @@
 
  private:
   static constexpr std::size_t kMaxReadBytes = 64 * 1024;
+  // Of a field in the message and of its copy in the request to a searcher.
+  static constexpr std::size_t kFieldOverheadBytes = 160;
 
-  // Returns false if the budget is exceeded and this reader holds more than its
-  // share.
+  // Returns false if the memory must be given up.
   bool ChargeMemory() {
-    if (budget_ == nullptr) return true;
-    budget_->used_bytes += held_bytes() - charged_bytes_;
-    charged_bytes_ = held_bytes();
-    return budget_->used_bytes <= budget_->max_bytes ||
-           charged_bytes_ <= budget_->max_bytes / budget_->readers;
+    return holder_ == nullptr || holder_->Resize(held_bytes());
+  }
+
+  // Beast stores each field in an allocation of its own, so that a head of
+  // short fields takes many times its size.
+  std::size_t FieldBytes() {
+    if (!parser_->is_header_done()) {
+      return head_lines_ * kFieldOverheadBytes + head_bytes_;
+    }
+    if (!field_bytes_.has_value()) {
+      field_bytes_ = 0;
+      for (const auto& field : parser_->get()) {
+        *field_bytes_ += kFieldOverheadBytes + field.name_string().size() +
+                         field.value().size();
+      }
+    }
+    return *field_bytes_;
   }
 
   // Returns need_more if the message is incomplete.
@@ -169,12 +173,22 @@
     boost::beast::error_code error;
     while (!parser_->is_done()) {
       if (buffer_.size() == 0) return boost::beast::http::error::need_more;
-      buffer_.consume(parser_->put(buffer_.data(), error));
+      const std::size_t size = parser_->put(buffer_.data(), error);
+      if (!parser_->is_header_done()) CountHead(size);
+      buffer_.consume(size);
       if (error) return error;
     }
     return error;
   }
 
+  // Counts the first `size` bytes of the buffer as part of an incomplete head.
+  void CountHead(std::size_t size) {
+    const char* data = static_cast<const char*>(buffer_.data().data());
+    head_bytes_ += size;
+    head_lines_ +=
+        static_cast<std::size_t>(std::count(data, data + size, '\n'));
+  }
+
   // A message without a length ends with the stream.
   boost::beast::error_code OnEndOfStream() {
     boost::beast::error_code error = Parse();
@@ -186,11 +200,14 @@
   }
 
   http_read_limits limits_;
-  std::shared_ptr<http_read_budget> budget_;
-  // Part of budget_->used_bytes.
-  std::uint64_t charged_bytes_ = 0;
+  memory_holder* holder_;
   boost::beast::flat_buffer buffer_;
   std::optional<message_parser> parser_;
+  // Of the current message, until its head is complete.
+  std::size_t head_bytes_ = 0;
+  std::size_t head_lines_ = 0;
+  // Memory of the fields of the current message, once its head is complete.
+  std::optional<std::size_t> field_bytes_;
   std::uint64_t exchange_bytes_ = 0;
 };
 
--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -10,10 +10,12 @@
 #include <cstdio>
 #include <set>
 
+#include "app/daemon_clock.h"
 #include "app/http_message.h"
 #include "app/http_message_reader.h"
 #include "app/json_log.h"
 #include "app/listening_socket.h"
+#include "app/log_limiter.h"
 #include "app/problem_details.h"
 #include "app/socket_state.h"
 #include "bilberrycourse/result_code.h"
@@ -31,6 +33,15 @@
 constexpr std::chrono::seconds kDrainTimeout{1};
 // A caller that still receives its answer then gets that time again, so often.
 constexpr int kMaxDrainTimeouts = 10;
+// Part of the memory that is reserved for small messages, in equal shares of
+// all connections.
+constexpr std::uint64_t kSmallMessagesDivisor = 4;
+// Retry-After value, in seconds, of a request that was refused for lack of
+// memory. The repeat reaches another instance.
+constexpr double kMemoryRetrySeconds = 0.3;
+constexpr double kMemoryLogsPerSecond = 5;
+// A target may be longer than a line of the log.
+constexpr std::size_t kMaxLoggedTarget = 200;
 
 http_read_limits ReadLimits(const http_server_options& options) {
   http_read_limits limits;
@@ -42,6 +53,10 @@
   return limits;
 }
 
+std::uint64_t SmallMessageBytes(const http_server_options& options) {
+  return options.max_buffered_bytes / kSmallMessagesDivisor;
+}
+
 result_code ReadErrorCode(const beast::error_code& error) {
   if (IsSizeLimit(error)) return result_code::kRequestTooLarge;
   if (error == beast::error::timeout) return result_code::kRequestTimeout;
@@ -102,7 +117,10 @@
         acceptor(executor),
         accept_timer(executor),
         options(std::move(server_options)),
-        handler(std::move(request_handler)) {}
+        handler(std::move(request_handler)),
+        budget(options.max_buffered_bytes - SmallMessageBytes(options),
+               SmallMessageBytes(options) / options.max_connections),
+        memory_log_limiter(kMemoryLogsPerSecond) {}
 
   boost::leaf::result<void> Listen();
   void Accept();
@@ -115,6 +133,10 @@
   asio::steady_timer accept_timer;
   http_server_options options;
   http_handler handler;
+  memory_budget budget;
+  log_limiter memory_log_limiter;
+  // Receives input that is dropped.
+  std::array<char, 4096> discard_buffer{};
   std::set<std::shared_ptr<session>> sessions;
   std::size_t pending = 0;
   bool draining = false;
@@ -128,7 +150,8 @@
       : server_(std::move(server)),
         stream_(std::move(socket)),
         timer_(server_->executor),
-        reader_(ReadLimits(server_->options)),
+        holder_(&server_->budget, [this] { GiveMemoryUp(); }),
+        reader_(ReadLimits(server_->options), &holder_),
         accepted_at_(std::chrono::steady_clock::now()) {
     boost::system::error_code ignored;
     stream_.socket().set_option(tcp::no_delay(true), ignored);
@@ -242,6 +265,35 @@
     state_ = state;
   }
 
+  // Another connection needs the memory.
+  void GiveMemoryUp() {
+    LogMemoryRefusal();
+    if (state_ != session_state::kReading) return Close();
+    out_of_memory_ = true;
+    beast::error_code ignored;
+    stream_.socket().cancel(ignored);
+  }
+
+  void LogMemoryRefusal() {
+    log_limiter& limiter = server_->memory_log_limiter;
+    if (!limiter.Allow(Now())) return;
+    const std::string target =
+        target_.empty() ? std::string(reader_.parser().get().target())
+                        : target_;
+    const result_code_info& reason =
+        bilberrycourse::Describe(result_code::kMemoryExhausted);
+    LogEvent(
+        log_level::kWarning, "memory_refused",
+        {{"code", reason.number},
+         {"reason", reason.name},
+         {"state", ToString(state_)},
+         {"target", target.substr(0, kMaxLoggedTarget)},
+         {"held_bytes", reader_.held_bytes() + response_.body().capacity()},
+         {"used_bytes", server_->budget.used_bytes()},
+         {"max_bytes", server_->budget.max_bytes()},
+         {"left_out", limiter.TakeSuppressedCount()}});
+  }
+
   // The timeout of tcp_stream would close the socket before a slow caller gets
   // an error response. A separate timer that only cancels the read keeps the
   // socket open for the response.
@@ -250,6 +302,7 @@
     received_at_ = std::chrono::steady_clock::now();
     target_.clear();
     timed_out_ = false;
+    out_of_memory_ = false;
     timer_.expires_after(server_->options.read_timeout);
     timer_.async_wait([self = shared_from_this()](const beast::error_code& e) {
       if (e || self->state_ != session_state::kReading) return;
@@ -265,8 +318,10 @@
 
   void ReadDone(beast::error_code error) {
     if (state_ != session_state::kReading) return;
+    if (error == kOutOfMemory) LogMemoryRefusal();
     SetState(session_state::kHandling);
     timer_.cancel();
+    if (out_of_memory_ || error == kOutOfMemory) return RefuseForMemory();
     if (error == asio::error::operation_aborted && timed_out_) {
       error = beast::error::timeout;
     }
@@ -274,18 +329,30 @@
         (error && !IsInputError(error))) {
       return Close();
     }
-    if (error) {
-      keep_alive_ = false;
-      return Write(ProblemResponse(ReadErrorCode(error)));
-    }
+    if (error) return RefuseUnread(ProblemResponse(ReadErrorCode(error)));
     if (!IsTransferCodingSupported(reader_.parser().get())) {
-      keep_alive_ = false;
-      return Write(ProblemResponse(result_code::kMalformedRequest,
-                                   "unsupported Transfer-Encoding"));
+      return RefuseUnread(ProblemResponse(result_code::kMalformedRequest,
+                                          "unsupported Transfer-Encoding"));
     }
+    // The handler uses the memory until it answers.
+    holder_.SetReclaimable(false);
     Handle();
   }
 
+  void RefuseForMemory() {
+    http_response response = ProblemResponse(result_code::kMemoryExhausted);
+    response.retry_after = kMemoryRetrySeconds;
+    RefuseUnread(std::move(response));
+  }
+
+  // Answers a request that was not read to its end.
+  void RefuseUnread(http_response response) {
+    keep_alive_ = false;
+    reader_.Clear();
+    holder_.Renew();
+    Write(std::move(response));
+  }
+
   static bool IsInputError(const beast::error_code& error) {
     return error.category() ==
                http::make_error_code(http::error::bad_target).category() ||
@@ -346,6 +413,11 @@
       LogEvent(log_level::kError, "response_not_built", {{"target", target_}});
       Build(ProblemResponse(result_code::kInternal));
     }
+    holder_.SetReclaimable(true);
+    if (!holder_.Resize(reader_.held_bytes() + response_.body().capacity())) {
+      LogMemoryRefusal();
+      return Close();
+    }
     stream_.expires_after(server_->options.read_timeout);
     http::async_write(
         stream_, response_,
@@ -383,7 +455,9 @@
 
   void WriteDone(const beast::error_code& error) {
     if (error) return Close();
-    if (!response_.keep_alive()) {
+    const bool keep_alive = response_.keep_alive();
+    response_ = {};
+    if (!keep_alive) {
       return CloseGracefully(session_state::kDelivering);
     }
     Read();
@@ -395,6 +469,7 @@
   // of time and size.
   void CloseGracefully(session_state state) {
     SetState(state);
+    reader_.Clear();
     beast::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
     stream_.expires_never();
@@ -420,7 +495,7 @@
   void Drain(std::size_t remaining) {
     if (state_ == session_state::kClosed) return;
     stream_.async_read_some(
-        asio::buffer(discard_buffer_),
+        asio::buffer(server_->discard_buffer),
         [self = shared_from_this(), remaining](const beast::error_code& error,
                                                std::size_t size) {
           // A caller that has closed its sending side may still receive;
@@ -437,9 +512,9 @@
   std::shared_ptr<impl> server_;
   beast::tcp_stream stream_;
   asio::steady_timer timer_;
+  memory_holder holder_;
   http_message_reader<true> reader_;
   const std::chrono::steady_clock::time_point accepted_at_;
-  std::array<char, 4096> discard_buffer_{};
   http::response<http::string_body> response_;
   std::shared_ptr<std::function<void()>> on_disconnect_;
   std::chrono::steady_clock::time_point received_at_;
@@ -449,6 +524,7 @@
   bool head_request_ = false;
   bool keep_alive_ = true;
   bool timed_out_ = false;
+  bool out_of_memory_ = false;
   session_state state_ = session_state::kIdle;
 };
 
@@ -534,6 +610,14 @@
   return out;
 }
 
+std::uint64_t http_server::buffered_bytes() const {
+  return impl_->budget.used_bytes();
+}
+
+std::uint64_t http_server::memory_refusals() const {
+  return impl_->budget.reclaims();
+}
+
 void http_server::Close() {
   impl_->closed = true;
   StopAccepting();
--- a/app/http_server.h
+++ b/app/http_server.h
@@ -12,6 +12,12 @@
 // The handler must call the responder exactly once, either before it returns or
 // later. A request that is not valid HTTP, too large or too slow gets a problem
 // response with a numbered code before the connection is closed.
+//
+// Requests and answers on all connections share a memory budget. Beyond it, the
+// connection that holds most gives its memory up (see memory_budget): a request
+// that is still being read is refused as not run, an answer that its caller
+// does not read is cut off. A request that has been handed to the handler
+// stays.
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/json.hpp>
@@ -85,6 +91,8 @@
   // A request may have this many bytes on the wire beyond the limits of its
   // head and body, for chunk framing and trailers.
   std::uint64_t max_framing_bytes = 1 << 20;
+  // Memory for the requests and answers on all connections.
+  std::uint64_t max_buffered_bytes = 256 << 20;
   // Time after accepting a connection for which StopAccepting() waits for its
   // first request.
   std::chrono::milliseconds first_request_timeout{300};
@@ -126,6 +134,11 @@
   std::size_t pending() const;
   // Returns the connections that pending() counts, `limit` of them at most.
   std::vector<unfinished_connection> Unfinished(std::size_t limit) const;
+  // Memory in bytes of requests and answers, beyond the free bytes of each
+  // connection.
+  std::uint64_t buffered_bytes() const;
+  // Returns how many requests and answers were given up for lack of memory.
+  std::uint64_t memory_refusals() const;
   void Close();
 
  private:
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -49,6 +49,10 @@
 constexpr duration kControlShutdownTime = std::chrono::milliseconds(300);
 // Large enough for the headers of every caller that keeps to its limits.
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+// A readiness check has no body, and a page of metrics a few KB.
+constexpr std::uint64_t kMaxReadinessRequestBytes = 4096;
+constexpr std::uint64_t kMaxReadinessConnections = 256;
+constexpr std::uint64_t kMaxReadinessBytes = 4 << 20;
 
 peer_transport_options TransportOptions(const settings& config) {
   peer_transport_options options;
@@ -66,12 +70,25 @@
   options.listen = config.caller_listen;
   options.max_request_bytes = config.max_request_bytes;
   options.max_connections = config.max_connections;
+  options.max_buffered_bytes = MemoryShares(config).callers;
   options.read_timeout = config.read_timeout;
   options.keep_headers = config.entry;
   options.max_header_bytes = kMaxHeaderBytes;
   return options;
 }
 
+// Readiness checks and metrics have memory of their own, so that callers can't
+// use it up.
+http_server_options ReadinessOptions(const settings& config) {
+  http_server_options options;
+  options.listen = config.readiness_listen;
+  options.max_request_bytes = kMaxReadinessRequestBytes;
+  options.max_framing_bytes = kMaxReadinessRequestBytes;
+  options.max_connections = kMaxReadinessConnections;
+  options.max_buffered_bytes = kMaxReadinessBytes;
+  return options;
+}
+
 std::unique_ptr<control_service> MakeControlService(
     boost::asio::io_context* context, const settings& config,
     peer_transport* transport) {
@@ -118,10 +135,8 @@
     crash_news_ = std::make_unique<crash_news>();
   }
   if (config_.readiness_listen.port != 0) {
-    http_server_options options;
-    options.listen = config_.readiness_listen;
     readiness_server_ = std::make_unique<http_server>(
-        context_.get_executor(), options,
+        context_.get_executor(), ReadinessOptions(config_),
         [this](http_request request, http_responder respond) {
           HandleReadiness(std::move(request), std::move(respond));
         });
--- a/app/settings.cc
+++ b/app/settings.cc
@@ -252,6 +252,8 @@
      "debug, info, warning or error", ParseLevel},
     {"log", "decision_rate", setting_requirement::kOptional, "0 to 1",
      ParseRatio<&settings::decision_rate>},
+    {"limits", "memory_mb", setting_requirement::kOptional, "32 to 1048576 MB",
+     ParseNumber<&settings::memory_mb, 32, 1048576>},
     {"limits", "max_request_bytes", setting_requirement::kOptional,
      "1024 to 16777216 bytes",
      ParseNumber<&settings::max_request_bytes, 1024, 16777216>},
@@ -462,6 +464,19 @@
   return ParseSettings(file, text);
 }
 
+// A control instance sends each entry instance its whole state after a start,
+// and has neither searchers nor relayed requests.
+memory_shares MemoryShares(const settings& config) {
+  const std::uint64_t percent = (config.memory_mb << 20) / 100;
+  memory_shares shares;
+  shares.callers = 25 * percent;
+  shares.replies =
+      std::min<std::uint64_t>(config.max_buffered_bytes, 20 * percent);
+  shares.peer_backlog = (config.entry ? 12 : 30) * percent;
+  shares.relayed_requests = 12 * percent;
+  return shares;
+}
+
 std::string SeedAddress(const settings& config, const std::string& ip) {
   for (const socket_address& seed : config.seeds) {
     if (seed.ip == ip) return seed.ToText();
--- a/app/settings.h
+++ b/app/settings.h
@@ -103,6 +103,8 @@
   log_level level = log_level::kInfo;
   double decision_rate = 1.0;
   // [limits]
+  // Memory in MB (2^20 bytes) at which the process would be ended.
+  std::uint64_t memory_mb = 1024;
   std::uint64_t max_request_bytes = 1 << 20;
   std::uint64_t max_connections = 10000;
   std::chrono::milliseconds read_timeout{10000};
@@ -114,6 +116,21 @@
   std::chrono::milliseconds shutdown_grace{10000};
 };
 
+// Memory in bytes for what others decide the size of. The rest of the
+// process's memory is for its state and its sockets' buffers.
+struct memory_shares {
+  // Requests and answers on callers' connections.
+  std::uint64_t callers = 0;
+  // Replies of searchers and backend servers.
+  std::uint64_t replies = 0;
+  // Frames that are queued to peers.
+  std::uint64_t peer_backlog = 0;
+  // Requests that this instance runs as a relay of others.
+  std::uint64_t relayed_requests = 0;
+};
+
+memory_shares MemoryShares(const settings& config);
+
 struct settings_error {
   std::string section;
   std::string key;
--- a/app/testing/endless_bytes_test.cc
+++ b/app/testing/endless_bytes_test.cc
@@ -210,8 +210,8 @@
 // Guards against a budget that counts messages which have been handed over, and
 // then closes sound connections.
 TEST(http_message_reader_test, BeginMessage_AfterLargeReply_FreesBudget) {
-  const auto budget = std::make_shared<http_read_budget>();
-  budget->max_bytes = 4 << 20;
+  memory_budget budget(4 << 20);
+  memory_holder holder(&budget, [] {});
   asio::io_context context;
   tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
   tcp::socket client(context);
@@ -221,7 +221,7 @@
   const std::string reply =
       "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
       "\r\n\r\n" + body;
-  http_message_reader<false> reader({8192, 2 << 20, 4 << 20}, budget);
+  http_message_reader<false> reader({8192, 2 << 20, 4 << 20}, &holder);
   std::thread sender([&] { asio::write(server, asio::buffer(reply)); });
   bool read = false;
   reader.AsyncRead(client, [&](const boost::beast::error_code& error) {
@@ -230,10 +230,10 @@
   });
   EXPECT_TRUE(RunContextUntil(&context, [&] { return read; }));
   sender.join();
-  EXPECT_GE(budget->used_bytes, body.size());
+  EXPECT_GE(budget.used_bytes(), body.size());
   EXPECT_EQ(reader.parser().release().body(), body);
   reader.BeginMessage();
-  EXPECT_LT(budget->used_bytes, 256u << 10);
+  EXPECT_LT(budget.used_bytes(), 256u << 10);
 }
 
 // Guards against memory beyond the limits and one read, for every form and for
--- a/app/testing/settings_test.cc
+++ b/app/testing/settings_test.cc
@@ -73,6 +73,33 @@
   EXPECT_EQ(parsed->operator_token, "0123456789abcdef0123456789abcdef");
 }
 
+// Guards against shares that leave nothing for the rest of the process.
+TEST_F(settings_test, MemoryShares_AnyRole_LeaveAThird) {
+  for (const bool entry : {true, false}) {
+    settings config;
+    config.entry = entry;
+    config.control = !entry;
+    config.memory_mb = 160;
+    const memory_shares shares = MemoryShares(config);
+    const std::uint64_t used = entry ? shares.callers + shares.replies +
+                                           shares.peer_backlog +
+                                           shares.relayed_requests
+                                     : shares.callers + shares.peer_backlog;
+    EXPECT_LE(used, (160ULL << 20) * 70 / 100);
+    EXPECT_GE(shares.callers, 32ULL << 20);
+  }
+}
+
+// Guards against a bound in bytes that is above the share of a small instance.
+TEST_F(settings_test, MemoryShares_BufferedBytesSet_SmallerOneCounts) {
+  settings config;
+  config.memory_mb = 100;
+  config.max_buffered_bytes = 1 << 20;
+  EXPECT_EQ(MemoryShares(config).replies, 1u << 20);
+  config.max_buffered_bytes = 1 << 30;
+  EXPECT_LT(MemoryShares(config).replies, 21ULL << 20);
+}
+
 // Guards against an instance that starts with invalid settings. Each case has
 // one fault and names the section and key that must be reported.
 TEST_F(settings_test, Parse_OneFault_NamesSectionAndKey) {
--- a/bilberrycourse/result_code.cc
+++ b/bilberrycourse/result_code.cc
@@ -62,6 +62,8 @@
      true,
      "Requests with this content crashed backend servers; none is sent until "
      "the time of Retry-After."},
+    {result_code::kMemoryExhausted, 212, "memory_exhausted", 47, 503, true,
+     "This instance has no memory left for the request; nothing was run."},
     {result_code::kDeadlineExceeded, 301, "deadline_exceeded", 20, 504, false,
      "The deadline passed before the shard answered."},
     {result_code::kBackendServerFailed, 302, "backend_server_failed", 21, 502,
--- a/bilberrycourse/result_code.h
+++ b/bilberrycourse/result_code.h
@@ -39,6 +39,7 @@
   kBackendServerShed = 209,
   kBackendServerLimited = 210,
   kContentQuarantined = 211,
+  kMemoryExhausted = 212,
   // 3xx: results of running work, per shard or per request.
   kDeadlineExceeded = 301,
   kBackendServerFailed = 302,
