Bound the frames queued to all peers together

Cause: the queue of each link was bounded by 64 MB, which is more than half of an entry instance's memory, and the number of links not at all.

Change: max_backlog_bytes is the bound of all queues. Beyond it, the link with the longest queue is closed, with a log line and a counter. peer_transport_test.Send_QueuesTogetherTooLong_LongestIsClosed needs the new counters and was not run on the old code.

--- a/app/daemon.cc
+++ b/app/daemon.cc
@@ -35,6 +35,7 @@
   options.self = config.name;
   options.listen = config.peer_listen;
   options.shared_key = config.shared_key;
+  options.max_backlog_bytes = MemoryShares(config).peer_backlog;
   return options;
 }
 
--- a/app/peer_transport.cc
+++ b/app/peer_transport.cc
@@ -17,8 +17,10 @@
 #include <set>
 #include <utility>
 
+#include "app/json_log.h"
 #include "app/listening_socket.h"
 #include "app/socket_state.h"
+#include "bilberrycourse/memory_budget.h"
 #include "bilberrycourse/result_code.h"
 
 namespace bilberrycourse {
@@ -118,7 +120,8 @@
         acceptor(executor),
         accept_timer(executor),
         options(std::move(transport_options)),
-        handler(event_handler) {}
+        handler(event_handler),
+        backlog(options.max_backlog_bytes) {}
 
   boost::leaf::result<void> Listen();
   void Accept();
@@ -140,6 +143,7 @@
   peer_transport_options options;
   peer_transport_handler* handler;
   peer_transport_counters counters;
+  memory_budget backlog;
   std::map<instance_name, link_pointer> open;
   // Every link that is not closed, so that Close() reaches all of them.
   std::set<link_pointer> links;
@@ -156,6 +160,7 @@
         socket_(std::move(socket)),
         timer_(owner_->executor),
         probe_timer_(owner_->executor),
+        backlog_(&owner_->backlog, [this] { CloseForBacklog(); }),
         dialer_(dialer),
         address_(std::move(address)) {}
 
@@ -270,18 +275,26 @@
   void Queue(encoded_frame frame) {
     if (state_ == link_state::kClosed) return;
     backlog_bytes_ += frame->size();
-    if (backlog_bytes_ > owner_->options.max_backlog_bytes) {
-      // Closing calls the handler, which must not run inside its own Send().
-      asio::post(owner_->executor,
-                 [self = shared_from_this()] { self->Close(); });
-      return;
-    }
+    if (!backlog_.Resize(backlog_bytes_)) return CloseForBacklog();
     ++owner_->counters.frames_sent;
     owner_->counters.bytes_sent += frame->size();
     queue_.push_back(std::move(frame));
     if (!writing_) Write();
   }
 
+  // Closing calls the handler, which must not run inside its own Send().
+  void CloseForBacklog() {
+    asio::post(owner_->executor, [self = shared_from_this()] {
+      if (self->state_ == link_state::kClosed) return;
+      ++self->owner_->counters.backlog_closes;
+      LogEvent(log_level::kWarning, "peer_backlog_exceeded",
+               {{"peer", self->peer_},
+                {"queued_bytes", self->backlog_bytes_},
+                {"max_bytes", self->owner_->backlog.max_bytes()}});
+      self->Close();
+    });
+  }
+
   // Writes all queued frames at once, so that a burst of small frames needs
   // only one system call.
   void Write() {
@@ -306,6 +319,7 @@
       backlog_bytes_ -= frame->size();
     }
     frames_in_write_.clear();
+    backlog_.Resize(backlog_bytes_);
     writing_ = false;
     if (!queue_.empty()) Write();
   }
@@ -445,6 +459,7 @@
   tcp::socket socket_;
   asio::steady_timer timer_;
   asio::steady_timer probe_timer_;
+  memory_holder backlog_;
   const bool dialer_;
   const std::string address_;
   link_state state_ = link_state::kAwaitHello;
@@ -617,6 +632,10 @@
       [](const auto& entry) { return entry.second->delivered(); });
 }
 
+std::uint64_t peer_transport::backlog_bytes() const {
+  return impl_->backlog.used_bytes();
+}
+
 void peer_transport::Close() { impl_->Close(); }
 
 const peer_transport_counters& peer_transport::counters() const {
--- a/app/peer_transport.h
+++ b/app/peer_transport.h
@@ -45,8 +45,8 @@
   std::chrono::milliseconds handshake_timeout{2000};
   std::size_t max_unauthenticated_links = 64;
   std::size_t max_frame_bytes = 16 << 20;
-  // A link is closed if more than this is queued because its peer does not
-  // read.
+  // Frames queued on all links. Beyond it, the link with the largest queue is
+  // closed, because its peer does not read.
   std::size_t max_backlog_bytes = 64 << 20;
   // The side that dialed a link sends a ping with this period and closes the
   // link if nothing is received for `silence_timeout`; a period of 0 turns both
@@ -78,6 +78,8 @@
   std::uint64_t rejected_links = 0;
   // Links closed because their peer was silent.
   std::uint64_t silent_links = 0;
+  // Links closed because too much was queued.
+  std::uint64_t backlog_closes = 0;
 };
 
 class peer_transport {
@@ -104,6 +106,8 @@
   // Returns whether the systems of all peers have acknowledged every frame sent
   // to them. Close() may lose the others.
   bool delivered() const;
+  // Bytes of frames that are queued on all links.
+  std::uint64_t backlog_bytes() const;
   void Close();
   const peer_transport_counters& counters() const;
 
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -59,6 +59,7 @@
   options.self = config.name;
   options.listen = config.peer_listen;
   options.shared_key = config.shared_key;
+  options.max_backlog_bytes = MemoryShares(config).peer_backlog;
   options.ping_period = config.control ? kControlPingPeriod : kEntryPingPeriod;
   options.silence_timeout = kMaxMissedPings * options.ping_period;
   options.handshake_timeout = kHandshakeTimeout;
--- a/app/testing/peer_transport_test.cc
+++ b/app/testing/peer_transport_test.cc
@@ -21,6 +21,8 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+constexpr std::size_t kMaxBacklogBytes = 32 << 20;
+
 class recording_handler : public peer_transport_handler {
  public:
   void OnPeerConnected(const instance_name& peer) override {
@@ -61,6 +63,7 @@
     options.ping_period = ping_period;
     options.silence_timeout = 3 * ping_period;
     options.probe_timeout = std::chrono::milliseconds(150);
+    options.max_backlog_bytes = kMaxBacklogBytes;
     new_node->address = options.listen.ToText();
     new_node->transport = std::make_unique<peer_transport>(
         context_.get_executor(), options, &new_node->handler);
@@ -98,6 +101,28 @@
   EXPECT_EQ(a->handler.frames[0], "b:two");
 }
 
+// Guards against peers that do not read and whose queues, of which each keeps
+// to its limit, together take all memory.
+TEST_F(peer_transport_test, Send_QueuesTogetherTooLong_LongestIsClosed) {
+  auto a = Start("a", "a-long-shared-key");
+  auto b = Start("b", "a-long-shared-key");
+  auto c = Start("c", "a-long-shared-key");
+  a->transport->Dial(b->address);
+  a->transport->Dial(c->address);
+  ASSERT_TRUE(RunUntil([&] {
+    return a->transport->Connected("b") && a->transport->Connected("c");
+  }));
+  // No peer reads meanwhile, because all run in one context.
+  const std::string text(1 << 20, 'x');
+  for (int i = 0; i < 24; ++i) a->transport->Send("b", MakeTextFrame(text));
+  for (int i = 0; i < 12; ++i) a->transport->Send("c", MakeTextFrame(text));
+  EXPECT_LE(a->transport->backlog_bytes(), kMaxBacklogBytes);
+  EXPECT_TRUE(RunUntil([&] { return c->handler.frames.size() == 12; }));
+  EXPECT_EQ(a->handler.disconnected, std::vector<std::string>{"b"});
+  EXPECT_EQ(a->transport->counters().backlog_closes, 1u);
+  EXPECT_TRUE(RunUntil([&] { return a->transport->backlog_bytes() == 0; }));
+}
+
 // Guards against accepting a peer that does not know the shared key.
 TEST_F(peer_transport_test, Dial_OtherKey_IsRejected) {
   auto a = Start("a", "a-long-shared-key");
