Bound the requests that a relay runs for others

Cause: each origin bounds the requests of its callers, but a relay runs those of many origins, whose bodies it holds until they end. Found by reading.

Change: beyond its share of the memory, a relay refuses a request at once as not run, so that the origin goes on without it. Small requests are always accepted. route_relay_test.OnPeerFrame_RequestsBeyondMemory_AreNotRun uses the new setting.

--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -25,6 +25,8 @@
 constexpr double kRequestLimitLogsPerSecond = 10;
 // Log lines per second about attempts whose connection broke.
 constexpr double kCrashLogsPerSecond = 10;
+// Relayed requests up to this size are accepted whatever the others hold.
+constexpr std::uint64_t kSmallRelayedRequestBytes = 2048;
 // Evidence of searcher crashes up to this age is sent to a new leader of the
 // control group; the former one has passed on what is older.
 constexpr duration kResentCrashEvidenceAge = std::chrono::seconds(10);
@@ -106,6 +108,8 @@
       engine_(EngineOptions(config), config.name, config.zone),
       client_(std::move(executor), ClientOptions(config, kConnectTimeout),
               protocol->headers(), this),
+      relayed_budget_(MemoryShares(config).relayed_requests,
+                      kSmallRelayedRequestBytes),
       transport_(transport),
       plan_({}, config.name, config.zone),
       fallback_peers_(config.name, config.zone) {}
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -26,6 +26,7 @@
 #include "app/settings.h"
 #include "bilberrycourse/control_state.h"
 #include "bilberrycourse/fallback_peers.h"
+#include "bilberrycourse/memory_budget.h"
 #include "bilberrycourse/relay_plan.h"
 #include "bilberrycourse/route_engine.h"
 
@@ -126,6 +127,7 @@
     std::uint64_t relay_id = 0;
     // On a relay: owns the route that `matched_route` points to.
     std::shared_ptr<const route> relay_route;
+    std::unique_ptr<memory_holder> relayed_memory;
   };
   // A group of shards that a relay searches on behalf of this instance.
   struct relayed_group {
@@ -161,7 +163,7 @@
   bool Responsive(const instance_name& relay, time_point now) const;
   void UpdateFallbackRelays(time_point now);
   void RejectRelayRequest(const instance_name& peer,
-                          const wire::relay_request& request);
+                          const wire::relay_request& request, result_code code);
   std::vector<relay_group> ReachableGroups(const route& matched_route,
                                            time_point now);
   void UpdateRelays(time_point now);
@@ -200,6 +202,8 @@
   route_engine engine_;
   searcher_client client_;
   std::shared_ptr<const route_table> table_;
+  // Memory of the requests that this instance runs as a relay.
+  memory_budget relayed_budget_;
   std::map<route_request_id, call_state> calls_;
   std::uint64_t next_request_ = 1;
   peer_transport* transport_;
--- a/app/route_gateway_relays.cc
+++ b/app/route_gateway_relays.cc
@@ -33,6 +33,17 @@
   return static_cast<std::uint64_t>(std::max<duration::rep>(value.count(), 0));
 }
 
+// Memory of a request while this instance runs it.
+std::uint64_t RelayedBytes(const wire::relay_request& request) {
+  std::uint64_t bytes = request.body() == nullptr ? 0 : request.body()->size();
+  if (request.headers() == nullptr) return bytes;
+  for (const wire::forwarded_header* header : *request.headers()) {
+    bytes += sizeof(header_list::value_type) + ToText(header->name()).size() +
+             ToText(header->value()).size();
+  }
+  return bytes;
+}
+
 searcher_reply_pointer FromWire(const wire::forwarded_reply& forwarded) {
   auto reply = std::make_shared<searcher_reply>();
   reply->status = forwarded.status();
@@ -334,7 +345,15 @@
                                    const wire::relay_request& request,
                                    time_point now) {
   if (request.shards() == nullptr || request.shards()->size() == 0) return;
-  if (table_ == nullptr) return RejectRelayRequest(peer, request);
+  if (table_ == nullptr) {
+    return RejectRelayRequest(peer, request, result_code::kControlLeaseExpired);
+  }
+  auto memory = std::make_unique<memory_holder>(&relayed_budget_, [] {});
+  if (!memory->Resize(RelayedBytes(request))) {
+    // Instances of earlier versions do not know kMemoryExhausted.
+    return RejectRelayRequest(peer, request, result_code::kOverloaded);
+  }
+  memory->SetReclaimable(false);
   auto relay_route = std::make_shared<route>();
   relay_route->name = ToText(request.route());
   relay_route->idempotent = !request.single() || request.idempotent();
@@ -353,6 +372,7 @@
   const route_request_id id{next_request_++};
   call_state& state = calls_[id];
   state.relay_route = relay_route;
+  state.relayed_memory = std::move(memory);
   state.matched_route = relay_route.get();
   state.table = table_;
   state.origin = peer;
@@ -387,15 +407,15 @@
   Execute(&effects);
 }
 
-// Without a configuration nothing can be sent, which the origin must learn at
-// once.
+// What is not run here, the origin must learn at once.
 void route_gateway::RejectRelayRequest(const instance_name& peer,
-                                       const wire::relay_request& request) {
+                                       const wire::relay_request& request,
+                                       result_code code) {
   wire::relay_resultT result;
   result.relay_id = request.relay_id();
   for (flatbuffers::uoffset_t i = 0; i < request.shards()->size(); ++i) {
     result.failed.push_back(static_cast<std::uint16_t>(i));
-    result.codes.push_back(Describe(result_code::kControlLeaseExpired).number);
+    result.codes.push_back(Describe(code).number);
     result.not_run.push_back(true);
   }
   result.final = true;
--- a/app/testing/route_relay_test.cc
+++ b/app/testing/route_relay_test.cc
@@ -24,6 +24,8 @@
    "backend":"desk","maxAttempts":2}],
   "services":[{"name":"desk","healthPath":"/health","maxConnections":10}]})";
 
+constexpr std::uint64_t kMemoryMb = 32;
+
 // An entry instance with its links to peers.
 class relay_node : public peer_transport_handler {
  public:
@@ -32,6 +34,7 @@
     config_.name = name;
     config_.zone = "a";
     config_.entry = true;
+    config_.memory_mb = kMemoryMb;
     peer_transport_options options;
     options.self = name;
     options.listen = {"127.0.0.1", FreePort()};
@@ -68,6 +71,10 @@
     if (const auto* request = frame.payload_as_relay_request()) {
       relay_ids.push_back(request->relay_id());
     }
+    if (const auto* result = frame.payload_as_relay_result()) {
+      results.emplace_back();
+      result->UnPackTo(&results.back());
+    }
     gateway->OnPeerFrame(peer, frame, Now());
   }
 
@@ -76,6 +83,7 @@
   std::unique_ptr<route_gateway> gateway;
   // Of the requests that other instances have sent.
   std::vector<std::uint64_t> relay_ids;
+  std::vector<wire::relay_resultT> results;
 
  private:
   settings config_;
@@ -255,6 +263,45 @@
   EXPECT_EQ(response_->status, 200u);
 }
 
+// Guards against requests of several origins that together take all memory of
+// their relay.
+TEST_F(route_relay_test, OnPeerFrame_RequestsBeyondMemory_AreNotRun) {
+  constexpr std::uint64_t kRequests = 8;
+  wire::relay_requestT request;
+  request.route = "order";
+  request.method = "POST";
+  request.target = "/order/7";
+  request.host = "h.example";
+  request.shards = {"desk"};
+  request.single = true;
+  request.max_attempts = 1;
+  request.objective_us = request.answer_in_us = request.time_left_us =
+      4'000'000;
+  request.body.resize(1 << 20);
+  for (std::uint64_t i = 0; i < kRequests; ++i) {
+    request.relay_id = i + 1;
+    origin_->transport->Send("e2", MakeFrame(request));
+  }
+  request.relay_id = kRequests + 1;
+  request.body.resize(100);
+  origin_->transport->Send("e2", MakeFrame(request));
+  ASSERT_TRUE(RunUntil([&] { return relay_->relay_ids.size() > kRequests; }));
+  const std::size_t memory = kMemoryMb << 20;
+  EXPECT_LT(relay_->gateway->relayed_in_flight() << 20, memory / 4);
+  EXPECT_GT(relay_->gateway->relayed_in_flight(), 1u);
+  ASSERT_TRUE(RunUntil([&] {
+    return origin_->results.size() + relay_->gateway->relayed_in_flight() ==
+           kRequests + 1;
+  }));
+  ASSERT_FALSE(origin_->results.empty());
+  for (const wire::relay_resultT& result : origin_->results) {
+    EXPECT_LE(result.relay_id, kRequests);
+    EXPECT_TRUE(result.final);
+    EXPECT_EQ(result.codes, std::vector<std::uint16_t>{201});
+    EXPECT_EQ(result.not_run, std::vector<bool>{true});
+  }
+}
+
 // Guards against `not run` or a second run after the relay is lost.
 TEST_F(route_relay_test, Handle_RelayLost_OutcomeIsUnknown) {
   Request();
