Metrics of the memory that connections hold

A process that is killed for its memory writes nothing. The gauges show the resident memory and the four shares, so that an operator can tell callers, searchers and peers apart as the cause.

--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -13,6 +13,7 @@
 #include "app/json_log.h"
 #include "app/limit_frames.h"
 #include "app/listening_socket.h"
+#include "app/process_memory.h"
 #include "app/shutdown_log.h"
 
 namespace bilberrycourse {
@@ -454,6 +455,23 @@
   metrics_.SetGauge("bilberrycourse_peer_silent_links",
                     "Links closed because their peer was silent.",
                     static_cast<double>(peers.silent_links));
+  metrics_.SetGauge("bilberrycourse_peer_backlog_bytes",
+                    "Frames that are queued to peers.",
+                    static_cast<double>(transport_.backlog_bytes()));
+  metrics_.SetGauge("bilberrycourse_peer_backlog_closes",
+                    "Links closed because too much was queued.",
+                    static_cast<double>(peers.backlog_closes));
+  metrics_.SetGauge("bilberrycourse_caller_bytes",
+                    "Memory of callers' requests and answers.",
+                    static_cast<double>(main_server_.buffered_bytes()));
+  metrics_.SetGauge("bilberrycourse_caller_memory_refusals",
+                    "Requests and answers given up for lack of memory.",
+                    static_cast<double>(main_server_.memory_refusals()));
+  if (const auto resident = ResidentBytes()) {
+    metrics_.SetGauge("bilberrycourse_resident_bytes",
+                      "Resident memory of the process.",
+                      static_cast<double>(*resident));
+  }
   if (gateway_ != nullptr) gateway_->UpdateMetrics();
   if (control_service_ != nullptr) {
     metrics_.SetGauge("bilberrycourse_control_leads",
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -599,6 +599,14 @@
       {"bilberrycourse_reply_limit_closes",
        "Connections closed because a searcher sent too many bytes.",
        client_.limit_closes()},
+      {"bilberrycourse_reply_bytes", "Memory of replies that are being read.",
+       client_.buffered_bytes()},
+      {"bilberrycourse_relayed_request_bytes",
+       "Memory of requests that are run as a relay.",
+       relayed_budget_.used_bytes()},
+      {"bilberrycourse_relayed_request_refusals",
+       "Requests of other instances refused for lack of memory.",
+       relayed_budget_.reclaims()},
   };
   for (const auto& gauge : gauges) {
     metrics_->SetGauge(gauge.name, gauge.help,
--- a/app/searcher_client.h
+++ b/app/searcher_client.h
@@ -63,6 +63,7 @@
   void CloseAll();
   std::size_t connections() const { return http_.connections(); }
   std::uint64_t limit_closes() const { return http_.limit_closes(); }
+  std::uint64_t buffered_bytes() const { return http_.buffered_bytes(); }
 
  private:
   void OnConnectionOpened(connection_id connection) override;
