Free the buffer of a large head before the connection rests

Cause: a read buffer keeps its capacity, up to 128 KB on a caller's connection, although the connection is idle; 3,000 of them could hold more than twice an instance's memory. Found by reading.

Change: the reader frees a buffer of more than 1 KB between messages. http_message_reader_test.BeginMessage_AfterLargeHead_FreesBuffer was not run on the old code, whose held_bytes() did count the capacity.

--- a/app/http_message_reader.h
+++ b/app/http_message_reader.h
@@ -96,6 +96,10 @@
     parser_->header_limit(limits_.max_head_bytes);
     parser_->body_limit(limits_.max_body_bytes);
     parser_->eager(true);
+    // A large head must not keep its buffer while the connection is idle.
+    if (buffer_.size() == 0 && buffer_.capacity() > kMaxIdleBytes) {
+      buffer_.shrink_to_fit();
+    }
     // Frees what the previous message held.
     ChargeMemory();
   }
@@ -144,6 +148,7 @@
 
  private:
   static constexpr std::size_t kMaxReadBytes = 64 * 1024;
+  static constexpr std::size_t kMaxIdleBytes = 1024;
   // Of a field in the message and of its copy in the request to a searcher.
   static constexpr std::size_t kFieldOverheadBytes = 160;
 
--- a/app/testing/endless_bytes_test.cc
+++ b/app/testing/endless_bytes_test.cc
@@ -236,6 +236,30 @@
   EXPECT_LT(budget.used_bytes(), 256u << 10);
 }
 
+// Guards against idle connections that together hold the buffers of the largest
+// heads that they have read.
+TEST(http_message_reader_test, BeginMessage_AfterLargeHead_FreesBuffer) {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+  tcp::socket client(context);
+  client.connect(acceptor.local_endpoint());
+  tcp::socket server = acceptor.accept();
+  const std::string reply =
+      "HTTP/1.1 200 OK\r\nX-Long: " + std::string(30000, 'x') +
+      "\r\nContent-Length: 0\r\n\r\n";
+  asio::write(server, asio::buffer(reply));
+  http_message_reader<false> reader({64 << 10, 2 << 20, 4 << 20});
+  bool read = false;
+  reader.AsyncRead(client, [&](const boost::beast::error_code& error) {
+    EXPECT_FALSE(error);
+    read = true;
+  });
+  EXPECT_TRUE(RunContextUntil(&context, [&] { return read; }));
+  EXPECT_GE(reader.held_bytes(), 30000u);
+  reader.BeginMessage();
+  EXPECT_LE(reader.held_bytes(), 1024u);
+}
+
 // Guards against memory beyond the limits and one read, for every form and for
 // streams that arrive in small pieces.
 TEST(http_message_reader_test, AsyncRead_EveryForm_HoldsBoundedMemory) {
