--- a/app/testing/e2e/routed.py
+++ b/app/testing/e2e/routed.py
@@ -21,7 +21,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__)))))
 HOST = "memory.example"
-SERVICE = "desk"
+SERVICE, ENDLESS_SERVICE = "desk", "flood"
 # Limits of the platform's smallest deployment, in MB.
 ENTRY_MEMORY_MB, CONTROL_MEMORY_MB = 160, 256
 MAX_BODY_BYTES = 262144
@@ -141,6 +141,21 @@
         self.server.close()
 
 
+class EndlessSearcher(StandInSearcher):
+    """Answers every request with a body without end, until the caller closes."""
+
+    def serve(self, connection):
+        try:
+            connection.recv(65536)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nX-Server-Stamp: stamp\r\n\r\n")
+            while True:
+                connection.sendall(bytes(65536))
+        except OSError:
+            pass
+        finally:
+            connection.close()
+
+
 class RoutedTier:
     def __init__(self, build):
         self.folder = tempfile.mkdtemp(prefix="routed-")
@@ -152,6 +167,7 @@
                   "faultTolerance": {"machines": 0},
                   "bounds": {"retryBudgetRatio": 0.2, "retryBudgetSlack": 50}}
         self.searcher = StandInSearcher()
+        self.endless_searchers = []
         self.control = Process(build, self.folder, "control", render(self.template, dict(
             common, nodeName="c1", ip="127.0.0.2", internalPortRange=[peer_ports[0], peer_ports[0]],
             listenAddrs={"controlPlane": control_address}, dataDir=os.path.join(self.folder, "data"),
@@ -169,7 +185,8 @@
     def __exit__(self, *unused):
         for process in (self.entry, self.control):
             process.end()
-        self.searcher.end()
+        for searcher in [self.searcher, *self.endless_searchers]:
+            searcher.end()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     @staticmethod
@@ -190,18 +207,25 @@
         self.version += 1
         document = {
             "version": self.version,
-            "routes": [{"name": "search", "host": HOST, "pathPrefix": "/search/", "routeType": "idempotent",
-                        "timeoutMs": 8000, "targetLatencyMs": 1000, "backend": SERVICE, "maxAttempts": 2}],
-            "services": [{"name": SERVICE, "healthPath": "/health", "maxConnections": 400}],
+            "routes": [{"name": name, "host": HOST, "pathPrefix": f"/{name}/", "routeType": "idempotent",
+                        "timeoutMs": 8000, "targetLatencyMs": 1000, "backend": service, "maxAttempts": 2}
+                       for name, service in (("search", SERVICE), ("endless", ENDLESS_SERVICE))],
+            "services": [{"name": service, "healthPath": "/health", "maxConnections": 400}
+                         for service in (SERVICE, ENDLESS_SERVICE)],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": MAX_BODY_BYTES,
                        "headerTimeoutMs": 5000, "idleTimeoutMs": 60000}}
         return self.call(f"127.0.0.2:{self.control_port}", "PUT", "/v1/config", json.dumps(document))
 
-    def announce(self):
+    def announce(self, searcher=None, service=SERVICE, name="s1"):
         self.sequence += 1
-        body = {"backend": SERVICE, "address": self.searcher.address, "zone": "z", "version": "v1", "slots": 64,
-                "state": "ready", "warmupLeftMs": 0, "sequence": self.sequence, "born": 1}
-        return self.call(f"127.0.0.2:{self.control_port}", "PUT", "/v1/instances/s1", json.dumps(body))
+        body = {"backend": service, "address": (searcher or self.searcher).address, "zone": "z", "version": "v1",
+                "slots": 64, "state": "ready", "warmupLeftMs": 0, "sequence": self.sequence, "born": 1}
+        return self.call(f"127.0.0.2:{self.control_port}", "PUT", f"/v1/instances/{name}", json.dumps(body))
+
+    def add_endless_searchers(self, count):
+        for number in range(count):
+            self.endless_searchers.append(EndlessSearcher())
+            self.announce(self.endless_searchers[-1], ENDLESS_SERVICE, f"endless{number}")
 
     def request(self, path="/search/x", body=b""):
         return self.call(f"127.0.0.1:{self.entry_port}", "POST" if body else "GET", path, body,
