Accept a memory limit of 0 as not known

Cause: the settings refuse memory_mb = 0. The template renders the platform's field whenever it is there, and other fields of the platform say 0 for what a machine does not have; every process of such a deployment would end at its start with code 50. Found by reading.

Change: 0 stands for a limit that is not known, and the default is assumed. settings_test.MemoryShares_LimitNotKnown_AreUsable fails without it: 0 was outside the allowed range.

--- a/app/settings.cc
+++ b/app/settings.cc
@@ -252,8 +252,8 @@
      "debug, info, warning or error", ParseLevel},
     {"log", "decision_rate", setting_requirement::kOptional, "0 to 1",
      ParseRatio<&settings::decision_rate>},
-    {"limits", "memory_mb", setting_requirement::kOptional, "32 to 1048576 MB",
-     ParseNumber<&settings::memory_mb, 32, 1048576>},
+    {"limits", "memory_mb", setting_requirement::kOptional, "0 to 1048576 MB",
+     ParseNumber<&settings::memory_mb, 0, 1048576>},
     {"limits", "max_request_bytes", setting_requirement::kOptional,
      "1024 to 16777216 bytes",
      ParseNumber<&settings::max_request_bytes, 1024, 16777216>},
@@ -464,10 +464,16 @@
   return ParseSettings(file, text);
 }
 
+// A platform that sets no limit may say 0. That must not keep a process from
+// starting.
+constexpr std::uint64_t kUnknownMemoryMb = 1024;
+
 // A control instance sends each entry instance its whole state after a start,
 // and has neither searchers nor relayed requests.
 memory_shares MemoryShares(const settings& config) {
-  const std::uint64_t percent = (config.memory_mb << 20) / 100;
+  const std::uint64_t memory_mb =
+      config.memory_mb == 0 ? kUnknownMemoryMb : config.memory_mb;
+  const std::uint64_t percent = (memory_mb << 20) / 100;
   memory_shares shares;
   shares.callers = 25 * percent;
   shares.replies =
--- a/app/testing/settings_test.cc
+++ b/app/testing/settings_test.cc
@@ -90,6 +90,16 @@
   }
 }
 
+// Guards against a start that fails, or shares of nothing, on a platform that
+// states no limit.
+TEST_F(settings_test, MemoryShares_LimitNotKnown_AreUsable) {
+  const std::string text = ValidText() + "[limits]\nmemory_mb=0\n";
+  EXPECT_TRUE(ErrorsOf(text).empty());
+  settings config;
+  config.memory_mb = 0;
+  EXPECT_GE(MemoryShares(config).callers, 200ULL << 20);
+}
+
 // Guards against a bound in bytes that is above the share of a small instance.
 TEST_F(settings_test, MemoryShares_BufferedBytesSet_SmallerOneCounts) {
   settings config;
