Test: wait until searchers without end are known

all_peers_together_do_not_exhaust_memory failed once in seven runs, in a run of the end-to-end tests without load on: no searcher had sent without end. Traced: its requests came before the entry instance had polled the announcements, and were refused at once as not run, so the test had no load. A run of its first steps shows the refusal.

The test now waits until such a request is not refused; its checks and bounds are unchanged.

--- a/app/testing/e2e/routed.py
+++ b/app/testing/e2e/routed.py
@@ -223,9 +223,17 @@
         return self.call(f"127.0.0.2:{self.control_port}", "PUT", f"/v1/instances/{name}", json.dumps(body))
 
     def add_endless_searchers(self, count):
+        """Returns whether the entry instance sends to them within 20 s."""
         for number in range(count):
             self.endless_searchers.append(EndlessSearcher())
             self.announce(self.endless_searchers[-1], ENDLESS_SERVICE, f"endless{number}")
+        end = time.monotonic() + 20
+        while time.monotonic() < end:
+            answer = self.request("/endless/x")
+            if answer is not None and answer[0] != 503:
+                return True
+            time.sleep(0.05)
+        return False
 
     def request(self, path="/search/x", body=b""):
         return self.call(f"127.0.0.1:{self.entry_port}", "POST" if body else "GET", path, body,
