--- a/app/control_client.cc
+++ b/app/control_client.cc
@@ -116,7 +116,8 @@
 void control_client::Poll(const instance_name& to, time_point now) {
   const known_versions known = KnownVersions();
   if (to == config_.name) {
-    if (local_ != nullptr) ApplyPollReply(now, local_->AnswerPoll(known, now));
+    if (local_ != nullptr)
+      ApplyPollReply(now, local_->AnswerPoll(known, now), now);
     return;
   }
   wire::control_pollT poll;
@@ -145,7 +146,8 @@
 }
 
 void control_client::OnPollReply(const instance_name& from,
-                                 const wire::control_news& reply, time_point) {
+                                 const wire::control_news& reply,
+                                 time_point now) {
   const auto found = polls_.find(reply.poll_id());
   if (found == polls_.end() || found->second.target != from) return;
   const time_point sent_at = found->second.sent_at;
@@ -159,7 +161,7 @@
   poll_reply.state = ToText(reply.state());
   poll_reply.leader = ToText(reply.leader());
   poll_reply.routes = ToText(reply.routes());
-  ApplyPollReply(sent_at, poll_reply);
+  ApplyPollReply(sent_at, poll_reply, now);
   ApplyInstances(reply);
 }
 
@@ -227,9 +229,17 @@
   handler_->OnEntryInstances(entries_);
 }
 
-// Versions never decrease: routes of a member that lags behind are ignored.
-void control_client::ApplyRouteUpdate(const control_poll_reply& reply) {
+// Versions never decrease: routes of a member that lags behind are ignored. An
+// instance that has none yet could not tell, so it takes its first routes and
+// searchers only with a fresh confirmation of a quorum: after a loss of power,
+// control instances answer from their last snapshot before a leader is elected.
+void control_client::ApplyRouteUpdate(time_point sent_at,
+                                      const control_poll_reply& reply,
+                                      time_point now) {
   if (reply.routes.empty()) return;
+  const bool fresh =
+      reply.confirmed && now - sent_at + reply.age <= kMaxConfirmationAge;
+  if (route_version_ == 0 && !fresh) return;
   auto routes = LoadRouteUpdate(reply.routes);
   if (!routes.has_value()) {
     LogEvent(log_level::kError, "route_news_invalid", {});
@@ -250,9 +260,10 @@
 }
 
 void control_client::ApplyPollReply(time_point sent_at,
-                                    const control_poll_reply& reply) {
+                                    const control_poll_reply& reply,
+                                    time_point now) {
   if (!reply.leader.empty()) leader_ = reply.leader;
-  ApplyRouteUpdate(reply);
+  ApplyRouteUpdate(sent_at, reply, now);
   if (!reply.state.empty() &&
       reply.published_version > lease_.applied_version()) {
     auto state = LoadPublished(reply.state);
--- a/app/control_client.h
+++ b/app/control_client.h
@@ -110,7 +110,8 @@
   };
 
   known_versions KnownVersions() const;
-  void ApplyRouteUpdate(const control_poll_reply& reply);
+  void ApplyRouteUpdate(time_point sent_at, const control_poll_reply& reply,
+                        time_point now);
   void ApplyInstances(const wire::control_news& reply);
   void ApplyEntries(const wire::control_news& reply);
   // Returns the target of the next poll if the current one answers: a member in
@@ -119,7 +120,8 @@
   void Poll(const instance_name& to, time_point now);
   void PollCurrentTarget(time_point now);
   void ProbeMembers();
-  void ApplyPollReply(time_point sent_at, const control_poll_reply& reply);
+  void ApplyPollReply(time_point sent_at, const control_poll_reply& reply,
+                      time_point now);
   std::vector<instance_name> ControlNames() const;
   instance_name NextTarget(const instance_name& previous) const;
   void StartCall(control_call new_call);
--- a/app/peer_frame_generated.h
+++ b/app/peer_frame_generated.h
@@ -168,6 +168,22 @@
 struct crash_recordsBuilder;
 struct crash_recordsT;
 
+struct quota_want;
+struct quota_wantBuilder;
+struct quota_wantT;
+
+struct quota_request;
+struct quota_requestBuilder;
+struct quota_requestT;
+
+struct quota_grant;
+struct quota_grantBuilder;
+struct quota_grantT;
+
+struct quota_reply;
+struct quota_replyBuilder;
+struct quota_replyT;
+
 struct peer_frame;
 struct peer_frameBuilder;
 struct peer_frameT;
@@ -199,11 +215,13 @@
   limit_request = 23,
   limit_reply = 24,
   crash_records = 25,
+  quota_request = 26,
+  quota_reply = 27,
   MIN = NONE,
-  MAX = crash_records
+  MAX = quota_reply
 };
 
-inline const payload (&EnumValuespayload())[26] {
+inline const payload (&EnumValuespayload())[28] {
   static const payload values[] = {
     payload::NONE,
     payload::hello,
@@ -230,13 +248,15 @@
     payload::ping,
     payload::limit_request,
     payload::limit_reply,
-    payload::crash_records
+    payload::crash_records,
+    payload::quota_request,
+    payload::quota_reply
   };
   return values;
 }
 
 inline const char * const *EnumNamespayload() {
-  static const char * const names[27] = {
+  static const char * const names[29] = {
     "NONE",
     "hello",
     "proof",
@@ -263,13 +283,15 @@
     "limit_request",
     "limit_reply",
     "crash_records",
+    "quota_request",
+    "quota_reply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamepayload(payload e) {
-  if (flatbuffers::IsOutRange(e, payload::NONE, payload::crash_records)) return "";
+  if (flatbuffers::IsOutRange(e, payload::NONE, payload::quota_reply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamespayload()[index];
 }
@@ -378,6 +400,14 @@
   static const payload enum_value = payload::crash_records;
 };
 
+template<> struct payloadTraits<bilberrycourse::wire::quota_request> {
+  static const payload enum_value = payload::quota_request;
+};
+
+template<> struct payloadTraits<bilberrycourse::wire::quota_reply> {
+  static const payload enum_value = payload::quota_reply;
+};
+
 template<typename T> struct payloadUnionTraits {
   static const payload enum_value = payload::NONE;
 };
@@ -482,6 +512,14 @@
   static const payload enum_value = payload::crash_records;
 };
 
+template<> struct payloadUnionTraits<bilberrycourse::wire::quota_requestT> {
+  static const payload enum_value = payload::quota_request;
+};
+
+template<> struct payloadUnionTraits<bilberrycourse::wire::quota_replyT> {
+  static const payload enum_value = payload::quota_reply;
+};
+
 struct payloadUnion {
   payload type;
   void *value;
@@ -712,6 +750,22 @@
     return type == payload::crash_records ?
       reinterpret_cast<const bilberrycourse::wire::crash_recordsT *>(value) : nullptr;
   }
+  bilberrycourse::wire::quota_requestT *Asquota_request() {
+    return type == payload::quota_request ?
+      reinterpret_cast<bilberrycourse::wire::quota_requestT *>(value) : nullptr;
+  }
+  const bilberrycourse::wire::quota_requestT *Asquota_request() const {
+    return type == payload::quota_request ?
+      reinterpret_cast<const bilberrycourse::wire::quota_requestT *>(value) : nullptr;
+  }
+  bilberrycourse::wire::quota_replyT *Asquota_reply() {
+    return type == payload::quota_reply ?
+      reinterpret_cast<bilberrycourse::wire::quota_replyT *>(value) : nullptr;
+  }
+  const bilberrycourse::wire::quota_replyT *Asquota_reply() const {
+    return type == payload::quota_reply ?
+      reinterpret_cast<const bilberrycourse::wire::quota_replyT *>(value) : nullptr;
+  }
 };
 
 bool Verifypayload(flatbuffers::Verifier &verifier, const void *obj, payload type);
@@ -3127,6 +3181,7 @@
   bool leaving = false;
   bool isolated = false;
   bool accepts_single = false;
+  bool checks_accounts = false;
 };
 
 struct entry_hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3137,7 +3192,8 @@
     VT_AVAILABILITY_ZONE = 6,
     VT_LEAVING = 8,
     VT_ISOLATED = 10,
-    VT_ACCEPTS_SINGLE = 12
+    VT_ACCEPTS_SINGLE = 12,
+    VT_CHECKS_ACCOUNTS = 14
   };
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
@@ -3154,6 +3210,9 @@
   bool accepts_single() const {
     return GetField<uint8_t>(VT_ACCEPTS_SINGLE, 0) != 0;
   }
+  bool checks_accounts() const {
+    return GetField<uint8_t>(VT_CHECKS_ACCOUNTS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ADDRESS) &&
@@ -3163,6 +3222,7 @@
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            VerifyField<uint8_t>(verifier, VT_ISOLATED, 1) &&
            VerifyField<uint8_t>(verifier, VT_ACCEPTS_SINGLE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_CHECKS_ACCOUNTS, 1) &&
            verifier.EndTable();
   }
   entry_helloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3189,6 +3249,9 @@
   void add_accepts_single(bool accepts_single) {
     fbb_.AddElement<uint8_t>(entry_hello::VT_ACCEPTS_SINGLE, static_cast<uint8_t>(accepts_single), 0);
   }
+  void add_checks_accounts(bool checks_accounts) {
+    fbb_.AddElement<uint8_t>(entry_hello::VT_CHECKS_ACCOUNTS, static_cast<uint8_t>(checks_accounts), 0);
+  }
   explicit entry_helloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3206,10 +3269,12 @@
     flatbuffers::Offset<flatbuffers::String> availability_zone = 0,
     bool leaving = false,
     bool isolated = false,
-    bool accepts_single = false) {
+    bool accepts_single = false,
+    bool checks_accounts = false) {
   entry_helloBuilder builder_(_fbb);
   builder_.add_availability_zone(availability_zone);
   builder_.add_address(address);
+  builder_.add_checks_accounts(checks_accounts);
   builder_.add_accepts_single(accepts_single);
   builder_.add_isolated(isolated);
   builder_.add_leaving(leaving);
@@ -3222,7 +3287,8 @@
     const char *availability_zone = nullptr,
     bool leaving = false,
     bool isolated = false,
-    bool accepts_single = false) {
+    bool accepts_single = false,
+    bool checks_accounts = false) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto availability_zone__ = availability_zone ? _fbb.CreateString(availability_zone) : 0;
   return bilberrycourse::wire::Createentry_hello(
@@ -3231,7 +3297,8 @@
       availability_zone__,
       leaving,
       isolated,
-      accepts_single);
+      accepts_single,
+      checks_accounts);
 }
 
 flatbuffers::Offset<entry_hello> Createentry_hello(flatbuffers::FlatBufferBuilder &_fbb, const entry_helloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3424,6 +3491,8 @@
   uint32_t priority = 0;
   bool single = false;
   bool idempotent = false;
+  std::string account{};
+  uint64_t account_key = 0;
   relay_requestT() = default;
   relay_requestT(const relay_requestT &o);
   relay_requestT(relay_requestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3450,7 +3519,9 @@
     VT_TIME_LEFT_US = 30,
     VT_PRIORITY = 32,
     VT_SINGLE = 34,
-    VT_IDEMPOTENT = 36
+    VT_IDEMPOTENT = 36,
+    VT_ACCOUNT = 38,
+    VT_ACCOUNT_KEY = 40
   };
   uint64_t relay_id() const {
     return GetField<uint64_t>(VT_RELAY_ID, 0);
@@ -3503,6 +3574,12 @@
   bool idempotent() const {
     return GetField<uint8_t>(VT_IDEMPOTENT, 0) != 0;
   }
+  const flatbuffers::String *account() const {
+    return GetPointer<const flatbuffers::String *>(VT_ACCOUNT);
+  }
+  uint64_t account_key() const {
+    return GetField<uint64_t>(VT_ACCOUNT_KEY, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_RELAY_ID, 8) &&
@@ -3532,6 +3609,9 @@
            VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
            VerifyField<uint8_t>(verifier, VT_SINGLE, 1) &&
            VerifyField<uint8_t>(verifier, VT_IDEMPOTENT, 1) &&
+           VerifyOffset(verifier, VT_ACCOUNT) &&
+           verifier.VerifyString(account()) &&
+           VerifyField<uint64_t>(verifier, VT_ACCOUNT_KEY, 8) &&
            verifier.EndTable();
   }
   relay_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3594,6 +3674,12 @@
   void add_idempotent(bool idempotent) {
     fbb_.AddElement<uint8_t>(relay_request::VT_IDEMPOTENT, static_cast<uint8_t>(idempotent), 0);
   }
+  void add_account(flatbuffers::Offset<flatbuffers::String> account) {
+    fbb_.AddOffset(relay_request::VT_ACCOUNT, account);
+  }
+  void add_account_key(uint64_t account_key) {
+    fbb_.AddElement<uint64_t>(relay_request::VT_ACCOUNT_KEY, account_key, 0);
+  }
   explicit relay_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3623,12 +3709,16 @@
     uint64_t time_left_us = 0,
     uint32_t priority = 0,
     bool single = false,
-    bool idempotent = false) {
+    bool idempotent = false,
+    flatbuffers::Offset<flatbuffers::String> account = 0,
+    uint64_t account_key = 0) {
   relay_requestBuilder builder_(_fbb);
+  builder_.add_account_key(account_key);
   builder_.add_time_left_us(time_left_us);
   builder_.add_answer_in_us(answer_in_us);
   builder_.add_objective_us(objective_us);
   builder_.add_relay_id(relay_id);
+  builder_.add_account(account);
   builder_.add_priority(priority);
   builder_.add_max_attempts(max_attempts);
   builder_.add_top_records(top_records);
@@ -3663,7 +3753,9 @@
     uint64_t time_left_us = 0,
     uint32_t priority = 0,
     bool single = false,
-    bool idempotent = false) {
+    bool idempotent = false,
+    const char *account = nullptr,
+    uint64_t account_key = 0) {
   auto route__ = route ? _fbb.CreateString(route) : 0;
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto method__ = method ? _fbb.CreateString(method) : 0;
@@ -3672,6 +3764,7 @@
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::forwarded_header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   auto shards__ = shards ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*shards) : 0;
+  auto account__ = account ? _fbb.CreateString(account) : 0;
   return bilberrycourse::wire::Createrelay_request(
       _fbb,
       relay_id,
@@ -3690,7 +3783,9 @@
       time_left_us,
       priority,
       single,
-      idempotent);
+      idempotent,
+      account__,
+      account_key);
 }
 
 flatbuffers::Offset<relay_request> Createrelay_request(flatbuffers::FlatBufferBuilder &_fbb, const relay_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4760,6 +4855,407 @@
 
 flatbuffers::Offset<crash_records> Createcrash_records(flatbuffers::FlatBufferBuilder &_fbb, const crash_recordsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct quota_wantT : public flatbuffers::NativeTable {
+  typedef quota_want TableType;
+  std::string account{};
+  double per_second = 0.0;
+  double burst = 0.0;
+  uint64_t config_version = 0;
+  uint32_t wanted = 0;
+  uint32_t returned = 0;
+};
+
+struct quota_want FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef quota_wantT NativeTableType;
+  typedef quota_wantBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ACCOUNT = 4,
+    VT_PER_SECOND = 6,
+    VT_BURST = 8,
+    VT_CONFIG_VERSION = 10,
+    VT_WANTED = 12,
+    VT_RETURNED = 14
+  };
+  const flatbuffers::String *account() const {
+    return GetPointer<const flatbuffers::String *>(VT_ACCOUNT);
+  }
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, 0.0);
+  }
+  double burst() const {
+    return GetField<double>(VT_BURST, 0.0);
+  }
+  uint64_t config_version() const {
+    return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
+  }
+  uint32_t wanted() const {
+    return GetField<uint32_t>(VT_WANTED, 0);
+  }
+  uint32_t returned() const {
+    return GetField<uint32_t>(VT_RETURNED, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ACCOUNT) &&
+           verifier.VerifyString(account()) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           VerifyField<double>(verifier, VT_BURST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_WANTED, 4) &&
+           VerifyField<uint32_t>(verifier, VT_RETURNED, 4) &&
+           verifier.EndTable();
+  }
+  quota_wantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(quota_wantT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<quota_want> Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_wantT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct quota_wantBuilder {
+  typedef quota_want Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_account(flatbuffers::Offset<flatbuffers::String> account) {
+    fbb_.AddOffset(quota_want::VT_ACCOUNT, account);
+  }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(quota_want::VT_PER_SECOND, per_second, 0.0);
+  }
+  void add_burst(double burst) {
+    fbb_.AddElement<double>(quota_want::VT_BURST, burst, 0.0);
+  }
+  void add_config_version(uint64_t config_version) {
+    fbb_.AddElement<uint64_t>(quota_want::VT_CONFIG_VERSION, config_version, 0);
+  }
+  void add_wanted(uint32_t wanted) {
+    fbb_.AddElement<uint32_t>(quota_want::VT_WANTED, wanted, 0);
+  }
+  void add_returned(uint32_t returned) {
+    fbb_.AddElement<uint32_t>(quota_want::VT_RETURNED, returned, 0);
+  }
+  explicit quota_wantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<quota_want> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<quota_want>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<quota_want> Createquota_want(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> account = 0,
+    double per_second = 0.0,
+    double burst = 0.0,
+    uint64_t config_version = 0,
+    uint32_t wanted = 0,
+    uint32_t returned = 0) {
+  quota_wantBuilder builder_(_fbb);
+  builder_.add_config_version(config_version);
+  builder_.add_burst(burst);
+  builder_.add_per_second(per_second);
+  builder_.add_returned(returned);
+  builder_.add_wanted(wanted);
+  builder_.add_account(account);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<quota_want> Createquota_wantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *account = nullptr,
+    double per_second = 0.0,
+    double burst = 0.0,
+    uint64_t config_version = 0,
+    uint32_t wanted = 0,
+    uint32_t returned = 0) {
+  auto account__ = account ? _fbb.CreateString(account) : 0;
+  return bilberrycourse::wire::Createquota_want(
+      _fbb,
+      account__,
+      per_second,
+      burst,
+      config_version,
+      wanted,
+      returned);
+}
+
+flatbuffers::Offset<quota_want> Createquota_want(flatbuffers::FlatBufferBuilder &_fbb, const quota_wantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct quota_requestT : public flatbuffers::NativeTable {
+  typedef quota_request TableType;
+  uint64_t id = 0;
+  std::vector<std::unique_ptr<bilberrycourse::wire::quota_wantT>> wants{};
+  quota_requestT() = default;
+  quota_requestT(const quota_requestT &o);
+  quota_requestT(quota_requestT&&) FLATBUFFERS_NOEXCEPT = default;
+  quota_requestT &operator=(quota_requestT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct quota_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef quota_requestT NativeTableType;
+  typedef quota_requestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_WANTS = 6
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::quota_want>> *wants() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::quota_want>> *>(VT_WANTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_WANTS) &&
+           verifier.VerifyVector(wants()) &&
+           verifier.VerifyVectorOfTables(wants()) &&
+           verifier.EndTable();
+  }
+  quota_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(quota_requestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<quota_request> Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct quota_requestBuilder {
+  typedef quota_request Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(quota_request::VT_ID, id, 0);
+  }
+  void add_wants(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::quota_want>>> wants) {
+    fbb_.AddOffset(quota_request::VT_WANTS, wants);
+  }
+  explicit quota_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<quota_request> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<quota_request>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<quota_request> Createquota_request(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::quota_want>>> wants = 0) {
+  quota_requestBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_wants(wants);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<quota_request> Createquota_requestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    const std::vector<flatbuffers::Offset<bilberrycourse::wire::quota_want>> *wants = nullptr) {
+  auto wants__ = wants ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::quota_want>>(*wants) : 0;
+  return bilberrycourse::wire::Createquota_request(
+      _fbb,
+      id,
+      wants__);
+}
+
+flatbuffers::Offset<quota_request> Createquota_request(flatbuffers::FlatBufferBuilder &_fbb, const quota_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct quota_grantT : public flatbuffers::NativeTable {
+  typedef quota_grant TableType;
+  std::string account{};
+  uint32_t granted = 0;
+  uint64_t lifetime_us = 0;
+  uint64_t retry_in_us = 0;
+};
+
+struct quota_grant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef quota_grantT NativeTableType;
+  typedef quota_grantBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ACCOUNT = 4,
+    VT_GRANTED = 6,
+    VT_LIFETIME_US = 8,
+    VT_RETRY_IN_US = 10
+  };
+  const flatbuffers::String *account() const {
+    return GetPointer<const flatbuffers::String *>(VT_ACCOUNT);
+  }
+  uint32_t granted() const {
+    return GetField<uint32_t>(VT_GRANTED, 0);
+  }
+  uint64_t lifetime_us() const {
+    return GetField<uint64_t>(VT_LIFETIME_US, 0);
+  }
+  uint64_t retry_in_us() const {
+    return GetField<uint64_t>(VT_RETRY_IN_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ACCOUNT) &&
+           verifier.VerifyString(account()) &&
+           VerifyField<uint32_t>(verifier, VT_GRANTED, 4) &&
+           VerifyField<uint64_t>(verifier, VT_LIFETIME_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_RETRY_IN_US, 8) &&
+           verifier.EndTable();
+  }
+  quota_grantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(quota_grantT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<quota_grant> Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct quota_grantBuilder {
+  typedef quota_grant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_account(flatbuffers::Offset<flatbuffers::String> account) {
+    fbb_.AddOffset(quota_grant::VT_ACCOUNT, account);
+  }
+  void add_granted(uint32_t granted) {
+    fbb_.AddElement<uint32_t>(quota_grant::VT_GRANTED, granted, 0);
+  }
+  void add_lifetime_us(uint64_t lifetime_us) {
+    fbb_.AddElement<uint64_t>(quota_grant::VT_LIFETIME_US, lifetime_us, 0);
+  }
+  void add_retry_in_us(uint64_t retry_in_us) {
+    fbb_.AddElement<uint64_t>(quota_grant::VT_RETRY_IN_US, retry_in_us, 0);
+  }
+  explicit quota_grantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<quota_grant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<quota_grant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<quota_grant> Createquota_grant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> account = 0,
+    uint32_t granted = 0,
+    uint64_t lifetime_us = 0,
+    uint64_t retry_in_us = 0) {
+  quota_grantBuilder builder_(_fbb);
+  builder_.add_retry_in_us(retry_in_us);
+  builder_.add_lifetime_us(lifetime_us);
+  builder_.add_granted(granted);
+  builder_.add_account(account);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<quota_grant> Createquota_grantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *account = nullptr,
+    uint32_t granted = 0,
+    uint64_t lifetime_us = 0,
+    uint64_t retry_in_us = 0) {
+  auto account__ = account ? _fbb.CreateString(account) : 0;
+  return bilberrycourse::wire::Createquota_grant(
+      _fbb,
+      account__,
+      granted,
+      lifetime_us,
+      retry_in_us);
+}
+
+flatbuffers::Offset<quota_grant> Createquota_grant(flatbuffers::FlatBufferBuilder &_fbb, const quota_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct quota_replyT : public flatbuffers::NativeTable {
+  typedef quota_reply TableType;
+  uint64_t id = 0;
+  bool allocated = false;
+  std::vector<std::unique_ptr<bilberrycourse::wire::quota_grantT>> grants{};
+  quota_replyT() = default;
+  quota_replyT(const quota_replyT &o);
+  quota_replyT(quota_replyT&&) FLATBUFFERS_NOEXCEPT = default;
+  quota_replyT &operator=(quota_replyT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct quota_reply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef quota_replyT NativeTableType;
+  typedef quota_replyBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_ALLOCATED = 6,
+    VT_GRANTS = 8
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  bool allocated() const {
+    return GetField<uint8_t>(VT_ALLOCATED, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::quota_grant>> *grants() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::quota_grant>> *>(VT_GRANTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ALLOCATED, 1) &&
+           VerifyOffset(verifier, VT_GRANTS) &&
+           verifier.VerifyVector(grants()) &&
+           verifier.VerifyVectorOfTables(grants()) &&
+           verifier.EndTable();
+  }
+  quota_replyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(quota_replyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<quota_reply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_replyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct quota_replyBuilder {
+  typedef quota_reply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(quota_reply::VT_ID, id, 0);
+  }
+  void add_allocated(bool allocated) {
+    fbb_.AddElement<uint8_t>(quota_reply::VT_ALLOCATED, static_cast<uint8_t>(allocated), 0);
+  }
+  void add_grants(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::quota_grant>>> grants) {
+    fbb_.AddOffset(quota_reply::VT_GRANTS, grants);
+  }
+  explicit quota_replyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<quota_reply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<quota_reply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<quota_reply> Createquota_reply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    bool allocated = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::wire::quota_grant>>> grants = 0) {
+  quota_replyBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_grants(grants);
+  builder_.add_allocated(allocated);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<quota_reply> Createquota_replyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    bool allocated = false,
+    const std::vector<flatbuffers::Offset<bilberrycourse::wire::quota_grant>> *grants = nullptr) {
+  auto grants__ = grants ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::quota_grant>>(*grants) : 0;
+  return bilberrycourse::wire::Createquota_reply(
+      _fbb,
+      id,
+      allocated,
+      grants__);
+}
+
+flatbuffers::Offset<quota_reply> Createquota_reply(flatbuffers::FlatBufferBuilder &_fbb, const quota_replyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct peer_frameT : public flatbuffers::NativeTable {
   typedef peer_frame TableType;
   bilberrycourse::wire::payloadUnion payload{};
@@ -4854,6 +5350,12 @@
   const bilberrycourse::wire::crash_records *payload_as_crash_records() const {
     return payload_type() == bilberrycourse::wire::payload::crash_records ? static_cast<const bilberrycourse::wire::crash_records *>(payload()) : nullptr;
   }
+  const bilberrycourse::wire::quota_request *payload_as_quota_request() const {
+    return payload_type() == bilberrycourse::wire::payload::quota_request ? static_cast<const bilberrycourse::wire::quota_request *>(payload()) : nullptr;
+  }
+  const bilberrycourse::wire::quota_reply *payload_as_quota_reply() const {
+    return payload_type() == bilberrycourse::wire::payload::quota_reply ? static_cast<const bilberrycourse::wire::quota_reply *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -4966,6 +5468,14 @@
   return payload_as_crash_records();
 }
 
+template<> inline const bilberrycourse::wire::quota_request *peer_frame::payload_as<bilberrycourse::wire::quota_request>() const {
+  return payload_as_quota_request();
+}
+
+template<> inline const bilberrycourse::wire::quota_reply *peer_frame::payload_as<bilberrycourse::wire::quota_reply>() const {
+  return payload_as_quota_reply();
+}
+
 struct peer_frameBuilder {
   typedef peer_frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5919,6 +6429,7 @@
   { auto _e = leaving(); _o->leaving = _e; }
   { auto _e = isolated(); _o->isolated = _e; }
   { auto _e = accepts_single(); _o->accepts_single = _e; }
+  { auto _e = checks_accounts(); _o->checks_accounts = _e; }
 }
 
 inline flatbuffers::Offset<entry_hello> entry_hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const entry_helloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5934,13 +6445,15 @@
   auto _leaving = _o->leaving;
   auto _isolated = _o->isolated;
   auto _accepts_single = _o->accepts_single;
+  auto _checks_accounts = _o->checks_accounts;
   return bilberrycourse::wire::Createentry_hello(
       _fbb,
       _address,
       _availability_zone,
       _leaving,
       _isolated,
-      _accepts_single);
+      _accepts_single,
+      _checks_accounts);
 }
 
 inline entry_instanceT *entry_instance::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6020,7 +6533,9 @@
         time_left_us(o.time_left_us),
         priority(o.priority),
         single(o.single),
-        idempotent(o.idempotent) {
+        idempotent(o.idempotent),
+        account(o.account),
+        account_key(o.account_key) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new bilberrycourse::wire::forwarded_headerT(*headers_) : nullptr); }
 }
@@ -6043,6 +6558,8 @@
   std::swap(priority, o.priority);
   std::swap(single, o.single);
   std::swap(idempotent, o.idempotent);
+  std::swap(account, o.account);
+  std::swap(account_key, o.account_key);
   return *this;
 }
 
@@ -6072,6 +6589,8 @@
   { auto _e = priority(); _o->priority = _e; }
   { auto _e = single(); _o->single = _e; }
   { auto _e = idempotent(); _o->idempotent = _e; }
+  { auto _e = account(); if (_e) _o->account = _e->str(); }
+  { auto _e = account_key(); _o->account_key = _e; }
 }
 
 inline flatbuffers::Offset<relay_request> relay_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const relay_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6099,6 +6618,8 @@
   auto _priority = _o->priority;
   auto _single = _o->single;
   auto _idempotent = _o->idempotent;
+  auto _account = _o->account.empty() ? 0 : _fbb.CreateString(_o->account);
+  auto _account_key = _o->account_key;
   return bilberrycourse::wire::Createrelay_request(
       _fbb,
       _relay_id,
@@ -6117,7 +6638,9 @@
       _time_left_us,
       _priority,
       _single,
-      _idempotent);
+      _idempotent,
+      _account,
+      _account_key);
 }
 
 inline forwarded_replyT::forwarded_replyT(const forwarded_replyT &o)
@@ -6594,6 +7117,169 @@
       _records);
 }
 
+inline quota_wantT *quota_want::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<quota_wantT>(new quota_wantT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void quota_want::UnPackTo(quota_wantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = account(); if (_e) _o->account = _e->str(); }
+  { auto _e = per_second(); _o->per_second = _e; }
+  { auto _e = burst(); _o->burst = _e; }
+  { auto _e = config_version(); _o->config_version = _e; }
+  { auto _e = wanted(); _o->wanted = _e; }
+  { auto _e = returned(); _o->returned = _e; }
+}
+
+inline flatbuffers::Offset<quota_want> quota_want::Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_wantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createquota_want(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<quota_want> Createquota_want(flatbuffers::FlatBufferBuilder &_fbb, const quota_wantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const quota_wantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _account = _o->account.empty() ? 0 : _fbb.CreateString(_o->account);
+  auto _per_second = _o->per_second;
+  auto _burst = _o->burst;
+  auto _config_version = _o->config_version;
+  auto _wanted = _o->wanted;
+  auto _returned = _o->returned;
+  return bilberrycourse::wire::Createquota_want(
+      _fbb,
+      _account,
+      _per_second,
+      _burst,
+      _config_version,
+      _wanted,
+      _returned);
+}
+
+inline quota_requestT::quota_requestT(const quota_requestT &o)
+      : id(o.id) {
+  wants.reserve(o.wants.size());
+  for (const auto &wants_ : o.wants) { wants.emplace_back((wants_) ? new bilberrycourse::wire::quota_wantT(*wants_) : nullptr); }
+}
+
+inline quota_requestT &quota_requestT::operator=(quota_requestT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(id, o.id);
+  std::swap(wants, o.wants);
+  return *this;
+}
+
+inline quota_requestT *quota_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<quota_requestT>(new quota_requestT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void quota_request::UnPackTo(quota_requestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = wants(); if (_e) { _o->wants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->wants[_i] = std::unique_ptr<bilberrycourse::wire::quota_wantT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<quota_request> quota_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createquota_request(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<quota_request> Createquota_request(flatbuffers::FlatBufferBuilder &_fbb, const quota_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const quota_requestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _wants = _o->wants.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::quota_want>> (_o->wants.size(), [](size_t i, _VectorArgs *__va) { return Createquota_want(*__va->__fbb, __va->__o->wants[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return bilberrycourse::wire::Createquota_request(
+      _fbb,
+      _id,
+      _wants);
+}
+
+inline quota_grantT *quota_grant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<quota_grantT>(new quota_grantT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void quota_grant::UnPackTo(quota_grantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = account(); if (_e) _o->account = _e->str(); }
+  { auto _e = granted(); _o->granted = _e; }
+  { auto _e = lifetime_us(); _o->lifetime_us = _e; }
+  { auto _e = retry_in_us(); _o->retry_in_us = _e; }
+}
+
+inline flatbuffers::Offset<quota_grant> quota_grant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createquota_grant(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<quota_grant> Createquota_grant(flatbuffers::FlatBufferBuilder &_fbb, const quota_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const quota_grantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _account = _o->account.empty() ? 0 : _fbb.CreateString(_o->account);
+  auto _granted = _o->granted;
+  auto _lifetime_us = _o->lifetime_us;
+  auto _retry_in_us = _o->retry_in_us;
+  return bilberrycourse::wire::Createquota_grant(
+      _fbb,
+      _account,
+      _granted,
+      _lifetime_us,
+      _retry_in_us);
+}
+
+inline quota_replyT::quota_replyT(const quota_replyT &o)
+      : id(o.id),
+        allocated(o.allocated) {
+  grants.reserve(o.grants.size());
+  for (const auto &grants_ : o.grants) { grants.emplace_back((grants_) ? new bilberrycourse::wire::quota_grantT(*grants_) : nullptr); }
+}
+
+inline quota_replyT &quota_replyT::operator=(quota_replyT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(id, o.id);
+  std::swap(allocated, o.allocated);
+  std::swap(grants, o.grants);
+  return *this;
+}
+
+inline quota_replyT *quota_reply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<quota_replyT>(new quota_replyT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void quota_reply::UnPackTo(quota_replyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = allocated(); _o->allocated = _e; }
+  { auto _e = grants(); if (_e) { _o->grants.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->grants[_i] = std::unique_ptr<bilberrycourse::wire::quota_grantT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<quota_reply> quota_reply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_replyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createquota_reply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<quota_reply> Createquota_reply(flatbuffers::FlatBufferBuilder &_fbb, const quota_replyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const quota_replyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _allocated = _o->allocated;
+  auto _grants = _o->grants.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::wire::quota_grant>> (_o->grants.size(), [](size_t i, _VectorArgs *__va) { return Createquota_grant(*__va->__fbb, __va->__o->grants[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return bilberrycourse::wire::Createquota_reply(
+      _fbb,
+      _id,
+      _allocated,
+      _grants);
+}
+
 inline peer_frameT *peer_frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<peer_frameT>(new peer_frameT());
   UnPackTo(_o.get(), _resolver);
@@ -6728,6 +7414,14 @@
       auto ptr = reinterpret_cast<const bilberrycourse::wire::crash_records *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case payload::quota_request: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::quota_request *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case payload::quota_reply: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::quota_reply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6847,6 +7541,14 @@
       auto ptr = reinterpret_cast<const bilberrycourse::wire::crash_records *>(obj);
       return ptr->UnPack(resolver);
     }
+    case payload::quota_request: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::quota_request *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case payload::quota_reply: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::quota_reply *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6954,6 +7656,14 @@
       auto ptr = reinterpret_cast<const bilberrycourse::wire::crash_recordsT *>(value);
       return Createcrash_records(_fbb, ptr, _rehasher).Union();
     }
+    case payload::quota_request: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::quota_requestT *>(value);
+      return Createquota_request(_fbb, ptr, _rehasher).Union();
+    }
+    case payload::quota_reply: {
+      auto ptr = reinterpret_cast<const bilberrycourse::wire::quota_replyT *>(value);
+      return Createquota_reply(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -7060,6 +7770,14 @@
       value = new bilberrycourse::wire::crash_recordsT(*reinterpret_cast<bilberrycourse::wire::crash_recordsT *>(u.value));
       break;
     }
+    case payload::quota_request: {
+      value = new bilberrycourse::wire::quota_requestT(*reinterpret_cast<bilberrycourse::wire::quota_requestT *>(u.value));
+      break;
+    }
+    case payload::quota_reply: {
+      value = new bilberrycourse::wire::quota_replyT(*reinterpret_cast<bilberrycourse::wire::quota_replyT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -7192,6 +7910,16 @@
       delete ptr;
       break;
     }
+    case payload::quota_request: {
+      auto ptr = reinterpret_cast<bilberrycourse::wire::quota_requestT *>(value);
+      delete ptr;
+      break;
+    }
+    case payload::quota_reply: {
+      auto ptr = reinterpret_cast<bilberrycourse::wire::quota_replyT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -175,12 +175,17 @@
   if (matched_route == nullptr) {
     return Refuse(request, result_code::kUnknownPath, std::move(respond));
   }
+  Begin({std::move(request), std::move(respond), table_, matched_route, Now()});
+}
+
+void route_gateway::Begin(arrived_request arrived) {
   const time_point now = Now();
+  const http_request& request = arrived.request;
   const edge_headers& names = protocol_->headers();
   const route_request_id id{next_request_++};
   call_state& state = calls_[id];
-  state.matched_route = matched_route;
-  state.table = table_;
+  state.matched_route = arrived.matched_route;
+  state.table = arrived.table;
   state.forwarded.method = request.method;
   state.forwarded.target = request.target;
   state.forwarded.host = request.host;
@@ -188,19 +193,20 @@
   state.forwarded.headers = ForwardedHeaders(request.headers);
   if (!request.body.empty()) {
     state.forwarded.body =
-        std::make_shared<const std::string>(std::move(request.body));
+        std::make_shared<const std::string>(std::move(arrived.request.body));
   }
-  state.respond = std::move(respond);
+  state.respond = std::move(arrived.respond);
   *request.on_disconnect = [this, id] { OnCallerDisconnected(id); };
   route_call call;
   call.id = id;
-  call.table = table_;
-  call.matched_route = matched_route;
+  call.table = arrived.table;
+  call.matched_route = arrived.matched_route;
   call.content = ContentOf(state.forwarded);
-  call.sent_at = EstimateSendTime(request, now);
+  call.sent_at = EstimateSendTime(request, arrived.at);
   call.time_left = ParseDeadline(HeaderValue(request, names.deadline))
-                       .value_or(kDefaultDeadline);
-  call.relays = ReachableGroups(*matched_route, now);
+                       .value_or(kDefaultDeadline) -
+                   (now - arrived.at);
+  call.relays = ReachableGroups(*arrived.matched_route, now);
   route_effects effects;
   engine_.Begin(std::move(call), now, &effects);
   Execute(&effects);
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -117,6 +117,15 @@
     return stopping_ ? stop_log_limiter_ : log_limiter_;
   }
 
+  // A caller's request whose route has been found.
+  struct arrived_request {
+    http_request request;
+    http_responder respond;
+    std::shared_ptr<const route_table> table;
+    const route* matched_route = nullptr;
+    time_point at{};
+  };
+
   struct call_state {
     forwarded_request forwarded;
     const route* matched_route = nullptr;
@@ -136,6 +145,7 @@
     instance_name relay;
   };
 
+  void Begin(arrived_request arrived);
   void Execute(route_effects* effects);
   void ExecuteEffect(open_searcher_connection& effect);
   void ExecuteEffect(close_searcher_connection& effect);
--- a/app/testing/control_client_test.cc
+++ b/app/testing/control_client_test.cc
@@ -1,5 +1,6 @@
 #include "app/control_client.h"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <boost/asio/io_context.hpp>
@@ -40,7 +41,7 @@
     ++polls;
     wire::control_newsT reply;
     reply.poll_id = poll->poll_id();
-    reply.confirmed = true;
+    reply.confirmed = confirmed;
     reply.confirmed_age_us = static_cast<std::uint64_t>(age.count());
     reply.availability_zone = zone;
     reply.entry_digest = entries.digest();
@@ -68,6 +69,7 @@
   std::uint16_t port;
   std::unique_ptr<peer_transport> transport;
   duration age{0};
+  bool confirmed = true;
   std::uint64_t version = 1;
   int polls = 0;
   availability_zone zone;
@@ -147,6 +149,35 @@
   }
 }
 
+// Guards against an instance that has just started and obeys the last snapshot
+// of control instances without a leader: after a loss of power, instances sent
+// requests by version 11 while version 81 had been acknowledged.
+TEST_F(control_client_test, OnPollReply_NothingConfirmedYet_TakesNoRoutes) {
+  for (fake_member* member : {&first_, &second_}) {
+    member->confirmed = false;
+    member->version = 11;
+  }
+  ASSERT_TRUE(RunUntil([&] { return first_.polls > 1 && second_.polls > 1; }));
+  EXPECT_THAT(versions_, ::testing::IsEmpty());
+  for (fake_member* member : {&first_, &second_}) {
+    member->confirmed = true;
+    member->version = 81;
+  }
+  ASSERT_TRUE(RunUntil([&] { return client_->route_version() == 81; }));
+  EXPECT_THAT(versions_, ::testing::ElementsAre(81));
+}
+
+// Guards against a refusal of newer routes by an instance that runs on while
+// the control group has no quorum: what a member has committed stays valid.
+TEST_F(control_client_test, OnPollReply_RoutesKnown_TakesUnconfirmedNewerOnes) {
+  ASSERT_TRUE(RunUntil([&] { return client_->route_version() == 1; }));
+  for (fake_member* member : {&first_, &second_}) {
+    member->confirmed = false;
+    member->version = 2;
+  }
+  EXPECT_TRUE(RunUntil([&] { return client_->route_version() == 2; }));
+}
+
 // Guards against an instance that obeys an old configuration because its open
 // links lose all bytes without a close (review/5: 6 to 9 s). The users' bound
 // for an instance to be in touch again is 4 s.
--- a/bilberrycourse/route_config.h
+++ b/bilberrycourse/route_config.h
@@ -22,6 +22,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "bilberrycourse/accounts/client_account.h"
 #include "bilberrycourse/result_code.h"
 #include "bilberrycourse/types.h"
 
@@ -59,6 +60,8 @@
   std::uint32_t top_records = 0;
   // Minimum share of the shards in an answer, 0 to 1.
   double min_coverage = 0;
+  // True if callers need no key of a client account.
+  bool is_public = false;
 };
 
 struct route_service {
@@ -80,6 +83,8 @@
   std::uint64_t version = 0;
   std::vector<route> routes;
   std::map<std::string, route_service, std::less<>> services;
+  // If empty, callers need no key.
+  std::vector<client_account> accounts;
   request_limits limits;
 };
 
