Campaign when a majority of the voters is linked

Cause: after a loss of power the first campaigns of all members fail, because their links are not open yet, and the next one waits for an election timeout. Change: a voter without a known leader campaigns within a heartbeat once its links reach a majority. Result: consensus_member_test.OnMajorityLinked_* pass; without the call the group has no leader after 150 ms.

--- a/app/control_service.cc
+++ b/app/control_service.cc
@@ -333,6 +333,19 @@
   return out;
 }
 
+void control_service::OnPeerConnected(time_point now) {
+  if (member_ == nullptr) return;
+  const group_membership& membership = member_->membership();
+  const auto linked = static_cast<std::size_t>(
+      std::count_if(membership.members.begin(), membership.members.end(),
+                    [&](const log_member& member) {
+                      return member.role == member_role::kVoter &&
+                             (member.id == member_->identity().id ||
+                              transport_->Connected(member.instance));
+                    }));
+  if (2 * linked > membership.voter_count()) member_->OnMajorityLinked(now);
+}
+
 void control_service::TransferLeadership(time_point now) {
   if (!leads()) return;
   consensus_effects effects;
--- a/app/control_service.h
+++ b/app/control_service.h
@@ -119,6 +119,8 @@
   std::uint64_t log_bytes() const;
   std::optional<std::uint64_t> disk_room() const { return room_.disk(); }
 
+  // Called when a link to another instance has opened.
+  void OnPeerConnected(time_point now);
   // Hands leadership over; the member keeps following until the process ends.
   void TransferLeadership(time_point now);
   // Blocks until everything written so far is synced or has failed.
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -354,6 +354,7 @@
 
 void route_daemon::OnPeerConnected(const instance_name& peer) {
   LogEvent(log_level::kInfo, "peer_connected", {{"peer", peer}});
+  if (control_service_ != nullptr) control_service_->OnPeerConnected(Now());
   if (gateway_ == nullptr) return;
   gateway_->OnPeerConnected(peer);
   SendHello(peer);
--- a/bilberrycourse/consensus_member.h
+++ b/bilberrycourse/consensus_member.h
@@ -248,6 +248,13 @@
   void Compact(log_index index, shared_body state, consensus_effects* out);
   bool compaction_due() const;
 
+  // Called when the links of this instance reach a majority of the voters. A
+  // voter that knows no leader then campaigns within a heartbeat instead of an
+  // election timeout: after a loss of power its first campaigns fail, because
+  // the links are not open yet. A healthy leader is not disturbed, because its
+  // followers reject pre-votes.
+  void OnMajorityLinked(time_point now);
+
   // Transfers leadership to the voter with the most advanced log; aborted after
   // an election timeout. Returns kNotLeader if this member is not the leader,
   // and kNoQuorum if no other voter is in contact.
--- a/bilberrycourse/consensus_member_election.cc
+++ b/bilberrycourse/consensus_member_election.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "bilberrycourse/consensus_member.h"
@@ -6,6 +7,15 @@
 
 namespace bilberrycourse {
 
+void consensus_member::OnMajorityLinked(time_point now) {
+  const bool may_campaign = role_ == consensus_role::kFollower ||
+                            role_ == consensus_role::kPreCandidate;
+  if (!may_campaign || leader_ != kNoMember || !formed()) return;
+  std::uniform_int_distribution<std::int64_t> delay(
+      0, settings_.heartbeat.count());
+  election_due_ = std::min(election_due_, now + duration(delay(random_)));
+}
+
 void consensus_member::StartPreVote(time_point now, consensus_effects* out) {
   ResetElectionTimer(now);
   votes_.clear();
--- a/bilberrycourse/testing/consensus_member_test.cc
+++ b/bilberrycourse/testing/consensus_member_test.cc
@@ -23,6 +23,46 @@
   consensus_cluster cluster_{{}};
 };
 
+// Guards against a group that waits for an election timeout after a loss of
+// power although its members are linked: with 300 to 600 ms, a leader came 0.4
+// s after three of five members were linked.
+TEST_F(consensus_member_test, OnMajorityLinked_NoLeader_CampaignsAtOnce) {
+  ASSERT_LT(Elect(), cluster_.size());
+  for (std::size_t i = 0; i < 3; ++i) cluster_.Crash(i, 0);
+  for (std::size_t i = 0; i < 3; ++i) {
+    cluster_.Isolate(i);
+    cluster_.Start(i);
+  }
+  // All first campaigns fail.
+  cluster_.Run(32);
+  ASSERT_EQ(cluster_.leader(), cluster_.size());
+  cluster_.Heal();
+  for (std::size_t i = 0; i < 3; ++i) {
+    cluster_.Invoke(
+        i, [](consensus_member& member, time_point now, consensus_effects*) {
+          member.OnMajorityLinked(now);
+        });
+  }
+  cluster_.Run(15);
+  EXPECT_LT(cluster_.leader(), cluster_.size());
+}
+
+// Guards against a healthy leader that is replaced because a link opens.
+TEST_F(consensus_member_test, OnMajorityLinked_LeaderKnown_KeepsLeader) {
+  const std::size_t leader = Elect();
+  ASSERT_LT(leader, cluster_.size());
+  const log_term term = cluster_.at(leader).member->term();
+  for (std::size_t i = 0; i < 3; ++i) {
+    cluster_.Invoke(
+        i, [](consensus_member& member, time_point now, consensus_effects*) {
+          member.OnMajorityLinked(now);
+        });
+  }
+  cluster_.Run(50);
+  EXPECT_EQ(cluster_.leader(), leader);
+  EXPECT_EQ(cluster_.at(leader).member->term(), term);
+}
+
 // Guards against a group that does not form without an operator.
 TEST_F(consensus_member_test, FirstStart_EmptyFolders_FormsOneGroup) {
   const std::size_t leader = Elect();
