Load a known list of searchers once, and log long changes in one line

Cause: after a restart of the tier each instance loaded the list of 676 searchers two to four times, because replies to several polls crossed, and wrote a line for each of hundreds of changes within 0.4 s of a small share of a core. Change: a list of the revision that is known is ignored; more than 20 changes are logged as one line.

--- a/app/control_client.cc
+++ b/app/control_client.cc
@@ -245,7 +245,9 @@
     LogEvent(log_level::kError, "route_news_invalid", {});
     return;
   }
-  const bool searchers_fit = routes->revision >= searcher_revision_ &&
+  // Replies to several polls may cross; a list that is already known would be
+  // loaded again, which takes milliseconds of a small instance.
+  const bool searchers_fit = routes->revision > searcher_revision_ &&
                              (routes->base_revision == 0 ||
                               routes->base_revision == searcher_revision_);
   if (!searchers_fit) {
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -33,6 +33,8 @@
 // Missing shards listed in one log line; their total is always logged. A line
 // must stay below 4 KB, the size up to which writes to a pipe are atomic.
 constexpr std::size_t kMaxMissingListed = 12;
+// Changes of searchers that get a log line each.
+constexpr std::size_t kMaxSearchersListed = 20;
 // Signatures beyond this size go into a further header field. Common HTTP
 // implementations accept lines of 8 KB.
 constexpr std::size_t kMaxListFieldBytes = 8000;
@@ -270,14 +272,15 @@
   Execute(&effects);
 }
 
-// Logs one line for each changed searcher, but a single line for a full list:
-// the control instances have already logged its searchers, and CPU time is
-// scarce when all instances restart at once.
+// Logs one line for each changed searcher, but a single line for a full list or
+// a long one: the control instances have already logged its searchers, and CPU
+// time is scarce when all instances restart at once.
 void route_gateway::LogSearchers(const route_update& update, bool full_list) {
-  if (full_list) {
+  if (full_list || update.searchers.size() > kMaxSearchersListed) {
     if (update.searchers.empty()) return;
     LogEvent(log_level::kInfo, "searchers_loaded",
              {{"searchers", update.searchers.size()},
+              {"full_list", full_list},
               {"revision", update.revision}});
     return;
   }
