Evacuate availability zones: state and engine

Cause: an operator must be able to keep all requests away from the searchers of a zone, durably and without a change of the configuration.

An order states the version on which it was proposed, so a delayed copy can't undo a later order. searcher_pool takes searchers in evacuated zones as not usable, route_engine moves what waits for them and refuses at once what can't reach its coverage without them.

--- a/bilberrycourse/control_codec.cc
+++ b/bilberrycourse/control_codec.cc
@@ -101,6 +101,17 @@
   return {wire.version, wire.document};
 }
 
+std::unique_ptr<wire::evacuation_listT> ToWire(const evacuation_list& list) {
+  auto result = std::make_unique<wire::evacuation_listT>();
+  result->version = list.version;
+  result->zones = list.zones;
+  return result;
+}
+
+evacuation_list FromWire(const wire::evacuation_listT& wire) {
+  return {wire.version, wire.zones};
+}
+
 std::unique_ptr<wire::searcher_reportT> ToWire(const searcher_record& record) {
   auto result = std::make_unique<wire::searcher_reportT>();
   const searcher_report& report = record.report;
--- a/bilberrycourse/control_codec.h
+++ b/bilberrycourse/control_codec.h
@@ -39,6 +39,10 @@
 control_wire::route_documentT ToWire(const route_document& document);
 route_document FromWire(const control_wire::route_documentT& wire);
 
+std::unique_ptr<control_wire::evacuation_listT> ToWire(
+    const evacuation_list& list);
+evacuation_list FromWire(const control_wire::evacuation_listT& wire);
+
 std::unique_ptr<control_wire::searcher_reportT> ToWire(
     const searcher_record& record);
 // Returns false if the state is out of range.
--- a/bilberrycourse/control_command.cc
+++ b/bilberrycourse/control_command.cc
@@ -108,6 +108,14 @@
   body->Set(std::move(out));
 }
 
+void Encode(const zone_evacuation& command, wire::command_bodyUnion* body) {
+  wire::zone_evacuationT out;
+  out.zone = command.zone;
+  out.evacuated = command.evacuated;
+  out.base_version = command.base_version;
+  body->Set(std::move(out));
+}
+
 std::optional<control_command> Decode(const wire::config_changeT& in) {
   return config_change{in.change_id, in.base_version, in.author, in.reason,
                        in.document};
@@ -185,6 +193,10 @@
   return out;
 }
 
+std::optional<control_command> Decode(const wire::zone_evacuationT& in) {
+  return zone_evacuation{in.zone, in.evacuated, in.base_version};
+}
+
 template <typename Wire>
 std::optional<control_command> DecodeBody(const void* value) {
   return Decode(*static_cast<const Wire*>(value));
@@ -224,6 +236,8 @@
       return DecodeBody<wire::route_documentT>(body.value);
     case wire::command_body::searcher_reports:
       return DecodeBody<wire::searcher_reportsT>(body.value);
+    case wire::command_body::zone_evacuation:
+      return DecodeBody<wire::zone_evacuationT>(body.value);
     case wire::command_body::NONE:
       break;
   }
--- a/bilberrycourse/control_command.h
+++ b/bilberrycourse/control_command.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "bilberrycourse/config_document.h"
+#include "bilberrycourse/evacuated_zones.h"
 #include "bilberrycourse/result_code.h"
 #include "bilberrycourse/searcher_directory.h"
 #include "bilberrycourse/types.h"
@@ -120,7 +121,8 @@
 using control_command =
     std::variant<config_change, exception_add, exception_remove,
                  shard_set_record, request_begin, request_finish,
-                 request_abandon, route_document, searcher_reports>;
+                 request_abandon, route_document, searcher_reports,
+                 zone_evacuation>;
 
 // What the origin of a request must do after request_begin.
 enum class request_decision : std::uint8_t {
@@ -137,7 +139,8 @@
 
 struct control_outcome {
   result_code code = result_code::kOk;
-  // For changes the accepted version, on kVersionConflict the current version.
+  // For changes the accepted version, on kVersionConflict the current version;
+  // for zone_evacuation, those of the evacuation_list.
   std::uint64_t version = 0;
   // JSON object or empty. kInvalidDocument: `errors` [{path, message}].
   // kVersionConflict: `winner` {version, change_id, author, reason,
--- a/bilberrycourse/control_state.cc
+++ b/bilberrycourse/control_state.cc
@@ -330,6 +330,18 @@
   return {};
 }
 
+control_outcome control_state::ApplyCommand(const zone_evacuation& command) {
+  control_outcome outcome;
+  outcome.code = ApplyEvacuation(command, &evacuations_);
+  if (outcome.code == result_code::kInvalidField) {
+    outcome = Refuse(outcome.code,
+                     "allowed: 1 to 128 letters, digits, '-', '_' and '.', and "
+                     "256 evacuated zones");
+  }
+  outcome.version = evacuations_.version;
+  return outcome;
+}
+
 control_outcome control_state::ApplyCommand(const request_begin& command) {
   if (!HasLengthUpTo(command.caller, kMaxCallerBytes) ||
       !HasLengthUpTo(command.key, kMaxKeyBytes) ||
--- a/bilberrycourse/control_state.h
+++ b/bilberrycourse/control_state.h
@@ -2,9 +2,9 @@
 #define BILBERRYCOURSE_CONTROL_STATE_H_
 
 // Deterministic state machine that applies the replicated log: configuration
-// with history, shard sets of index versions, routes, searchers, and the ledger
-// of non-idempotent and kept requests. Members that apply the same entries hold
-// the same state.
+// with history, shard sets of index versions, routes, searchers, evacuated
+// zones, and the ledger of non-idempotent and kept requests. Members that apply
+// the same entries hold the same state.
 //
 //   control_outcome outcome = state.Apply(index, leader_wall_ms, bytes);
 //   std::string snapshot = state.SaveSnapshot();
@@ -28,6 +28,7 @@
 
 #include "bilberrycourse/config_document.h"
 #include "bilberrycourse/control_command.h"
+#include "bilberrycourse/evacuated_zones.h"
 #include "bilberrycourse/result_code.h"
 #include "bilberrycourse/searcher_directory.h"
 #include "bilberrycourse/types.h"
@@ -155,10 +156,14 @@
   // applied.
   const route_document& routes() const { return routes_; }
   const searcher_directory& searchers() const { return searchers_; }
+  const evacuation_list& evacuations() const { return evacuations_; }
   // Serializes what has changed since the given versions, for
   // LoadRouteUpdate(). Returns an empty string if nothing has changed.
-  std::string SaveRouteUpdate(std::uint64_t known_version,
-                              std::uint64_t known_revision) const;
+  // Receivers of earlier builds know no version of the evacuated zones and get
+  // none.
+  std::string SaveRouteUpdate(
+      std::uint64_t known_version, std::uint64_t known_revision,
+      std::optional<std::uint64_t> known_evacuations = std::nullopt) const;
 
   // JSON views for read requests; docs/api.md describes the fields.
   std::string ConfigView() const;
@@ -190,6 +195,7 @@
   control_outcome ApplyCommand(const request_abandon& command);
   control_outcome ApplyCommand(const route_document& command);
   control_outcome ApplyCommand(const searcher_reports& command);
+  control_outcome ApplyCommand(const zone_evacuation& command);
 
   control_outcome ApplyChange(const document_proposal& proposal);
   control_outcome DecideChange(const document_proposal& proposal);
@@ -221,6 +227,7 @@
   std::size_t answer_bytes_ = 0;
   route_document routes_;
   searcher_directory searchers_;
+  evacuation_list evacuations_;
 };
 
 // Incremental update of the routes and searchers of an entry instance.
@@ -232,6 +239,8 @@
   std::uint64_t base_revision = 0;
   std::uint64_t revision = 0;
   std::vector<searcher_record> searchers;
+  // Version 0 if the receiver has the newest list.
+  evacuation_list evacuations;
 };
 
 // Returns nullopt if the bytes are damaged.
--- a/bilberrycourse/control_state_generated.h
+++ b/bilberrycourse/control_state_generated.h
@@ -64,6 +64,14 @@
 struct searcher_reportsBuilder;
 struct searcher_reportsT;
 
+struct zone_evacuation;
+struct zone_evacuationBuilder;
+struct zone_evacuationT;
+
+struct evacuation_list;
+struct evacuation_listBuilder;
+struct evacuation_listT;
+
 struct command;
 struct commandBuilder;
 struct commandT;
@@ -111,11 +119,12 @@
   request_abandon = 7,
   route_document = 8,
   searcher_reports = 9,
+  zone_evacuation = 10,
   MIN = NONE,
-  MAX = searcher_reports
+  MAX = zone_evacuation
 };
 
-inline const command_body (&EnumValuescommand_body())[10] {
+inline const command_body (&EnumValuescommand_body())[11] {
   static const command_body values[] = {
     command_body::NONE,
     command_body::config_change,
@@ -126,13 +135,14 @@
     command_body::request_finish,
     command_body::request_abandon,
     command_body::route_document,
-    command_body::searcher_reports
+    command_body::searcher_reports,
+    command_body::zone_evacuation
   };
   return values;
 }
 
 inline const char * const *EnumNamescommand_body() {
-  static const char * const names[11] = {
+  static const char * const names[12] = {
     "NONE",
     "config_change",
     "exception_add",
@@ -143,13 +153,14 @@
     "request_abandon",
     "route_document",
     "searcher_reports",
+    "zone_evacuation",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamecommand_body(command_body e) {
-  if (flatbuffers::IsOutRange(e, command_body::NONE, command_body::searcher_reports)) return "";
+  if (flatbuffers::IsOutRange(e, command_body::NONE, command_body::zone_evacuation)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamescommand_body()[index];
 }
@@ -194,6 +205,10 @@
   static const command_body enum_value = command_body::searcher_reports;
 };
 
+template<> struct command_bodyTraits<bilberrycourse::control_wire::zone_evacuation> {
+  static const command_body enum_value = command_body::zone_evacuation;
+};
+
 template<typename T> struct command_bodyUnionTraits {
   static const command_body enum_value = command_body::NONE;
 };
@@ -234,6 +249,10 @@
   static const command_body enum_value = command_body::searcher_reports;
 };
 
+template<> struct command_bodyUnionTraits<bilberrycourse::control_wire::zone_evacuationT> {
+  static const command_body enum_value = command_body::zone_evacuation;
+};
+
 struct command_bodyUnion {
   command_body type;
   void *value;
@@ -336,6 +355,14 @@
     return type == command_body::searcher_reports ?
       reinterpret_cast<const bilberrycourse::control_wire::searcher_reportsT *>(value) : nullptr;
   }
+  bilberrycourse::control_wire::zone_evacuationT *Aszone_evacuation() {
+    return type == command_body::zone_evacuation ?
+      reinterpret_cast<bilberrycourse::control_wire::zone_evacuationT *>(value) : nullptr;
+  }
+  const bilberrycourse::control_wire::zone_evacuationT *Aszone_evacuation() const {
+    return type == command_body::zone_evacuation ?
+      reinterpret_cast<const bilberrycourse::control_wire::zone_evacuationT *>(value) : nullptr;
+  }
 };
 
 bool Verifycommand_body(flatbuffers::Verifier &verifier, const void *obj, command_body type);
@@ -1868,6 +1895,170 @@
 
 flatbuffers::Offset<searcher_reports> Createsearcher_reports(flatbuffers::FlatBufferBuilder &_fbb, const searcher_reportsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct zone_evacuationT : public flatbuffers::NativeTable {
+  typedef zone_evacuation TableType;
+  std::string zone{};
+  bool evacuated = false;
+  uint64_t base_version = 0;
+};
+
+struct zone_evacuation FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef zone_evacuationT NativeTableType;
+  typedef zone_evacuationBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONE = 4,
+    VT_EVACUATED = 6,
+    VT_BASE_VERSION = 8
+  };
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  bool evacuated() const {
+    return GetField<uint8_t>(VT_EVACUATED, 0) != 0;
+  }
+  uint64_t base_version() const {
+    return GetField<uint64_t>(VT_BASE_VERSION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint8_t>(verifier, VT_EVACUATED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_BASE_VERSION, 8) &&
+           verifier.EndTable();
+  }
+  zone_evacuationT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(zone_evacuationT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<zone_evacuation> Pack(flatbuffers::FlatBufferBuilder &_fbb, const zone_evacuationT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct zone_evacuationBuilder {
+  typedef zone_evacuation Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(zone_evacuation::VT_ZONE, zone);
+  }
+  void add_evacuated(bool evacuated) {
+    fbb_.AddElement<uint8_t>(zone_evacuation::VT_EVACUATED, static_cast<uint8_t>(evacuated), 0);
+  }
+  void add_base_version(uint64_t base_version) {
+    fbb_.AddElement<uint64_t>(zone_evacuation::VT_BASE_VERSION, base_version, 0);
+  }
+  explicit zone_evacuationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<zone_evacuation> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<zone_evacuation>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<zone_evacuation> Createzone_evacuation(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    bool evacuated = false,
+    uint64_t base_version = 0) {
+  zone_evacuationBuilder builder_(_fbb);
+  builder_.add_base_version(base_version);
+  builder_.add_zone(zone);
+  builder_.add_evacuated(evacuated);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<zone_evacuation> Createzone_evacuationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *zone = nullptr,
+    bool evacuated = false,
+    uint64_t base_version = 0) {
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  return bilberrycourse::control_wire::Createzone_evacuation(
+      _fbb,
+      zone__,
+      evacuated,
+      base_version);
+}
+
+flatbuffers::Offset<zone_evacuation> Createzone_evacuation(flatbuffers::FlatBufferBuilder &_fbb, const zone_evacuationT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct evacuation_listT : public flatbuffers::NativeTable {
+  typedef evacuation_list TableType;
+  uint64_t version = 0;
+  std::vector<std::string> zones{};
+};
+
+struct evacuation_list FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef evacuation_listT NativeTableType;
+  typedef evacuation_listBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4,
+    VT_ZONES = 6
+  };
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *zones() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ZONES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_ZONES) &&
+           verifier.VerifyVector(zones()) &&
+           verifier.VerifyVectorOfStrings(zones()) &&
+           verifier.EndTable();
+  }
+  evacuation_listT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(evacuation_listT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<evacuation_list> Pack(flatbuffers::FlatBufferBuilder &_fbb, const evacuation_listT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct evacuation_listBuilder {
+  typedef evacuation_list Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(evacuation_list::VT_VERSION, version, 0);
+  }
+  void add_zones(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> zones) {
+    fbb_.AddOffset(evacuation_list::VT_ZONES, zones);
+  }
+  explicit evacuation_listBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<evacuation_list> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<evacuation_list>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<evacuation_list> Createevacuation_list(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> zones = 0) {
+  evacuation_listBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_zones(zones);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<evacuation_list> Createevacuation_listDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *zones = nullptr) {
+  auto zones__ = zones ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*zones) : 0;
+  return bilberrycourse::control_wire::Createevacuation_list(
+      _fbb,
+      version,
+      zones__);
+}
+
+flatbuffers::Offset<evacuation_list> Createevacuation_list(flatbuffers::FlatBufferBuilder &_fbb, const evacuation_listT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct commandT : public flatbuffers::NativeTable {
   typedef command TableType;
   bilberrycourse::control_wire::command_bodyUnion body{};
@@ -1914,6 +2105,9 @@
   const bilberrycourse::control_wire::searcher_reports *body_as_searcher_reports() const {
     return body_type() == bilberrycourse::control_wire::command_body::searcher_reports ? static_cast<const bilberrycourse::control_wire::searcher_reports *>(body()) : nullptr;
   }
+  const bilberrycourse::control_wire::zone_evacuation *body_as_zone_evacuation() const {
+    return body_type() == bilberrycourse::control_wire::command_body::zone_evacuation ? static_cast<const bilberrycourse::control_wire::zone_evacuation *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1962,6 +2156,10 @@
   return body_as_searcher_reports();
 }
 
+template<> inline const bilberrycourse::control_wire::zone_evacuation *command::body_as<bilberrycourse::control_wire::zone_evacuation>() const {
+  return body_as_zone_evacuation();
+}
+
 struct commandBuilder {
   typedef command Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2676,6 +2874,7 @@
   std::vector<std::unique_ptr<bilberrycourse::control_wire::searcher_reportT>> searchers{};
   uint64_t searcher_revision = 0;
   uint64_t searchers_forgotten = 0;
+  std::unique_ptr<bilberrycourse::control_wire::evacuation_listT> evacuations{};
   snapshotT() = default;
   snapshotT(const snapshotT &o);
   snapshotT(snapshotT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2699,7 +2898,8 @@
     VT_ROUTES = 24,
     VT_SEARCHERS = 26,
     VT_SEARCHER_REVISION = 28,
-    VT_SEARCHERS_FORGOTTEN = 30
+    VT_SEARCHERS_FORGOTTEN = 30,
+    VT_EVACUATIONS = 32
   };
   uint32_t format() const {
     return GetField<uint32_t>(VT_FORMAT, 0);
@@ -2743,6 +2943,9 @@
   uint64_t searchers_forgotten() const {
     return GetField<uint64_t>(VT_SEARCHERS_FORGOTTEN, 0);
   }
+  const bilberrycourse::control_wire::evacuation_list *evacuations() const {
+    return GetPointer<const bilberrycourse::control_wire::evacuation_list *>(VT_EVACUATIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_FORMAT, 4) &&
@@ -2771,6 +2974,8 @@
            verifier.VerifyVectorOfTables(searchers()) &&
            VerifyField<uint64_t>(verifier, VT_SEARCHER_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_SEARCHERS_FORGOTTEN, 8) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyTable(evacuations()) &&
            verifier.EndTable();
   }
   snapshotT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2824,6 +3029,9 @@
   void add_searchers_forgotten(uint64_t searchers_forgotten) {
     fbb_.AddElement<uint64_t>(snapshot::VT_SEARCHERS_FORGOTTEN, searchers_forgotten, 0);
   }
+  void add_evacuations(flatbuffers::Offset<bilberrycourse::control_wire::evacuation_list> evacuations) {
+    fbb_.AddOffset(snapshot::VT_EVACUATIONS, evacuations);
+  }
   explicit snapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2850,7 +3058,8 @@
     flatbuffers::Offset<bilberrycourse::control_wire::route_document> routes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>>> searchers = 0,
     uint64_t searcher_revision = 0,
-    uint64_t searchers_forgotten = 0) {
+    uint64_t searchers_forgotten = 0,
+    flatbuffers::Offset<bilberrycourse::control_wire::evacuation_list> evacuations = 0) {
   snapshotBuilder builder_(_fbb);
   builder_.add_searchers_forgotten(searchers_forgotten);
   builder_.add_searcher_revision(searcher_revision);
@@ -2858,6 +3067,7 @@
   builder_.add_config_version(config_version);
   builder_.add_now_ms(now_ms);
   builder_.add_applied_index(applied_index);
+  builder_.add_evacuations(evacuations);
   builder_.add_searchers(searchers);
   builder_.add_routes(routes);
   builder_.add_requests(requests);
@@ -2884,7 +3094,8 @@
     flatbuffers::Offset<bilberrycourse::control_wire::route_document> routes = 0,
     const std::vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>> *searchers = nullptr,
     uint64_t searcher_revision = 0,
-    uint64_t searchers_forgotten = 0) {
+    uint64_t searchers_forgotten = 0,
+    flatbuffers::Offset<bilberrycourse::control_wire::evacuation_list> evacuations = 0) {
   auto document__ = document ? _fbb.CreateString(document) : 0;
   auto history__ = history ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::control_wire::history_entry>>(*history) : 0;
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::control_wire::change_record>>(*changes) : 0;
@@ -2906,7 +3117,8 @@
       routes,
       searchers__,
       searcher_revision,
-      searchers_forgotten);
+      searchers_forgotten,
+      evacuations);
 }
 
 flatbuffers::Offset<snapshot> Createsnapshot(flatbuffers::FlatBufferBuilder &_fbb, const snapshotT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2917,6 +3129,7 @@
   uint64_t base_revision = 0;
   uint64_t revision = 0;
   std::vector<std::unique_ptr<bilberrycourse::control_wire::searcher_reportT>> searchers{};
+  std::unique_ptr<bilberrycourse::control_wire::evacuation_listT> evacuations{};
   route_newsT() = default;
   route_newsT(const route_newsT &o);
   route_newsT(route_newsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2930,7 +3143,8 @@
     VT_ROUTES = 4,
     VT_BASE_REVISION = 6,
     VT_REVISION = 8,
-    VT_SEARCHERS = 10
+    VT_SEARCHERS = 10,
+    VT_EVACUATIONS = 12
   };
   const bilberrycourse::control_wire::route_document *routes() const {
     return GetPointer<const bilberrycourse::control_wire::route_document *>(VT_ROUTES);
@@ -2944,6 +3158,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>> *searchers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>> *>(VT_SEARCHERS);
   }
+  const bilberrycourse::control_wire::evacuation_list *evacuations() const {
+    return GetPointer<const bilberrycourse::control_wire::evacuation_list *>(VT_EVACUATIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ROUTES) &&
@@ -2953,6 +3170,8 @@
            VerifyOffset(verifier, VT_SEARCHERS) &&
            verifier.VerifyVector(searchers()) &&
            verifier.VerifyVectorOfTables(searchers()) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyTable(evacuations()) &&
            verifier.EndTable();
   }
   route_newsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2976,6 +3195,9 @@
   void add_searchers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>>> searchers) {
     fbb_.AddOffset(route_news::VT_SEARCHERS, searchers);
   }
+  void add_evacuations(flatbuffers::Offset<bilberrycourse::control_wire::evacuation_list> evacuations) {
+    fbb_.AddOffset(route_news::VT_EVACUATIONS, evacuations);
+  }
   explicit route_newsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2992,10 +3214,12 @@
     flatbuffers::Offset<bilberrycourse::control_wire::route_document> routes = 0,
     uint64_t base_revision = 0,
     uint64_t revision = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>>> searchers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>>> searchers = 0,
+    flatbuffers::Offset<bilberrycourse::control_wire::evacuation_list> evacuations = 0) {
   route_newsBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_base_revision(base_revision);
+  builder_.add_evacuations(evacuations);
   builder_.add_searchers(searchers);
   builder_.add_routes(routes);
   return builder_.Finish();
@@ -3006,14 +3230,16 @@
     flatbuffers::Offset<bilberrycourse::control_wire::route_document> routes = 0,
     uint64_t base_revision = 0,
     uint64_t revision = 0,
-    const std::vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>> *searchers = nullptr) {
+    const std::vector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>> *searchers = nullptr,
+    flatbuffers::Offset<bilberrycourse::control_wire::evacuation_list> evacuations = 0) {
   auto searchers__ = searchers ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>>(*searchers) : 0;
   return bilberrycourse::control_wire::Createroute_news(
       _fbb,
       routes,
       base_revision,
       revision,
-      searchers__);
+      searchers__,
+      evacuations);
 }
 
 flatbuffers::Offset<route_news> Createroute_news(flatbuffers::FlatBufferBuilder &_fbb, const route_newsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3744,6 +3970,67 @@
       _reports);
 }
 
+inline zone_evacuationT *zone_evacuation::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<zone_evacuationT>(new zone_evacuationT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void zone_evacuation::UnPackTo(zone_evacuationT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = evacuated(); _o->evacuated = _e; }
+  { auto _e = base_version(); _o->base_version = _e; }
+}
+
+inline flatbuffers::Offset<zone_evacuation> zone_evacuation::Pack(flatbuffers::FlatBufferBuilder &_fbb, const zone_evacuationT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createzone_evacuation(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<zone_evacuation> Createzone_evacuation(flatbuffers::FlatBufferBuilder &_fbb, const zone_evacuationT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const zone_evacuationT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _evacuated = _o->evacuated;
+  auto _base_version = _o->base_version;
+  return bilberrycourse::control_wire::Createzone_evacuation(
+      _fbb,
+      _zone,
+      _evacuated,
+      _base_version);
+}
+
+inline evacuation_listT *evacuation_list::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<evacuation_listT>(new evacuation_listT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void evacuation_list::UnPackTo(evacuation_listT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = zones(); if (_e) { _o->zones.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->zones[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<evacuation_list> evacuation_list::Pack(flatbuffers::FlatBufferBuilder &_fbb, const evacuation_listT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createevacuation_list(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<evacuation_list> Createevacuation_list(flatbuffers::FlatBufferBuilder &_fbb, const evacuation_listT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const evacuation_listT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _version = _o->version;
+  auto _zones = _o->zones.size() ? _fbb.CreateVectorOfStrings(_o->zones) : 0;
+  return bilberrycourse::control_wire::Createevacuation_list(
+      _fbb,
+      _version,
+      _zones);
+}
+
 inline commandT *command::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<commandT>(new commandT());
   UnPackTo(_o.get(), _resolver);
@@ -4033,7 +4320,8 @@
         document(o.document),
         routes((o.routes) ? new bilberrycourse::control_wire::route_documentT(*o.routes) : nullptr),
         searcher_revision(o.searcher_revision),
-        searchers_forgotten(o.searchers_forgotten) {
+        searchers_forgotten(o.searchers_forgotten),
+        evacuations((o.evacuations) ? new bilberrycourse::control_wire::evacuation_listT(*o.evacuations) : nullptr) {
   history.reserve(o.history.size());
   for (const auto &history_ : o.history) { history.emplace_back((history_) ? new bilberrycourse::control_wire::history_entryT(*history_) : nullptr); }
   changes.reserve(o.changes.size());
@@ -4061,6 +4349,7 @@
   std::swap(searchers, o.searchers);
   std::swap(searcher_revision, o.searcher_revision);
   std::swap(searchers_forgotten, o.searchers_forgotten);
+  std::swap(evacuations, o.evacuations);
   return *this;
 }
 
@@ -4087,6 +4376,7 @@
   { auto _e = searchers(); if (_e) { _o->searchers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->searchers[_i] = std::unique_ptr<bilberrycourse::control_wire::searcher_reportT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = searcher_revision(); _o->searcher_revision = _e; }
   { auto _e = searchers_forgotten(); _o->searchers_forgotten = _e; }
+  { auto _e = evacuations(); if (_e) _o->evacuations = std::unique_ptr<bilberrycourse::control_wire::evacuation_listT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<snapshot> snapshot::Pack(flatbuffers::FlatBufferBuilder &_fbb, const snapshotT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4111,6 +4401,7 @@
   auto _searchers = _o->searchers.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>> (_o->searchers.size(), [](size_t i, _VectorArgs *__va) { return Createsearcher_report(*__va->__fbb, __va->__o->searchers[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _searcher_revision = _o->searcher_revision;
   auto _searchers_forgotten = _o->searchers_forgotten;
+  auto _evacuations = _o->evacuations ? Createevacuation_list(_fbb, _o->evacuations.get(), _rehasher) : 0;
   return bilberrycourse::control_wire::Createsnapshot(
       _fbb,
       _format,
@@ -4126,13 +4417,15 @@
       _routes,
       _searchers,
       _searcher_revision,
-      _searchers_forgotten);
+      _searchers_forgotten,
+      _evacuations);
 }
 
 inline route_newsT::route_newsT(const route_newsT &o)
       : routes((o.routes) ? new bilberrycourse::control_wire::route_documentT(*o.routes) : nullptr),
         base_revision(o.base_revision),
-        revision(o.revision) {
+        revision(o.revision),
+        evacuations((o.evacuations) ? new bilberrycourse::control_wire::evacuation_listT(*o.evacuations) : nullptr) {
   searchers.reserve(o.searchers.size());
   for (const auto &searchers_ : o.searchers) { searchers.emplace_back((searchers_) ? new bilberrycourse::control_wire::searcher_reportT(*searchers_) : nullptr); }
 }
@@ -4142,6 +4435,7 @@
   std::swap(base_revision, o.base_revision);
   std::swap(revision, o.revision);
   std::swap(searchers, o.searchers);
+  std::swap(evacuations, o.evacuations);
   return *this;
 }
 
@@ -4158,6 +4452,7 @@
   { auto _e = base_revision(); _o->base_revision = _e; }
   { auto _e = revision(); _o->revision = _e; }
   { auto _e = searchers(); if (_e) { _o->searchers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->searchers[_i] = std::unique_ptr<bilberrycourse::control_wire::searcher_reportT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = evacuations(); if (_e) _o->evacuations = std::unique_ptr<bilberrycourse::control_wire::evacuation_listT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<route_news> route_news::Pack(flatbuffers::FlatBufferBuilder &_fbb, const route_newsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4172,12 +4467,14 @@
   auto _base_revision = _o->base_revision;
   auto _revision = _o->revision;
   auto _searchers = _o->searchers.size() ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::control_wire::searcher_report>> (_o->searchers.size(), [](size_t i, _VectorArgs *__va) { return Createsearcher_report(*__va->__fbb, __va->__o->searchers[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _evacuations = _o->evacuations ? Createevacuation_list(_fbb, _o->evacuations.get(), _rehasher) : 0;
   return bilberrycourse::control_wire::Createroute_news(
       _fbb,
       _routes,
       _base_revision,
       _revision,
-      _searchers);
+      _searchers,
+      _evacuations);
 }
 
 inline publishedT::publishedT(const publishedT &o)
@@ -4301,6 +4598,10 @@
       auto ptr = reinterpret_cast<const bilberrycourse::control_wire::searcher_reports *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case command_body::zone_evacuation: {
+      auto ptr = reinterpret_cast<const bilberrycourse::control_wire::zone_evacuation *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -4356,6 +4657,10 @@
       auto ptr = reinterpret_cast<const bilberrycourse::control_wire::searcher_reports *>(obj);
       return ptr->UnPack(resolver);
     }
+    case command_body::zone_evacuation: {
+      auto ptr = reinterpret_cast<const bilberrycourse::control_wire::zone_evacuation *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -4399,6 +4704,10 @@
       auto ptr = reinterpret_cast<const bilberrycourse::control_wire::searcher_reportsT *>(value);
       return Createsearcher_reports(_fbb, ptr, _rehasher).Union();
     }
+    case command_body::zone_evacuation: {
+      auto ptr = reinterpret_cast<const bilberrycourse::control_wire::zone_evacuationT *>(value);
+      return Createzone_evacuation(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -4441,6 +4750,10 @@
       value = new bilberrycourse::control_wire::searcher_reportsT(*reinterpret_cast<bilberrycourse::control_wire::searcher_reportsT *>(u.value));
       break;
     }
+    case command_body::zone_evacuation: {
+      value = new bilberrycourse::control_wire::zone_evacuationT(*reinterpret_cast<bilberrycourse::control_wire::zone_evacuationT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -4493,6 +4806,11 @@
       delete ptr;
       break;
     }
+    case command_body::zone_evacuation: {
+      auto ptr = reinterpret_cast<bilberrycourse::control_wire::zone_evacuationT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/bilberrycourse/control_state_snapshot.cc
+++ b/bilberrycourse/control_state_snapshot.cc
@@ -176,6 +176,7 @@
   }
   out.searcher_revision = searchers_.revision();
   out.searchers_forgotten = searchers_.pruned_revision();
+  if (evacuations_.version > 0) out.evacuations = ToWire(evacuations_);
   wire::control_rootT root;
   root.body.Set(std::move(out));
   return AppendHash(PackRoot(root));
@@ -245,6 +246,10 @@
   }
   loaded.searchers_.Restore(std::move(searchers), in.searcher_revision,
                             in.searchers_forgotten);
+  // Missing in snapshots of earlier builds, which had no evacuations.
+  if (in.evacuations != nullptr) {
+    loaded.evacuations_ = FromWire(*in.evacuations);
+  }
   *this = std::move(loaded);
   return true;
 }
@@ -263,18 +268,23 @@
   return AppendHash(PackRoot(root));
 }
 
-std::string control_state::SaveRouteUpdate(std::uint64_t known_version,
-                                           std::uint64_t known_revision) const {
+std::string control_state::SaveRouteUpdate(
+    std::uint64_t known_version, std::uint64_t known_revision,
+    std::optional<std::uint64_t> known_evacuations) const {
   const bool newer_routes = routes_.version > known_version;
+  const bool newer_evacuations = known_evacuations.has_value() &&
+                                 evacuations_.version > *known_evacuations;
   const bool send_all = !searchers_.HasChangesSince(known_revision);
   // A member that is behind the receiver has no searcher changes to send.
-  if (!newer_routes && !send_all && searchers_.revision() <= known_revision) {
+  if (!newer_routes && !newer_evacuations && !send_all &&
+      searchers_.revision() <= known_revision) {
     return {};
   }
   wire::route_newsT out;
   if (newer_routes) {
     out.routes = std::make_unique<wire::route_documentT>(ToWire(routes_));
   }
+  if (newer_evacuations) out.evacuations = ToWire(evacuations_);
   out.base_revision = send_all ? 0 : known_revision;
   out.revision = std::max(searchers_.revision(), out.base_revision);
   for (const searcher_record& record :
@@ -296,6 +306,7 @@
   const wire::route_newsT& in = *root->body.Asroute_news();
   route_update result;
   if (in.routes != nullptr) result.routes = FromWire(*in.routes);
+  if (in.evacuations != nullptr) result.evacuations = FromWire(*in.evacuations);
   result.base_revision = in.base_revision;
   result.revision = in.revision;
   for (const auto& stored : in.searchers) {
--- a/bilberrycourse/route_engine.cc
+++ b/bilberrycourse/route_engine.cc
@@ -6,7 +6,8 @@
 #include "bilberrycourse/top_records.h"
 
 // Requests and their parts. Attempts and connections are handled in
-// route_engine_attempts.cc, relays in route_engine_relays.cc.
+// route_engine_attempts.cc, changes of the searchers in
+// route_engine_searchers.cc, relays in route_engine_relays.cc.
 
 namespace bilberrycourse {
 namespace {
@@ -54,17 +55,6 @@
   Preconnect(now, out);
 }
 
-void route_engine::Preconnect(time_point now, route_effects* out) {
-  if (table_ == nullptr) return;
-  for (const auto& [name, service] : table_->config().services) {
-    for (searcher_entry* entry : pool_.OfService(name)) {
-      if (entry->usable() && pool_.ShouldPreconnect(*entry)) {
-        OpenConnections(entry, 1, now, out);
-      }
-    }
-  }
-}
-
 void route_engine::SetInstances(std::uint32_t instances, time_point now,
                                 route_effects* out) {
   if (instances == 0) return;
@@ -95,58 +85,6 @@
   return state;
 }
 
-void route_engine::UpdateSearchers(const std::vector<searcher_record>& changes,
-                                   bool complete_list, time_point now,
-                                   route_effects* out) {
-  std::vector<std::string> stopped;
-  std::vector<connection_id> unused;
-  pool_.Update(changes, complete_list, now, &stopped, &unused);
-  for (const std::string& id : stopped) {
-    searcher_entry* entry = pool_.Find(id);
-    if (entry != nullptr) {
-      entry->connections.RemoveUnused(&unused);
-      entry->waiting.clear();
-    }
-  }
-  for (const connection_id id : unused) {
-    connections_.erase(id);
-    out->push_back(close_searcher_connection{id});
-  }
-  if (!stopped.empty()) {
-    // Attempts that were not sent yet move to another searcher.
-    std::vector<attempt_state> unsent;
-    for (const auto& [id, attempt] : attempts_) {
-      if (!attempt.sent && std::find(stopped.begin(), stopped.end(),
-                                     attempt.searcher) != stopped.end()) {
-        unsent.push_back(attempt);
-      }
-    }
-    for (const attempt_state& attempt : unsent) MoveUnsent(attempt, now, out);
-  }
-  if (table_ == nullptr) return;
-  for (const searcher_record& change : changes) {
-    searcher_entry* entry = pool_.Find(change.report.id);
-    if (entry != nullptr && entry->usable() && pool_.ShouldPreconnect(*entry) &&
-        table_->config().services.contains(entry->report.service)) {
-      OpenConnections(entry, 1, now, out);
-    }
-  }
-}
-
-relay_plan::replica_zones route_engine::ReplicaZones(
-    const std::vector<std::string>& shards) const {
-  relay_plan::replica_zones all;
-  all.reserve(shards.size());
-  for (const std::string& shard : shards) {
-    std::set<availability_zone> zones;
-    for (const searcher_entry* entry : pool_.OfService(shard)) {
-      if (entry->usable()) zones.insert(entry->report.zone);
-    }
-    all.emplace_back(zones.begin(), zones.end());
-  }
-  return all;
-}
-
 duration route_engine::ExpectedServiceTime(const route& matched_route) const {
   const auto found = service_times_.find(matched_route.name);
   const duration prior =
@@ -324,6 +262,7 @@
   if (!FitsBeforeStop(request, now)) {
     return FinishFailed(&request, result_code::kShuttingDown, now, out);
   }
+  if (RefuseEvacuated(&request, now, out)) return;
   if (RefuseCrashing(&request, now, out)) return;
   StartRelays(&request, now, out);
   request.held =
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -53,6 +53,9 @@
 // of searchers: one without a proof is a failure, even if its status promises
 // that the request has not run.
 //
+// Searchers in evacuated zones get nothing. A request that can't reach its
+// minimum coverage without them is refused before any of it is sent.
+//
 // An instance that stops answers every request by StopAt(). One that might
 // still run then is refused before it is sent, so that its caller can turn to
 // another instance.
@@ -73,6 +76,7 @@
 #include "bilberrycourse/retry_budget.h"
 #include "bilberrycourse/route_config.h"
 #include "bilberrycourse/route_effects.h"
+#include "bilberrycourse/route_engine_counters.h"
 #include "bilberrycourse/searcher_pool.h"
 #include "bilberrycourse/service_time_estimator.h"
 #include "bilberrycourse/types.h"
@@ -136,37 +140,6 @@
   bool streamed() const { return relay_route != nullptr; }
 };
 
-struct route_engine_counters {
-  std::uint64_t requests = 0;
-  std::uint64_t refused = 0;
-  std::uint64_t failed = 0;
-  std::uint64_t partial = 0;
-  std::uint64_t cancelled = 0;
-  std::uint64_t first_attempts = 0;
-  std::uint64_t hedges = 0;
-  std::uint64_t retries = 0;
-  std::uint64_t budget_refusals = 0;
-  std::uint64_t not_executed = 0;
-  std::uint64_t broken_attempts = 0;
-  std::uint64_t late_replies = 0;
-  // Permissions of the limit_allocator.
-  std::uint64_t permissions_wanted = 0;
-  std::uint64_t permissions_granted = 0;
-  std::uint64_t allocator_losses = 0;
-  // Parts that other instances were asked to search, because this one reaches
-  // none of their searchers, and losses of all searchers.
-  std::uint64_t delegated_parts = 0;
-  std::uint64_t isolations = 0;
-  // Replies of searchers that asked for rest.
-  std::uint64_t rests = 0;
-  // Attempts that a request limit moved to another searcher or excluded.
-  std::uint64_t limit_denials = 0;
-  // Crashes of searchers while they ran a request, and requests refused because
-  // their content has crashed searchers.
-  std::uint64_t searcher_crashes = 0;
-  std::uint64_t quarantine_refusals = 0;
-};
-
 class route_engine {
  public:
   route_engine(route_engine_options options, instance_name self,
@@ -187,6 +160,11 @@
   void UpdateSearchers(const std::vector<searcher_record>& changes,
                        bool complete_list, time_point now, route_effects* out);
 
+  // Sets the evacuated zones. What waits for a searcher there moves to another
+  // one; requests that have been sent there end there.
+  void SetEvacuatedZones(std::set<availability_zone> zones, time_point now,
+                         route_effects* out);
+
   // Returns, for each shard, the zones in which it has a usable searcher,
   // sorted.
   relay_plan::replica_zones ReplicaZones(
@@ -406,6 +384,14 @@
   using split_weights = std::map<std::string, std::int64_t>;
 
   void Preconnect(time_point now, route_effects* out);
+  void Preconnect(searcher_entry* entry, time_point now, route_effects* out);
+  void LeaveSearchers(const std::vector<std::string>& stopped,
+                      std::vector<connection_id> unused, time_point now,
+                      route_effects* out);
+  void ReleaseProbed(const std::vector<std::string>& evacuated, time_point now,
+                     route_effects* out);
+  bool RefuseEvacuated(request_state* request, time_point now,
+                       route_effects* out);
   request_state MakeRequest(route_call call, time_point now);
   static bool MayHaveRun(const request_state& request);
   static void RemoveFalsePromise(const request_state& request,
--- a/bilberrycourse/route_engine_crashes.cc
+++ b/bilberrycourse/route_engine_crashes.cc
@@ -92,7 +92,10 @@
   for (const auto& [searcher, lost] : lost_searchers_) {
     if (lost.crashed || now - lost.at >= kProbeTime) continue;
     searcher_entry* entry = pool_.Find(searcher, lost.serial);
-    if (entry == nullptr || entry->connections.opening_count() > 0) continue;
+    if (entry == nullptr || entry->evacuated ||
+        entry->connections.opening_count() > 0) {
+      continue;
+    }
     OpenUpTo(entry, entry->connections.open_count() + 1, now, out);
     blocked = blocked || entry->connections.opening_count() == 0;
   }
--- a/bilberrycourse/route_engine_isolation.cc
+++ b/bilberrycourse/route_engine_isolation.cc
@@ -156,6 +156,7 @@
   part_state& part = request->parts[index];
   if (request->call.streamed() || part.relayed) return false;
   if (part.fallbacks.size() >= kMaxFallbacks) return false;
+  if (pool_.Evacuated(part.service)) return false;
   if (!isolated_ && !pool_.Unreachable(part.service)) return false;
   WantFallback(now);
   if (fallback_relays_.empty() && now >= fallback_due_) return false;
--- a/bilberrycourse/route_engine_limits.cc
+++ b/bilberrycourse/route_engine_limits.cc
@@ -160,6 +160,10 @@
     code = result_code::kBackendServerShed;
     excluded = resting;
   }
+  if (pool_.Evacuated(service) &&
+      request->refusal == result_code::kQueueDeadline) {
+    request->refusal = code;
+  }
   request->excluded_for = std::max(request->excluded_for, excluded);
   FailPart(request, index, code);
 }
--- a/bilberrycourse/searcher_pool.cc
+++ b/bilberrycourse/searcher_pool.cc
@@ -72,6 +72,7 @@
       auto entry = std::make_unique<searcher_entry>(report);
       known = entry.get();
       known->serial = next_serial_++;
+      known->evacuated = evacuated_zones_.contains(report.zone);
       known->cold_until = now + std::chrono::milliseconds(report.warmup_ms);
       service_state& service = services_[report.service];
       service.entries.push_back(known);
@@ -79,11 +80,14 @@
       UpdatePreferred(&service);
       continue;
     }
+    const bool evacuated = evacuated_zones_.contains(report.zone);
     if (known->report.state == searcher_state::kServing &&
-        report.state != searcher_state::kServing) {
+        (report.state != searcher_state::kServing ||
+         (evacuated && !known->evacuated))) {
       stopped->push_back(report.id);
     }
     known->report = report;
+    known->evacuated = evacuated;
     UpdatePreferred(&services_[report.service]);
   }
   if (!complete_list) return;
@@ -94,6 +98,30 @@
   for (const std::string& id : unlisted_ids) Remove(id, stopped, unused);
 }
 
+void searcher_pool::SetEvacuatedZones(std::set<availability_zone> zones,
+                                      std::vector<std::string>* stopped,
+                                      std::vector<std::string>* resumed) {
+  evacuated_zones_ = std::move(zones);
+  for (auto& [name, service] : services_) {
+    for (searcher_entry* entry : service.entries) {
+      const bool evacuated = evacuated_zones_.contains(entry->report.zone);
+      if (entry->evacuated == evacuated) continue;
+      entry->evacuated = evacuated;
+      (evacuated ? stopped : resumed)->push_back(entry->report.id);
+    }
+    UpdatePreferred(&service);
+  }
+}
+
+bool searcher_pool::Evacuated(std::string_view service) const {
+  bool any = false;
+  for (const searcher_entry* entry : OfService(service)) {
+    if (entry->usable()) return false;
+    any = any || entry->serves();
+  }
+  return any;
+}
+
 // Busy connections stay open, because their attempts may still be answered.
 void searcher_pool::Remove(const std::string& id,
                            std::vector<std::string>* stopped,
--- a/bilberrycourse/searcher_pool.h
+++ b/bilberrycourse/searcher_pool.h
@@ -105,12 +105,16 @@
   bool leaving = false;
   // True if this instance normally uses this replica; see SetConnectionLimit().
   bool preferred = true;
+  // True while its availability zone is evacuated.
+  bool evacuated = false;
   time_point cold_until = time_point::min();
   request_quota quota;
 
   bool resting(time_point now) const { return now < rest_until; }
   std::size_t load() const { return waiting.size() + in_flight.size(); }
-  bool usable() const {
+  bool usable() const { return serves() && !evacuated; }
+  // Usable, unless its zone is evacuated.
+  bool serves() const {
     return report.state == searcher_state::kServing && !misdirected && !leaving;
   }
 };
@@ -129,6 +133,17 @@
               time_point now, std::vector<std::string>* stopped,
               std::vector<connection_id>* unused);
 
+  // Sets the evacuated zones, whose searchers are not usable. Appends the ids
+  // of those that this excludes, whose waiting attempts must move, and of those
+  // that may be used again.
+  void SetEvacuatedZones(std::set<availability_zone> zones,
+                         std::vector<std::string>* stopped,
+                         std::vector<std::string>* resumed);
+  std::size_t evacuated_zone_count() const { return evacuated_zones_.size(); }
+  // Returns true if the service has no usable searcher, but would have one
+  // without the evacuations.
+  bool Evacuated(std::string_view service) const;
+
   // Returns the searcher of the service with the lowest score that is not in
   // `tried`, does not rest and whose request limit does not exclude requests of
   // this priority now, or nullptr if there is none.
@@ -217,6 +232,7 @@
   // is known.
   std::uint32_t instances_ = kAssumedInstances;
   bool instances_known_ = false;
+  std::set<availability_zone> evacuated_zones_;
   std::unordered_map<std::string, std::unique_ptr<searcher_entry>> entries_;
   std::map<std::string, service_state, std::less<>> services_;
   std::uint64_t next_serial_ = 1;
--- a/bilberrycourse/testing/control_state_property_test.cc
+++ b/bilberrycourse/testing/control_state_property_test.cc
@@ -231,6 +231,7 @@
   control_oracle::expected_outcome Expect(const searcher_reports&) {
     return {};
   }
+  control_oracle::expected_outcome Expect(const zone_evacuation&) { return {}; }
   control_oracle::expected_outcome Expect(const exception_add&) { return {}; }
   control_oracle::expected_outcome Expect(const exception_remove&) {
     return {};
