--- a/app/control_client.cc
+++ b/app/control_client.cc
@@ -126,6 +126,7 @@
   poll.routed = known.routed;
   poll.route_version = known.route_version;
   poll.searcher_revision = known.searcher_revision;
+  if (known.routed) poll.evacuation_version = *known.evacuation_version;
   poll.entry_digest = entry_digest_;
   poll.group_digest = group_digest_;
   poll.entry_changes = true;
@@ -138,7 +139,7 @@
 known_versions control_client::KnownVersions() const {
   return {lease_.applied_version(),
           config_.interface == serving_interface::kRoutes && local_ == nullptr,
-          route_version_, searcher_revision_};
+          route_version_, searcher_revision_, evacuation_version_};
 }
 
 void control_client::SetGroup(std::vector<instance_name> names) {
@@ -254,9 +255,14 @@
     routes->revision = searcher_revision_;
   }
   if (routes->routes.version <= route_version_) routes->routes = {};
+  if (routes->evacuations.version <= evacuation_version_) {
+    routes->evacuations = {};
+  }
   handler_->OnRouteUpdate(*routes);
   route_version_ = std::max(route_version_, routes->routes.version);
   searcher_revision_ = routes->revision;
+  evacuation_version_ =
+      std::max(evacuation_version_, routes->evacuations.version);
 }
 
 void control_client::ApplyPollReply(time_point sent_at,
--- a/app/control_client.h
+++ b/app/control_client.h
@@ -42,7 +42,7 @@
   virtual ~control_client_handler() = default;
   // Called when a newer published state is in force.
   virtual void OnPublished(const published_state& state) = 0;
-  // Routed interface: routes or searchers have changed.
+  // Routed interface: routes, searchers or evacuated zones have changed.
   virtual void OnRouteUpdate(const route_update&) {}
   // Routed interface: the control group, and the number of entry instances that
   // share limits, as reported by the polled member.
@@ -140,6 +140,7 @@
   instance_name leader_;
   std::uint64_t route_version_ = 0;
   std::uint64_t searcher_revision_ = 0;
+  std::uint64_t evacuation_version_ = 0;
   entry_list entries_;
   // Digest of entries_; 0 while it is unknown.
   std::uint64_t entry_digest_ = 0;
--- a/app/control_frames.cc
+++ b/app/control_frames.cc
@@ -1,6 +1,7 @@
 #include "app/control_frames.h"
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -103,8 +104,12 @@
 void control_frames::OnPoll(const instance_name& peer,
                             const wire::peer_frame& frame, time_point now) {
   const wire::control_poll* poll = frame.payload_as_control_poll();
-  const known_versions known{poll->published_version(), poll->routed(),
-                             poll->route_version(), poll->searcher_revision()};
+  known_versions known{poll->published_version(), poll->routed(),
+                       poll->route_version(), poll->searcher_revision(),
+                       std::nullopt};
+  if (const auto version = poll->evacuation_version()) {
+    known.evacuation_version = *version;
+  }
   control_poll_reply confirmed;
   if (local_ != nullptr) confirmed = local_->AnswerPoll(known, now);
   if (!confirmed.confirmed && !known.routed) {
--- a/app/control_service.cc
+++ b/app/control_service.cc
@@ -275,8 +275,8 @@
   reply.leader = leader();
   if (member_ == nullptr) return reply;
   if (known.routed) {
-    reply.routes =
-        state_.SaveRouteUpdate(known.route_version, known.searcher_revision);
+    reply.routes = state_.SaveRouteUpdate(
+        known.route_version, known.searcher_revision, known.evacuation_version);
     reply.group = Group();
   }
   const auto age = member_->confirmation_age(now);
--- a/app/control_service.h
+++ b/app/control_service.h
@@ -71,6 +71,9 @@
   bool routed = false;
   std::uint64_t route_version = 0;
   std::uint64_t searcher_revision = 0;
+  // Version of the evacuated zones; unset for pollers of earlier builds, which
+  // do not know evacuations.
+  std::optional<std::uint64_t> evacuation_version;
 };
 
 struct request_key {
--- a/app/edge_protocol.h
+++ b/app/edge_protocol.h
@@ -51,6 +51,11 @@
 struct searcher_call {
   searcher_report report;
 };
+// An operator's order to evacuate an availability zone or to end that.
+struct evacuation_call {
+  availability_zone zone;
+  bool evacuated = false;
+};
 // A call that can't be parsed or is invalid; `problem` says why.
 struct invalid_call {
   result_code code = result_code::kMalformedRequest;
@@ -58,7 +63,8 @@
 };
 
 using registry_call =
-    std::variant<put_routes_call, get_routes_call, searcher_call, invalid_call>;
+    std::variant<put_routes_call, get_routes_call, searcher_call,
+                 evacuation_call, invalid_call>;
 
 class edge_protocol {
  public:
--- a/app/peer_frame_generated.h
+++ b/app/peer_frame_generated.h
@@ -1106,6 +1106,7 @@
   uint64_t entry_digest = 0;
   uint64_t group_digest = 0;
   bool entry_changes = false;
+  flatbuffers::Optional<uint64_t> evacuation_version = flatbuffers::nullopt;
 };
 
 struct control_poll FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1119,7 +1120,8 @@
     VT_ROUTED = 12,
     VT_ENTRY_DIGEST = 14,
     VT_GROUP_DIGEST = 16,
-    VT_ENTRY_CHANGES = 18
+    VT_ENTRY_CHANGES = 18,
+    VT_EVACUATION_VERSION = 20
   };
   uint64_t poll_id() const {
     return GetField<uint64_t>(VT_POLL_ID, 0);
@@ -1145,6 +1147,9 @@
   bool entry_changes() const {
     return GetField<uint8_t>(VT_ENTRY_CHANGES, 0) != 0;
   }
+  flatbuffers::Optional<uint64_t> evacuation_version() const {
+    return GetOptional<uint64_t, uint64_t>(VT_EVACUATION_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_POLL_ID, 8) &&
@@ -1155,6 +1160,7 @@
            VerifyField<uint64_t>(verifier, VT_ENTRY_DIGEST, 8) &&
            VerifyField<uint64_t>(verifier, VT_GROUP_DIGEST, 8) &&
            VerifyField<uint8_t>(verifier, VT_ENTRY_CHANGES, 1) &&
+           VerifyField<uint64_t>(verifier, VT_EVACUATION_VERSION, 8) &&
            verifier.EndTable();
   }
   control_pollT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1190,6 +1196,9 @@
   void add_entry_changes(bool entry_changes) {
     fbb_.AddElement<uint8_t>(control_poll::VT_ENTRY_CHANGES, static_cast<uint8_t>(entry_changes), 0);
   }
+  void add_evacuation_version(uint64_t evacuation_version) {
+    fbb_.AddElement<uint64_t>(control_poll::VT_EVACUATION_VERSION, evacuation_version);
+  }
   explicit control_pollBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1210,8 +1219,10 @@
     bool routed = false,
     uint64_t entry_digest = 0,
     uint64_t group_digest = 0,
-    bool entry_changes = false) {
+    bool entry_changes = false,
+    flatbuffers::Optional<uint64_t> evacuation_version = flatbuffers::nullopt) {
   control_pollBuilder builder_(_fbb);
+  if(evacuation_version) { builder_.add_evacuation_version(*evacuation_version); }
   builder_.add_group_digest(group_digest);
   builder_.add_entry_digest(entry_digest);
   builder_.add_searcher_revision(searcher_revision);
@@ -5659,6 +5670,7 @@
   { auto _e = entry_digest(); _o->entry_digest = _e; }
   { auto _e = group_digest(); _o->group_digest = _e; }
   { auto _e = entry_changes(); _o->entry_changes = _e; }
+  { auto _e = evacuation_version(); _o->evacuation_version = _e; }
 }
 
 inline flatbuffers::Offset<control_poll> control_poll::Pack(flatbuffers::FlatBufferBuilder &_fbb, const control_pollT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5677,6 +5689,7 @@
   auto _entry_digest = _o->entry_digest;
   auto _group_digest = _o->group_digest;
   auto _entry_changes = _o->entry_changes;
+  auto _evacuation_version = _o->evacuation_version;
   return bilberrycourse::wire::Createcontrol_poll(
       _fbb,
       _poll_id,
@@ -5686,7 +5699,8 @@
       _routed,
       _entry_digest,
       _group_digest,
-      _entry_changes);
+      _entry_changes,
+      _evacuation_version);
 }
 
 inline control_addressT *control_address::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -485,6 +485,11 @@
                         "Room on the disk of the replicated log.",
                         static_cast<double>(*room));
     }
+    metrics_.SetGauge(
+        "bilberrycourse_evacuated_zones",
+        "Availability zones whose searchers are evacuated.",
+        static_cast<double>(
+            control_service_->state().evacuations().zones.size()));
     metrics_.SetGauge("bilberrycourse_entry_instances",
                       "Entry instances linked to this member.",
                       entry_instances_);
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -244,54 +244,6 @@
              (request.first_on_connection ? kOneWayDelaysOnNewConnection : 1);
 }
 
-void route_gateway::OnRouteUpdate(const route_update& update, time_point now) {
-  route_effects effects;
-  if (update.routes.version > 0) {
-    std::string problem;
-    auto config = protocol_->ReadRoutes(update.routes.document, &problem);
-    if (config.has_value()) {
-      LogEvent(log_level::kInfo, "routes_in_force",
-               {{"version", config->version},
-                {"routes", config->routes.size()},
-                {"services", config->services.size()}});
-      table_ = std::make_shared<const route_table>(
-          std::make_shared<const route_config>(*std::move(config)));
-      engine_.SetRoutes(table_, now, &effects);
-      UpdateRelays(now);
-    } else {
-      LogEvent(log_level::kError, "routes_unreadable",
-               {{"version", update.routes.version}, {"problem", problem}});
-    }
-  }
-  const bool full_list = update.base_revision == 0;
-  LogSearchers(update, full_list);
-  engine_.UpdateSearchers(update.searchers, full_list, now, &effects);
-  if (full_list || !update.searchers.empty()) searchers_changed_ = true;
-  Execute(&effects);
-}
-
-// Logs one line for each changed searcher, but a single line for a full list:
-// the control instances have already logged its searchers, and CPU time is
-// scarce when all instances restart at once.
-void route_gateway::LogSearchers(const route_update& update, bool full_list) {
-  if (full_list) {
-    if (update.searchers.empty()) return;
-    LogEvent(log_level::kInfo, "searchers_loaded",
-             {{"searchers", update.searchers.size()},
-              {"revision", update.revision}});
-    return;
-  }
-  for (const searcher_record& searcher : update.searchers) {
-    LogDecision("searcher_changed",
-                {{"searcher", searcher.report.id},
-                 {"service", searcher.report.service},
-                 {"address", searcher.report.address},
-                 {"state", ToString(searcher.report.state)},
-                 {"started_at_ms", searcher.report.started_at_ms},
-                 {"revision", searcher.revision}});
-  }
-}
-
 void route_gateway::SetInstances(std::uint32_t instances, time_point now) {
   route_effects effects;
   engine_.SetInstances(instances, now, &effects);
@@ -600,6 +552,9 @@
        counters.quarantine_refusals},
       {"bilberrycourse_searchers", "Searchers in the directory.",
        engine_.pool().size()},
+      {"bilberrycourse_evacuated_zones",
+       "Availability zones whose searchers are evacuated.",
+       engine_.pool().evacuated_zone_count()},
       {"bilberrycourse_searcher_connections", "Connections to searchers.",
        client_.connections()},
       {"bilberrycourse_reply_limit_closes",
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -42,7 +42,8 @@
   // Handles a caller's request; calls `respond` exactly once.
   void Handle(http_request request, http_responder respond);
 
-  // Applies a change of the routes or of the searcher directory.
+  // Applies a change of the routes, of the searcher directory or of the
+  // evacuated zones.
   void OnRouteUpdate(const route_update& update, time_point now);
   void SetInstances(std::uint32_t instances, time_point now);
   void SetEntryInstances(const std::vector<entry_instance>& entries,
@@ -113,6 +114,8 @@
 
  private:
   static void LogSearchers(const route_update& update, bool full_list);
+  void ApplyEvacuations(const evacuation_list& list, time_point now,
+                        route_effects* effects);
   log_limiter& finish_log_limiter() {
     return stopping_ ? stop_log_limiter_ : log_limiter_;
   }
--- a/app/route_registry.cc
+++ b/app/route_registry.cc
@@ -12,6 +12,9 @@
 // Clients try another instance after one second without a response.
 constexpr duration kCallTimeout = std::chrono::milliseconds(850);
 constexpr double kInvalidCallLogsPerSecond = 5;
+// Proposals of one evacuation order. Each further one takes another order that
+// was committed in between.
+constexpr int kEvacuationTries = 8;
 
 http_response Accepted() { return {200, "application/json", "{}"}; }
 
@@ -21,6 +24,15 @@
   return response;
 }
 
+// Returns what the command has done if it was committed, otherwise the failure.
+control_outcome OutcomeOf(const control_reply& reply) {
+  control_outcome outcome;
+  outcome.code = reply.code;
+  if (reply.code != result_code::kOk) return outcome;
+  outcome.code = result_code::kInternal;
+  return DecodeOutcome(reply.body).value_or(outcome);
+}
+
 }  // namespace
 
 route_registry::route_registry(const edge_protocol* protocol,
@@ -111,6 +123,50 @@
   pending_.push_back({call.report, std::move(respond)});
 }
 
+void route_registry::HandleCall(const evacuation_call& call,
+                                http_responder respond) {
+  if (!IsZoneName(call.zone)) {
+    return HandleCall(
+        invalid_call{result_code::kInvalidField,
+                     "a zone is 1 to 128 letters, digits, '-', '_' and '.'"},
+        std::move(respond));
+  }
+  ProposeEvacuation(
+      {call.zone, call.evacuated, local_->state().evacuations().version},
+      Now() + kCallTimeout, kEvacuationTries, respond);
+}
+
+// Proposes the order on the newest version of the list. Another order may be
+// committed first, and this member may be behind; the order is then proposed
+// again on the version that the leader names.
+void route_registry::ProposeEvacuation(const zone_evacuation& order,
+                                       time_point deadline, int tries_left,
+                                       const http_responder& respond) {
+  client_->Propose(
+      EncodeCommand(order), deadline,
+      [this, order, deadline, tries_left, respond](const control_reply& reply) {
+        const control_outcome outcome = OutcomeOf(reply);
+        LogEvent(log_level::kInfo, "evacuation_proposed",
+                 {{"zone", order.zone},
+                  {"evacuated", order.evacuated},
+                  {"version", outcome.version},
+                  {"code", Describe(outcome.code).number},
+                  {"reason", Describe(outcome.code).name}});
+        if (outcome.code == result_code::kOk) return respond(Accepted());
+        if (outcome.code == result_code::kVersionConflict && tries_left > 1 &&
+            Now() < deadline) {
+          zone_evacuation next = order;
+          next.base_version = outcome.version;
+          return ProposeEvacuation(next, deadline, tries_left - 1, respond);
+        }
+        // The name has been checked, so too many zones are evacuated.
+        respond(outcome.code == result_code::kInvalidField
+                    ? ProblemResponse(outcome.code,
+                                      "256 zones are evacuated already")
+                    : Unavailable(outcome.code));
+      });
+}
+
 void route_registry::Tick(time_point now) {
   if (pending_.empty()) return;
   const auto batch =
--- a/app/route_registry.h
+++ b/app/route_registry.h
@@ -11,6 +11,11 @@
 // A configuration or a searcher's change is acknowledged once the control group
 // has committed it. Changes that arrive within one tick are batched into one
 // log entry. A report that changes nothing is acknowledged at once.
+//
+// An evacuation order is always committed, also one that changes nothing: only
+// a committed order raises the version of the list, which refuses earlier
+// orders that are still on their way. Without that, an order that was sent
+// again could undo a later one that has been acknowledged.
 
 #include <string>
 #include <vector>
@@ -40,7 +45,10 @@
   void HandleCall(const put_routes_call& call, http_responder respond);
   void HandleCall(const get_routes_call& call, http_responder respond);
   void HandleCall(const searcher_call& call, http_responder respond);
+  void HandleCall(const evacuation_call& call, http_responder respond);
   void HandleCall(const invalid_call& call, http_responder respond);
+  void ProposeEvacuation(const zone_evacuation& order, time_point deadline,
+                         int tries_left, const http_responder& respond);
   bool IsRenewal(const searcher_report& report) const;
 
   const edge_protocol* protocol_;
--- a/app/testing/control_client_test.cc
+++ b/app/testing/control_client_test.cc
@@ -61,8 +61,14 @@
     }
     control_state state;
     state.Apply(1, 1, route_document{version, "document"});
-    reply.routes = ToBytes(state.SaveRouteUpdate(poll->route_version(),
-                                                 poll->searcher_revision()));
+    state.Apply(2, 1, zone_evacuation{evacuated_zone, true, 0});
+    std::optional<std::uint64_t> known_evacuations;
+    if (poll->evacuation_version()) {
+      known_evacuations = *poll->evacuation_version();
+    }
+    reply.routes = ToBytes(state.SaveRouteUpdate(
+        poll->route_version(), poll->searcher_revision(), known_evacuations));
+    if (!reply.routes.empty()) ++updates;
     transport->Send(peer, MakeFrame(std::move(reply)));
   }
 
@@ -71,7 +77,10 @@
   duration age{0};
   bool confirmed = true;
   std::uint64_t version = 1;
+  // No zone is evacuated while this is empty.
+  availability_zone evacuated_zone;
   int polls = 0;
+  int updates = 0;
   availability_zone zone;
   entry_instance_log entries;
   std::size_t sent_entries = 0;
@@ -115,6 +124,9 @@
   }
   void OnRouteUpdate(const route_update& update) override {
     if (update.routes.version > 0) versions_.push_back(update.routes.version);
+    if (update.evacuations.version == 0) return;
+    EXPECT_FALSE(versions_.empty());
+    evacuations_.push_back(update.evacuations);
   }
 
   template <typename Condition>
@@ -130,6 +142,7 @@
   std::unique_ptr<peer_transport> transport_;
   std::unique_ptr<control_client> client_;
   std::vector<std::uint64_t> versions_;
+  std::vector<evacuation_list> evacuations_;
   entry_list entries_;
 };
 
@@ -252,6 +265,26 @@
   }
 }
 
+// Guards against evacuations that come after the first routes or without a
+// quorum, and against a list that is sent with every reply.
+TEST_F(control_client_test, OnPollReply_Evacuations_ComeOnceWithFirstRoutes) {
+  for (fake_member* member : {&first_, &second_}) {
+    member->evacuated_zone = "b";
+    member->confirmed = false;
+  }
+  ASSERT_TRUE(RunUntil([&] { return first_.polls + second_.polls >= 4; }));
+  EXPECT_TRUE(evacuations_.empty());
+  first_.confirmed = second_.confirmed = true;
+  ASSERT_TRUE(RunUntil([&] { return !evacuations_.empty(); }));
+  EXPECT_EQ(evacuations_.front(), (evacuation_list{1, {"b"}}));
+  const int updates = first_.updates + second_.updates;
+  const int polls = first_.polls + second_.polls;
+  ASSERT_TRUE(
+      RunUntil([&] { return first_.polls + second_.polls >= polls + 3; }));
+  EXPECT_EQ(first_.updates + second_.updates, updates);
+  EXPECT_EQ(evacuations_.size(), 1);
+}
+
 // Guards against a list of entry instances that is sent whole with each change,
 // and against one that differs between members.
 TEST_F(control_client_test, OnPollReply_EntryChanges_AreAppliedAndFew) {
