Client accounts: validation, key index and authentication

Deployments with client accounts require a key on every route that is not public, and a revoked key must end everywhere within a stated time, also on instances that are cut off, frozen or restarted.

Result code 112, unknown_key, is the refusal with 401.

--- a/bilberrycourse/accounts/client_account.h
+++ b/bilberrycourse/accounts/client_account.h
@@ -8,6 +8,7 @@
 //   result_code code = CheckAccounts(config.accounts, &problem);
 //   if (code != result_code::kOk) Refuse(problem);
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,6 +18,11 @@
 
 namespace bilberrycourse {
 
+inline constexpr std::size_t kMaxAccountNameBytes = 128;
+inline constexpr std::size_t kMaxAccountKeyBytes = 256;
+inline constexpr std::size_t kMaxAccounts = 10'000;
+inline constexpr std::size_t kMaxAccountKeys = 100'000;
+
 struct client_account {
   std::string name;
   // Secrets that identify a caller as this account; empty if all of them have
--- a/bilberrycourse/control_lease.h
+++ b/bilberrycourse/control_lease.h
@@ -50,6 +50,9 @@
   // with confirmed_version(); nullopt before the first.
   std::optional<duration> ConfirmationAge(time_point now) const;
   std::optional<time_point> expires_at() const;
+  // Latest time at which the applied version is known to have been the newest;
+  // nullopt before the first confirmation.
+  std::optional<time_point> confirmed_at() const { return confirmed_at_; }
   std::uint64_t applied_version() const { return applied_version_; }
   std::uint64_t confirmed_version() const { return confirmed_version_; }
   // Highest version in any confirmation; the instance must fetch the
--- a/bilberrycourse/result_code.cc
+++ b/bilberrycourse/result_code.cc
@@ -34,6 +34,8 @@
      "future."},
     {result_code::kRequestTimeout, 111, "request_timeout", 2, 408, true,
      "The request did not arrive completely within the read timeout."},
+    {result_code::kUnknownKey, 112, "unknown_key", 2, 401, true,
+     "The request has no key of a client account."},
     {result_code::kOverloaded, 201, "overloaded", 10, 503, true,
      "The target has no capacity left; nothing was run."},
     {result_code::kControlLeaseExpired, 202, "control_lease_expired", 11, 503,
--- a/bilberrycourse/result_code.h
+++ b/bilberrycourse/result_code.h
@@ -27,6 +27,7 @@
   kIdempotencyKeyReused = 109,
   kIdempotencyKeyExpired = 110,
   kRequestTimeout = 111,
+  kUnknownKey = 112,
   // 2xx: requests that were refused before running.
   kOverloaded = 201,
   kControlLeaseExpired = 202,
--- a/bilberrycourse/route_config.cc
+++ b/bilberrycourse/route_config.cc
@@ -72,11 +72,12 @@
     *problem = "route " + entry.name + " " + wrong;
     return result_code::kInvalidDocument;
   }
-  return result_code::kOk;
+  return CheckAccounts(config.accounts, problem);
 }
 
-route_table::route_table(std::shared_ptr<const route_config> config)
-    : config_(std::move(config)) {
+route_table::route_table(std::shared_ptr<const route_config> config,
+                         std::uint64_t key_seed)
+    : config_(std::move(config)), accounts_(config_->accounts, key_seed) {
   for (const route& entry : config_->routes) {
     routes_.emplace(RouteKey(entry.host, entry.path_prefix), &entry);
   }
--- a/bilberrycourse/route_config.h
+++ b/bilberrycourse/route_config.h
@@ -22,6 +22,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "bilberrycourse/accounts/account_index.h"
 #include "bilberrycourse/accounts/client_account.h"
 #include "bilberrycourse/result_code.h"
 #include "bilberrycourse/types.h"
@@ -91,25 +92,29 @@
 // Returns kOk, or kInvalidDocument with a description in `problem`. Checks for
 // a route without a target or with an unknown service, two routes with the same
 // host and prefix, weights that add up to 0, a timeout of 0, a prefix without
-// leading or trailing slash, no attempts, and shards of a route that is not
-// idempotent.
+// leading or trailing slash, no attempts, shards of a route that is not
+// idempotent, and what CheckAccounts() refuses.
 result_code CheckRouteConfig(const route_config& config, std::string* problem);
 
 class route_table {
  public:
-  // `config` must have passed CheckRouteConfig().
-  explicit route_table(std::shared_ptr<const route_config> config);
+  // `config` must have passed CheckRouteConfig(). `key_seed` is a number that
+  // callers do not know; see account_index.
+  explicit route_table(std::shared_ptr<const route_config> config,
+                       std::uint64_t key_seed = 0);
 
   // Returns the route of this host with the longest prefix of `path` (which has
   // no query string), or nullptr. Costs one lookup for each slash.
   const route* Match(std::string_view host, std::string_view path) const;
 
   const route_config& config() const { return *config_; }
+  const account_index& accounts() const { return accounts_; }
 
  private:
   std::shared_ptr<const route_config> config_;
   // Routes by host and prefix, joined by a space, which neither contains.
   std::unordered_map<std::string, const route*> routes_;
+  account_index accounts_;
 };
 
 }  // namespace bilberrycourse
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -71,6 +71,7 @@
 #include "bilberrycourse/crash_evidence.h"
 #include "bilberrycourse/relay_plan.h"
 #include "bilberrycourse/retry_budget.h"
+#include "bilberrycourse/route_call.h"
 #include "bilberrycourse/route_config.h"
 #include "bilberrycourse/route_effects.h"
 #include "bilberrycourse/searcher_pool.h"
@@ -113,29 +114,6 @@
   std::size_t max_requests = 4096;
 };
 
-struct route_call {
-  route_request_id id{};
-  // The configuration that selected the route; kept until the request ends.
-  std::shared_ptr<const route_table> table;
-  const route* matched_route = nullptr;
-  // What the request asks, regardless of who sends it and when; see
-  // crash_evidence.h.
-  fingerprint content{};
-  // Time at which the caller sent the request, or its best estimate.
-  time_point sent_at{};
-  // Time until the caller's own deadline, counted from Begin().
-  duration time_left{0};
-  // Groups of shards that relays search; the origin searches the others.
-  std::vector<relay_group> relays;
-  // Set on a relay only: a route over the part of the shards that the origin
-  // assigned to this relay; `matched_route` then points to it. Results are
-  // reported by route_progress: at `answer_at` the shards done so far, then
-  // each further one.
-  std::shared_ptr<const route> relay_route;
-  time_point answer_at{};
-  bool streamed() const { return relay_route != nullptr; }
-};
-
 struct route_engine_counters {
   std::uint64_t requests = 0;
   std::uint64_t refused = 0;
@@ -345,7 +323,9 @@
     std::uint32_t hedges = 0;
     std::string last_searcher;
     bool fan_out() const { return !call.matched_route->shards.empty(); }
-    std::uint32_t priority() const { return call.matched_route->priority; }
+    std::uint32_t priority() const {
+      return call.priority.value_or(call.matched_route->priority);
+    }
   };
 
   struct connection_state {
--- a/bilberrycourse/route_engine_isolation.cc
+++ b/bilberrycourse/route_engine_isolation.cc
@@ -272,8 +272,12 @@
     if (part.may_have_run > 0) --part.may_have_run;
     part.relayed = false;
     const bool unserved = failure.code == result_code::kNoServingReplica;
-    // A relay that stops refuses what the origin may still search.
-    if (unserved || failure.code == result_code::kShuttingDown) {
+    // A relay that stops refuses what the origin may still search, as does one
+    // whose configuration lacks the key of the request.
+    const bool key_refused =
+        failure.code == result_code::kControlLeaseExpired &&
+        request->call.last_start.has_value();
+    if (unserved || key_refused || failure.code == result_code::kShuttingDown) {
       if (Place(request, index, send_reason::kFirst, now, out)) return;
       if (unserved && !part.fallbacks.empty()) {
         FindOrCreateService(part.service).lost_everywhere_until =
--- a/bilberrycourse/route_engine_limits.cc
+++ b/bilberrycourse/route_engine_limits.cc
@@ -66,6 +66,12 @@
                            time_point now) {
   const request_state* request = FindRequest(attempt->request);
   if (request == nullptr) return false;
+  // The expiry timer may be late: a process that was frozen handles the events
+  // of its connections first when it resumes.
+  if (request->call.last_start.has_value() &&
+      now >= *request->call.last_start) {
+    return false;
+  }
   if (entry->quota.limited() && !attempt->permission.has_value()) {
     attempt->permission = entry->quota.Take(request->priority(), now);
     if (!attempt->permission.has_value() && allocator_lost_at_.has_value() &&
