Routed interface: check keys, lease on the routes, keys at relays

Callers with client accounts have to be told apart, and an instance that can't know the newest configuration must not serve a revoked key.

route_gateway authenticates a request before it begins, answers 401 or 503, and removes Authorization and the caller's X-Tenant wherever a header list for searchers is made: at the origin and at a relay. control_client keeps a second lease, on the routes; only replies whose routes are in force extend it. With strict revocation the time of a request is capped, an instance without a lease is not ready, and relays check the digest of the key against their own routes and lease; relays that do not announce that get no request with a key. The settings [accounts] strict_revocation and revoke_ms may be empty.

--- a/app/control_client.cc
+++ b/app/control_client.cc
@@ -63,6 +63,7 @@
       transport_(transport),
       local_(local),
       handler_(handler),
+      route_lease_(LeaseOptions(RevocationOptions(config))),
       poll_target_(FirstPollTarget(config, local != nullptr)),
       poll_answered_(local != nullptr) {}
 
@@ -233,17 +234,19 @@
 // instance that has none yet could not tell, so it takes its first routes and
 // searchers only with a fresh confirmation of a quorum: after a loss of power,
 // control instances answer from their last snapshot before a leader is elected.
-void control_client::ApplyRouteUpdate(time_point sent_at,
+//
+// Returns false if this instance may now lack routes that the member knows.
+bool control_client::ApplyRouteUpdate(time_point sent_at,
                                       const control_poll_reply& reply,
                                       time_point now) {
-  if (reply.routes.empty()) return;
+  if (reply.routes.empty()) return true;
   const bool fresh =
       reply.confirmed && now - sent_at + reply.age <= kMaxConfirmationAge;
-  if (route_version_ == 0 && !fresh) return;
+  if (route_version_ == 0 && !fresh) return false;
   auto routes = LoadRouteUpdate(reply.routes);
   if (!routes.has_value()) {
     LogEvent(log_level::kError, "route_news_invalid", {});
-    return;
+    return false;
   }
   const bool searchers_fit = routes->revision >= searcher_revision_ &&
                              (routes->base_revision == 0 ||
@@ -257,13 +260,18 @@
   handler_->OnRouteUpdate(*routes);
   route_version_ = std::max(route_version_, routes->routes.version);
   searcher_revision_ = routes->revision;
+  return true;
 }
 
 void control_client::ApplyPollReply(time_point sent_at,
                                     const control_poll_reply& reply,
                                     time_point now) {
   if (!reply.leader.empty()) leader_ = reply.leader;
-  ApplyRouteUpdate(sent_at, reply, now);
+  const bool routes_known = ApplyRouteUpdate(sent_at, reply, now);
+  // Before a member has named a version, there is nothing to confirm.
+  if (reply.confirmed && routes_known && route_version_ > 0) {
+    route_lease_.OnConfirmed(sent_at, reply.age, route_version_);
+  }
   if (!reply.state.empty() &&
       reply.published_version > lease_.applied_version()) {
     auto state = LoadPublished(reply.state);
--- a/app/control_client.h
+++ b/app/control_client.h
@@ -84,6 +84,14 @@
             time_point deadline, control_callback callback);
 
   const control_lease& lease() const { return lease_; }
+  // Routed interface: the lease on the routes. Tells when the version that
+  // OnRoutesInForce() has named was last known to be the newest.
+  const control_lease& route_lease() const { return route_lease_; }
+  // Called when the routes of this version are in force. Routes that could not
+  // be read never are, so the lease then ends.
+  void OnRoutesInForce(std::uint64_t version) {
+    route_lease_.OnApplied(version);
+  }
   // Returns the empty state of version 0 until a state has been received.
   const published_state& published() const { return published_; }
   std::uint64_t route_version() const { return route_version_; }
@@ -110,7 +118,7 @@
   };
 
   known_versions KnownVersions() const;
-  void ApplyRouteUpdate(time_point sent_at, const control_poll_reply& reply,
+  bool ApplyRouteUpdate(time_point sent_at, const control_poll_reply& reply,
                         time_point now);
   void ApplyInstances(const wire::control_news& reply);
   void ApplyEntries(const wire::control_news& reply);
@@ -135,6 +143,7 @@
   control_service* local_;
   control_client_handler* handler_;
   control_lease lease_;
+  control_lease route_lease_;
   published_state published_;
   std::string published_bytes_;
   instance_name leader_;
--- a/app/edge_protocol.h
+++ b/app/edge_protocol.h
@@ -38,6 +38,9 @@
   // missing shards.
   std::string shard_stamps;
   std::string missing_shards;
+  // Name of the client account that sends a request, for the searcher.
+  std::string account;
+  std::string authorization = "Authorization";
   // Time that the peer keeps an idle connection open, in seconds.
   std::string keep_alive = "Keep-Alive";
 };
--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -101,6 +101,16 @@
   return found == message.end() ? std::string() : std::string(found->value());
 }
 
+std::vector<std::string> Fields(const http::request<http::string_body>& message,
+                                http::field name) {
+  std::vector<std::string> values;
+  const auto [first, last] = message.equal_range(name);
+  for (auto field = first; field != last; ++field) {
+    values.emplace_back(field->value());
+  }
+  return values;
+}
+
 }  // namespace
 
 http_response ProblemResponse(result_code code, std::string_view detail,
@@ -376,6 +386,8 @@
     head_request_ = message.method() == http::verb::head;
     if (server_->options.keep_headers) {
       request.headers = EndToEndHeaders(message);
+      request.authorization_fields =
+          Fields(message, http::field::authorization);
     }
     if (query_mark != std::string::npos)
       request.query = target.substr(query_mark + 1);
--- a/app/http_server.h
+++ b/app/http_server.h
@@ -58,6 +58,9 @@
   std::string idempotency_key;
   std::string traceparent;
   std::string authorization;
+  // All Authorization fields, also those that `headers` lacks because the
+  // caller named them in Connection. Filled if keep_headers is set.
+  std::vector<std::string> authorization_fields;
   // The handler may set a function, which is called if the caller closes its
   // connection before the response is sent.
   std::shared_ptr<std::function<void()>> on_disconnect;
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -128,6 +128,7 @@
           return SendCrashEvidence(records);
         });
     gateway_->SetRelaysChangedHandler([this] { OnRelaysChanged(); });
+    gateway_->SetRouteLease(&control_client_.route_lease());
   }
   if (config_.control) {
     registry_ = std::make_unique<route_registry>(
@@ -369,6 +370,7 @@
   hello.leaving = shutting_down_;
   hello.isolated = gateway_ != nullptr && gateway_->isolated();
   hello.accepts_single = true;
+  hello.checks_accounts = true;
   transport_.Send(peer, MakeFrame(std::move(hello)));
 }
 
@@ -389,6 +391,7 @@
       gateway_->OnRelayLeaving(peer, Now());
     }
     if (gateway_ != nullptr) {
+      gateway_->SetRelayChecksAccounts(peer, hello->checks_accounts());
       gateway_->OnRelayState(peer, hello->accepts_single(), hello->isolated(),
                              Now());
     }
@@ -414,11 +417,14 @@
 void route_daemon::OnPublished(const published_state&) {}
 
 void route_daemon::OnRouteUpdate(const route_update& update) {
-  if (gateway_ != nullptr) gateway_->OnRouteUpdate(update, Now());
+  if (gateway_ == nullptr) return;
+  gateway_->OnRouteUpdate(update, Now());
+  control_client_.OnRoutesInForce(gateway_->route_version());
 }
 
 bool route_daemon::Ready() const {
-  return gateway_ != nullptr && gateway_->configured() && !shutting_down_;
+  return gateway_ != nullptr && gateway_->configured() &&
+         gateway_->MayServeAccounts(Now()) && !shutting_down_;
 }
 
 void route_daemon::HandleMain(http_request request, http_responder respond) {
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -108,6 +108,7 @@
       engine_(EngineOptions(config), config.name, config.zone),
       client_(std::move(executor), ClientOptions(config, kConnectTimeout),
               protocol->headers(), this),
+      authenticator_(RevocationOptions(config)),
       relayed_budget_(MemoryShares(config).relayed_requests,
                       kSmallRelayedRequestBytes),
       transport_(transport),
@@ -122,21 +123,6 @@
   return {};
 }
 
-// Drops the headers that the tier sets itself.
-std::shared_ptr<const header_list> route_gateway::ForwardedHeaders(
-    const header_list& headers) const {
-  const edge_headers& names = protocol_->headers();
-  auto out = std::make_shared<header_list>();
-  for (const auto& header : headers) {
-    const bool set_by_tier =
-        boost::beast::iequals(header.first, names.deadline) ||
-        boost::beast::iequals(header.first, names.expected_searcher) ||
-        boost::beast::iequals(header.first, names.request_id);
-    if (!set_by_tier) out->push_back(header);
-  }
-  return out;
-}
-
 // Copies of a request differ in their id, headers and deadline only.
 fingerprint route_gateway::ContentOf(const forwarded_request& forwarded) {
   const std::string target =
@@ -162,6 +148,10 @@
   }
   http_response response = ProblemResponse(code);
   if (response.status == 503) response.retry_after = kUnconfiguredRetrySeconds;
+  // RFC 9110, section 11.6.1: a response with 401 names the scheme.
+  if (response.status == 401) {
+    response.headers.emplace_back("WWW-Authenticate", "Bearer");
+  }
   respond(std::move(response));
 }
 
@@ -175,12 +165,19 @@
   if (matched_route == nullptr) {
     return Refuse(request, result_code::kUnknownPath, std::move(respond));
   }
-  Begin({std::move(request), std::move(respond), table_, matched_route, Now()});
+  arrived_request arrived{std::move(request), std::move(respond), table_,
+                          matched_route, Now()};
+  if (Authenticate(&arrived)) Begin(std::move(arrived));
 }
 
 void route_gateway::Begin(arrived_request arrived) {
   const time_point now = Now();
   const http_request& request = arrived.request;
+  const authentication& sender = arrived.sender;
+  if (!sender.MayBegin(now)) {
+    return Refuse(request, result_code::kControlLeaseExpired,
+                  std::move(arrived.respond));
+  }
   const edge_headers& names = protocol_->headers();
   const route_request_id id{next_request_++};
   call_state& state = calls_[id];
@@ -190,7 +187,11 @@
   state.forwarded.target = request.target;
   state.forwarded.host = request.host;
   state.forwarded.request_id = HeaderValue(request, names.request_id);
-  state.forwarded.headers = ForwardedHeaders(request.headers);
+  state.account = sender.account;
+  state.key_digest = sender.key_digest;
+  state.forwarded.headers = ForwardedHeaders(
+      request.headers, *arrived.table,
+      sender.account == nullptr ? std::string_view() : sender.account->name);
   if (!request.body.empty()) {
     state.forwarded.body =
         std::make_shared<const std::string>(std::move(arrived.request.body));
@@ -206,7 +207,11 @@
   call.time_left = ParseDeadline(HeaderValue(request, names.deadline))
                        .value_or(kDefaultDeadline) -
                    (now - arrived.at);
-  call.relays = ReachableGroups(*arrived.matched_route, now);
+  call.priority = state.priority();
+  if (sender.last_start.has_value()) call.EndBy(*sender.last_start, now);
+  call.relays =
+      ReachableGroups(*arrived.matched_route,
+                      /*checks_accounts=*/sender.key_digest != 0, now);
   route_effects effects;
   engine_.Begin(std::move(call), now, &effects);
   Execute(&effects);
@@ -255,9 +260,12 @@
                 {"routes", config->routes.size()},
                 {"services", config->services.size()}});
       table_ = std::make_shared<const route_table>(
-          std::make_shared<const route_config>(*std::move(config)));
+          std::make_shared<const route_config>(*std::move(config)),
+          FirstMessageId());
+      route_version_ = update.routes.version;
       engine_.SetRoutes(table_, now, &effects);
       UpdateRelays(now);
+      UpdateFallbackRelays(now);
     } else {
       LogEvent(log_level::kError, "routes_unreadable",
                {{"version", update.routes.version}, {"problem", problem}});
@@ -524,6 +532,7 @@
       "request_finished",
       {{"request", call.forwarded.request_id},
        {"route", call.matched_route->name},
+       {"account", call.account == nullptr ? "" : call.account->name},
        {"routes_version", call.table->config().version},
        {"code", Describe(finish.code).number},
        {"reason", Describe(finish.code).name},
@@ -618,6 +627,7 @@
     metrics_->SetGauge(gauge.name, gauge.help,
                        static_cast<double>(gauge.value));
   }
+  UpdateAccountMetrics();
 }
 
 }  // namespace bilberrycourse
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -14,7 +14,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 
 #include "app/edge_protocol.h"
 #include "app/http_server.h"
@@ -24,6 +26,7 @@
 #include "app/peer_transport.h"
 #include "app/searcher_client.h"
 #include "app/settings.h"
+#include "bilberrycourse/accounts/authenticator.h"
 #include "bilberrycourse/control_state.h"
 #include "bilberrycourse/fallback_peers.h"
 #include "bilberrycourse/memory_budget.h"
@@ -44,6 +47,13 @@
 
   // Applies a change of the routes or of the searcher directory.
   void OnRouteUpdate(const route_update& update, time_point now);
+  // Version of the latest routes that were put in force; 0 if there is none.
+  std::uint64_t route_version() const { return route_version_; }
+  // Sets the lease on the routes, which must outlive the gateway. Without it
+  // their age is unknown.
+  void SetRouteLease(const control_lease* lease) { route_lease_ = lease; }
+  // Returns false while strict revocation refuses every request with a key.
+  bool MayServeAccounts(time_point now) const;
   void SetInstances(std::uint32_t instances, time_point now);
   void SetEntryInstances(const std::vector<entry_instance>& entries,
                          time_point now);
@@ -84,6 +94,9 @@
   // whether it has lost its searchers.
   void OnRelayState(const instance_name& peer, bool accepts_single,
                     bool isolated, time_point now);
+  // Called before OnRelayState() when the peer states whether it checks the
+  // keys of relayed requests.
+  void SetRelayChecksAccounts(const instance_name& peer, bool checks);
   // True while this instance reaches no searcher.
   bool isolated() const { return engine_.isolated(); }
   // `changed` is called when isolated() or Relays() has changed.
@@ -124,6 +137,9 @@
     std::shared_ptr<const route_table> table;
     const route* matched_route = nullptr;
     time_point at{};
+    // Its account is part of `table`, and its digest identifies the key to a
+    // relay.
+    authentication sender = {};
   };
 
   struct call_state {
@@ -131,6 +147,10 @@
     const route* matched_route = nullptr;
     std::shared_ptr<const route_table> table;
     http_responder respond;
+    // The key itself is not kept.
+    const client_account* account = nullptr;
+    std::uint64_t key_digest = 0;
+    std::uint32_t priority() const;
     // On a relay: the origin and the id that it gave to the request.
     instance_name origin;
     std::uint64_t relay_id = 0;
@@ -138,6 +158,11 @@
     std::shared_ptr<const route> relay_route;
     std::unique_ptr<memory_holder> relayed_memory;
   };
+  struct account_counters {
+    std::uint64_t unknown_keys = 0;
+    std::uint64_t lease_refusals = 0;
+    std::uint64_t relay_refusals = 0;
+  };
   // A group of shards that a relay searches on behalf of this instance.
   struct relayed_group {
     route_request_id request{};
@@ -145,6 +170,10 @@
     instance_name relay;
   };
 
+  // Refuses the request and returns false unless its sender may send it.
+  bool Authenticate(arrived_request* arrived);
+  authentication CheckRelayed(const wire::relay_request& request,
+                              time_point now) const;
   void Begin(arrived_request arrived);
   void Execute(route_effects* effects);
   void ExecuteEffect(open_searcher_connection& effect);
@@ -175,16 +204,20 @@
   void RejectRelayRequest(const instance_name& peer,
                           const wire::relay_request& request, result_code code);
   std::vector<relay_group> ReachableGroups(const route& matched_route,
+                                           bool checks_accounts,
                                            time_point now);
   void UpdateRelays(time_point now);
   void LogRelays(const route& configured_route);
   static fingerprint ContentOf(const forwarded_request& forwarded);
   std::shared_ptr<const header_list> ForwardedHeaders(
-      const header_list& headers) const;
+      const header_list& headers, const route_table& table,
+      std::string_view account) const;
+  const control_lease& RouteLease() const;
   http_response MakeResponse(const finish_route_request& finish) const;
   void LogFinish(const call_state& call, const finish_route_request& finish);
   void Refuse(const http_request& request, result_code code,
               http_responder respond);
+  void UpdateAccountMetrics();
   std::string HeaderValue(const http_request& request,
                           const std::string& name) const;
   void OnCallerDisconnected(route_request_id id);
@@ -212,6 +245,12 @@
   route_engine engine_;
   searcher_client client_;
   std::shared_ptr<const route_table> table_;
+  std::uint64_t route_version_ = 0;
+  authenticator authenticator_;
+  const control_lease* route_lease_ = nullptr;
+  account_counters account_counters_;
+  // Peers that check the keys of relayed requests.
+  std::set<instance_name> account_checkers_;
   // Memory of the requests that this instance runs as a relay.
   memory_budget relayed_budget_;
   std::map<route_request_id, call_state> calls_;
--- a/app/route_gateway_relays.cc
+++ b/app/route_gateway_relays.cc
@@ -132,8 +132,25 @@
 }
 
 void route_gateway::UpdateFallbackRelays(time_point now) {
+  // A request with a key may go to any of them.
+  const bool checks_accounts = authenticator_.strict() && table_ != nullptr &&
+                               !table_->accounts().empty();
   engine_.SetFallbackRelays(fallback_peers_.Usable(
-      [&](const instance_name& peer) { return Responsive(peer, now); }, now));
+      [&](const instance_name& peer) {
+        return Responsive(peer, now) &&
+               (!checks_accounts || account_checkers_.contains(peer));
+      },
+      now));
+}
+
+void route_gateway::SetRelayChecksAccounts(const instance_name& peer,
+                                           bool checks) {
+  if (checks) {
+    account_checkers_.insert(peer);
+  } else {
+    account_checkers_.erase(peer);
+  }
+  UpdateFallbackRelays(Now());
 }
 
 void route_gateway::OnRelayState(const instance_name& peer, bool accepts_single,
@@ -207,11 +224,13 @@
 // Returns the groups whose relays can be reached. The origin searches the other
 // groups itself.
 std::vector<relay_group> route_gateway::ReachableGroups(
-    const route& matched_route, time_point now) {
+    const route& matched_route, bool checks_accounts, time_point now) {
   if (matched_route.shards.empty()) return {};
   return plan_.UsableGroups(
-      matched_route.shards,
-      [&](const instance_name& relay) { return Responsive(relay, now); });
+      matched_route.shards, [&](const instance_name& relay) {
+        return Responsive(relay, now) &&
+               (!checks_accounts || account_checkers_.contains(relay));
+      });
 }
 
 bool route_gateway::OnPeerFrame(const instance_name& peer,
@@ -254,6 +273,7 @@
 void route_gateway::OnPeerDisconnected(const instance_name& peer,
                                        time_point now) {
   fallback_peers_.OnDisconnected(peer, now);
+  account_checkers_.erase(peer);
   UpdateFallbackRelays(now);
   route_effects effects;
   engine_.OnRelayLost(peer, now, &effects);
@@ -306,7 +326,9 @@
   request.shards = std::move(effect.shards);
   request.top_records = call.matched_route->top_records;
   request.max_attempts = effect.max_attempts;
-  request.priority = call.matched_route->priority;
+  request.priority = call.priority();
+  if (call.account != nullptr) request.account = call.account->name;
+  request.account_key = call.key_digest;
   request.objective_us = ToMicros(call.matched_route->latency_objective);
   request.answer_in_us = ToMicros(effect.answer_in);
   request.time_left_us = ToMicros(effect.time_left);
@@ -348,6 +370,11 @@
   if (table_ == nullptr) {
     return RejectRelayRequest(peer, request, result_code::kControlLeaseExpired);
   }
+  const authentication sender = CheckRelayed(request, now);
+  if (sender.code != result_code::kOk) {
+    ++account_counters_.relay_refusals;
+    return RejectRelayRequest(peer, request, sender.code);
+  }
   auto memory = std::make_unique<memory_holder>(&relayed_budget_, [] {});
   if (!memory->Resize(RelayedBytes(request))) {
     // Instances of earlier versions do not know kMemoryExhausted.
@@ -381,13 +408,15 @@
   state.forwarded.target = ToText(request.target());
   state.forwarded.host = ToText(request.host());
   state.forwarded.request_id = ToText(request.request_id());
-  auto headers = std::make_shared<header_list>();
+  header_list headers;
   if (request.headers() != nullptr) {
     for (const wire::forwarded_header* header : *request.headers()) {
-      headers->emplace_back(ToText(header->name()), ToText(header->value()));
+      headers.emplace_back(ToText(header->name()), ToText(header->value()));
     }
   }
-  state.forwarded.headers = std::move(headers);
+  // An origin of an earlier version has not removed the caller's own fields.
+  state.forwarded.headers =
+      ForwardedHeaders(headers, *table_, ToText(request.account()));
   if (request.body() != nullptr && request.body()->size() > 0) {
     state.forwarded.body =
         std::make_shared<const std::string>(ToText(request.body()));
@@ -402,6 +431,7 @@
   call.sent_at = now;
   call.time_left = FromMicros(request.time_left_us());
   call.answer_at = now + FromMicros(request.answer_in_us());
+  if (sender.last_start.has_value()) call.EndBy(*sender.last_start, now);
   route_effects effects;
   engine_.Begin(std::move(call), now, &effects);
   Execute(&effects);
--- a/app/settings.cc
+++ b/app/settings.cc
@@ -182,6 +182,20 @@
   return {};
 }
 
+// The platform leaves the value empty if the deployment does not state it.
+problem_text ParseStrictRevocation(const std::string& text, settings* out) {
+  if (!text.empty() && text != "true" && text != "false") {
+    return "neither true nor false";
+  }
+  out->strict_revocation = text == "true";
+  return {};
+}
+
+problem_text ParseRevokeTime(const std::string& text, settings* out) {
+  if (text.empty()) return {};
+  return ParseNumber<&settings::revoke, 2000, 600000>(text, out);
+}
+
 // A group of 2n + 1 members tolerates the loss of n.
 problem_text ParseToleratedLosses(const std::string& text, settings* out) {
   std::uint64_t losses = 0;
@@ -246,6 +260,10 @@
      ParseNumber<&settings::retry_allowance, 0, 1000000>},
     {"routes", "caller_one_way_ms", setting_requirement::kOptional,
      "0 to 1000 milliseconds", ParseNumber<&settings::caller_one_way, 0, 1000>},
+    {"accounts", "strict_revocation", setting_requirement::kOptional,
+     "true, false or empty", ParseStrictRevocation},
+    {"accounts", "revoke_ms", setting_requirement::kOptional,
+     "2000 to 600000 milliseconds or empty", ParseRevokeTime},
     {"operator", "token_file", setting_requirement::kRequiredForQuery,
      kSecretAllowed, ParseSecretFile<&settings::operator_token>},
     {"log", "level", setting_requirement::kOptional,
@@ -483,6 +501,13 @@
   return shares;
 }
 
+authenticator_options RevocationOptions(const settings& config) {
+  authenticator_options options;
+  options.strict_revocation = config.strict_revocation;
+  options.revoke = config.revoke;
+  return options;
+}
+
 std::string SeedAddress(const settings& config, const std::string& ip) {
   for (const socket_address& seed : config.seeds) {
     if (seed.ip == ip) return seed.ToText();
--- a/app/settings.h
+++ b/app/settings.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "app/json_log.h"
+#include "bilberrycourse/accounts/authenticator.h"
 #include "bilberrycourse/types.h"
 
 namespace bilberrycourse {
@@ -97,6 +98,11 @@
   // One-way network delay between callers and entry instances. Latency
   // objectives are measured from the time at which the caller sends a request.
   std::chrono::milliseconds caller_one_way{3};
+  // [accounts]
+  // True if no request runs that was sent later than `revoke` after the
+  // acknowledgement of a configuration that revoked its key.
+  bool strict_revocation = false;
+  std::chrono::milliseconds revoke{5000};
   // [operator]
   std::string operator_token;
   // [log]
@@ -131,6 +137,8 @@
 
 memory_shares MemoryShares(const settings& config);
 
+authenticator_options RevocationOptions(const settings& config);
+
 struct settings_error {
   std::string section;
   std::string key;
--- a/app/testing/control_client_test.cc
+++ b/app/testing/control_client_test.cc
@@ -178,6 +178,28 @@
   EXPECT_TRUE(RunUntil([&] { return client_->route_version() == 2; }));
 }
 
+// Guards against a lease on routes that this instance could not read or has not
+// taken, although a quorum confirms them.
+TEST_F(control_client_test, RouteLease_RoutesNotInForce_IsNotExtended) {
+  const auto polled = [&] {
+    return RunUntil([&, before = first_.polls + second_.polls] {
+      return first_.polls + second_.polls > before + 1;
+    });
+  };
+  ASSERT_TRUE(RunUntil([&] { return client_->route_version() == 1; }));
+  ASSERT_TRUE(polled());
+  EXPECT_FALSE(client_->route_lease().Valid(Now()));
+  client_->OnRoutesInForce(1);
+  EXPECT_TRUE(client_->route_lease().Valid(Now()));
+  first_.version = second_.version = 2;
+  ASSERT_TRUE(RunUntil([&] { return client_->route_version() == 2; }));
+  const auto confirmed_at = client_->route_lease().confirmed_at();
+  ASSERT_TRUE(polled());
+  EXPECT_EQ(client_->route_lease().confirmed_at(), confirmed_at);
+  client_->OnRoutesInForce(2);
+  EXPECT_GT(client_->route_lease().confirmed_at(), confirmed_at);
+}
+
 // Guards against an instance that obeys an old configuration because its open
 // links lose all bytes without a close (review/5: 6 to 9 s). The users' bound
 // for an instance to be in touch again is 4 s.
--- a/app/testing/route_gateway_test.cc
+++ b/app/testing/route_gateway_test.cc
@@ -76,13 +76,14 @@
                            [this] { gateway_->Tick(Now()); });
   }
 
-  void SendRequest(tcp::socket* caller, const std::string& deadline = "900") {
+  void SendRequest(tcp::socket* caller, const std::string& deadline = "900",
+                   const std::string& headers = {}) {
     caller->connect(
         {asio::ip::make_address("127.0.0.1"), config_.caller_listen.port});
     asio::write(*caller, asio::buffer("GET /look/x HTTP/1.1\r\nHost: "
                                       "h.example\r\nX-Request-Id: r1\r\n"
                                       "X-Deadline-Ms: " +
-                                      deadline + "\r\n\r\n"));
+                                      deadline + "\r\n" + headers + "\r\n"));
   }
 
   // Reads until the bytes contain `end`.
@@ -199,6 +200,65 @@
   EXPECT_TRUE(ReadUntil(&next, "\r\n\r\n").starts_with("HTTP/1.1 503 "));
 }
 
+// Puts accounts in force, with routes that are known to be the newest.
+constexpr char kAccounts[] = R"({"version":2,"routes":[
+  {"name":"look","host":"h.example","pathPrefix":"/look/",
+   "routeType":"idempotent","timeoutMs":1000,"targetLatencyMs":500,
+   "backend":"desk","maxAttempts":1}],
+  "services":[{"name":"desk","maxConnections":10}],
+  "tenants":[{"name":"shop","apiKeys":["the-key"]}]})";
+
+// Guards against a searcher that gets a key, or an account's name that the
+// caller has made up.
+TEST_F(route_gateway_test, Handle_ValidKey_SearcherGetsAccountWithoutKey) {
+  route_update update;
+  update.routes = {2, kAccounts};
+  update.base_revision = update.revision = 1;
+  gateway_->OnRouteUpdate(update, Now());
+  for (const char* connection :
+       {"", "Connection: Authorization, X-Tenant\r\n"}) {
+    tcp::socket caller(context_);
+    SendRequest(&caller, "900",
+                std::string(connection) + "authorization: bearer the-key\r\n" +
+                    "x-tenant: forged\r\nX-Other: kept\r\n");
+    ASSERT_TRUE(RunUntil([&] { return gateway_->in_flight() == 1; }));
+    tcp::socket searcher(context_);
+    acceptor_.accept(searcher);
+    const std::string received = ReadUntil(&searcher, "\r\n\r\n");
+    EXPECT_NE(received.find("X-Tenant: shop\r\n"), std::string::npos);
+    EXPECT_NE(received.find("X-Other: kept\r\n"), std::string::npos);
+    EXPECT_EQ(received.find("forged"), std::string::npos);
+    EXPECT_EQ(received.find("the-key"), std::string::npos);
+    caller.close();
+    ASSERT_TRUE(RunUntil([&] { return gateway_->in_flight() == 0; }));
+  }
+}
+
+// Guards against a 401 by routes that may be old, and against a key in the log
+// or in an answer.
+TEST_F(route_gateway_test, Handle_UnknownKey_IsRefusedByRecentRoutesOnly) {
+  route_update update;
+  update.routes = {2, kAccounts};
+  update.base_revision = update.revision = 1;
+  gateway_->OnRouteUpdate(update, Now());
+  control_lease lease;
+  gateway_->SetRouteLease(&lease);
+  for (const char* status : {"HTTP/1.1 503 ", "HTTP/1.1 401 "}) {
+    tcp::socket caller(context_);
+    ::testing::internal::CaptureStdout();
+    SendRequest(&caller, "900", "Authorization: Bearer other-key\r\n");
+    const std::string answer = ReadUntil(&caller, "}");
+    const std::string log = ::testing::internal::GetCapturedStdout();
+    EXPECT_TRUE(answer.starts_with(status)) << answer;
+    EXPECT_NE(answer.find(lease.Valid(Now()) ? "WWW-Authenticate: Bearer"
+                                             : "Retry-After: "),
+              std::string::npos);
+    EXPECT_NE(log.find("request_refused"), std::string::npos);
+    EXPECT_EQ((answer + log).find("other-key"), std::string::npos);
+    lease.OnConfirmed(Now(), duration{0}, 0);
+  }
+}
+
 // Guards against a log whose size is the product of instances and searchers
 // when all instances restart: 68 entry instances wrote 53,129 lines in 250 ms
 // (inc-d3fa).
--- a/app/testing/route_relay_test.cc
+++ b/app/testing/route_relay_test.cc
@@ -31,6 +31,7 @@
  public:
   relay_node(asio::io_context* context, const instance_name& name,
              const edge_protocol* protocol, std::uint16_t searcher_port) {
+    config_.strict_revocation = true;
     config_.name = name;
     config_.zone = "a";
     config_.entry = true;
@@ -61,8 +62,23 @@
 
   void OnPeerConnected(const instance_name& peer) override {
     gateway->OnPeerConnected(peer);
+    gateway->SetRelayChecksAccounts(peer, peers_check_accounts);
     gateway->OnRelayState(peer, true, false, Now());
   }
+
+  // Puts the account `shop` in force, which has this key.
+  void SetKey(const std::string& key) {
+    std::string document = kDocument;
+    document.insert(document.size() - 1,
+                    R"(,"tenants":[{"name":"shop","priority":7,"apiKeys":[")" +
+                        key + R"("]}])");
+    route_update update;
+    update.routes = {2, document};
+    update.base_revision = update.revision = 1;
+    gateway->OnRouteUpdate(update, Now());
+    lease.OnConfirmed(Now(), duration{0}, 0);
+    gateway->SetRouteLease(&lease);
+  }
   void OnPeerDisconnected(const instance_name& peer) override {
     gateway->OnPeerDisconnected(peer, Now());
   }
@@ -70,6 +86,7 @@
                    const wire::peer_frame& frame) override {
     if (const auto* request = frame.payload_as_relay_request()) {
       relay_ids.push_back(request->relay_id());
+      priority = request->priority();
     }
     if (const auto* result = frame.payload_as_relay_result()) {
       results.emplace_back();
@@ -84,6 +101,10 @@
   // Of the requests that other instances have sent.
   std::vector<std::uint64_t> relay_ids;
   std::vector<wire::relay_resultT> results;
+  // Of the latest of them.
+  std::uint32_t priority = 0;
+  control_lease lease;
+  bool peers_check_accounts = true;
 
  private:
   settings config_;
@@ -126,6 +147,7 @@
     request.host = "h.example";
     request.headers = {
         {"X-Request-Id", "r1"}, {"X-Deadline-Ms", "4000"}, {"X-Extra", "kept"}};
+    request.authorization_fields = {"Bearer k1"};
     request.body = "question";
     request.on_disconnect = std::make_shared<std::function<void()>>();
     disconnect_ = request.on_disconnect;
@@ -183,6 +205,38 @@
   EXPECT_EQ(relay_->gateway->in_flight(), 0u);
 }
 
+// Guards against a key, or an account of the caller's invention, that reaches a
+// searcher through a relay.
+TEST_F(route_relay_test, Handle_KeyValidOnBoth_RelaySendsAccount) {
+  origin_->SetKey("k1");
+  relay_->SetKey("k1");
+  Request();
+  ASSERT_TRUE(RunUntil([&] { return relay_->gateway->in_flight() == 1; }));
+  const std::string received = AcceptRequest();
+  EXPECT_NE(received.find("X-Tenant: shop\r\n"), std::string::npos);
+  EXPECT_EQ(relay_->priority, 7u);
+  EXPECT_EQ(received.find("k1"), std::string::npos);
+}
+
+// Guards against a relay that runs a request whose key its own configuration
+// lacks, and against a request with a key to a relay that would not check it.
+TEST_F(route_relay_test, Handle_RelayWouldNotRun_IsRefusedAsNotRun) {
+  origin_->SetKey("k1");
+  relay_->SetKey("k2");
+  Request();
+  ASSERT_TRUE(RunUntil([&] { return response_ != nullptr; }));
+  EXPECT_EQ(response_->status, 503u);
+  EXPECT_EQ(relay_->relay_ids.size(), 1u);
+  response_.reset();
+  relay_->SetKey("k1");
+  origin_->gateway->SetRelayChecksAccounts("e2", false);
+  Request();
+  ASSERT_TRUE(RunUntil([&] { return response_ != nullptr; }));
+  EXPECT_EQ(response_->status, 503u);
+  EXPECT_EQ(relay_->relay_ids.size(), 1u);
+  EXPECT_EQ(relay_->gateway->in_flight(), 0u);
+}
+
 // Guards against a reply that is cut in its head while another instance waits
 // for it, and reaches the caller as a whole one.
 TEST_F(route_relay_test, Handle_ReplyCutInHead_OutcomeIsUnknown) {
--- a/app/testing/settings_test.cc
+++ b/app/testing/settings_test.cc
@@ -226,6 +226,38 @@
       [] { ADD_FAILURE(); });
 }
 
+// Guards against an older deployment that can't start, or a newer one that
+// silently revokes late.
+TEST_F(settings_test, Parse_Revocation_EmptyIsNotStrictAndWrongIsRefused) {
+  const struct {
+    const char* text;
+    bool strict;
+    int revoke_ms;
+  } cases[] = {
+      {"", false, 5000},
+      {"[accounts]\nstrict_revocation = \nrevoke_ms = \n", false, 5000},
+      {"[accounts]\nstrict_revocation = false\n", false, 5000},
+      {"[accounts]\nstrict_revocation = true\nrevoke_ms = 4000\n", true, 4000},
+  };
+  for (const auto& test_case : cases) {
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+          BOOST_LEAF_AUTO(
+              parsed, ParseSettings("test.ini", RoutesText() + test_case.text));
+          const auto options = RevocationOptions(parsed);
+          EXPECT_EQ(options.strict_revocation, test_case.strict);
+          EXPECT_EQ(options.revoke,
+                    std::chrono::milliseconds(test_case.revoke_ms));
+          return {};
+        },
+        [](const settings_errors& errors) { ADD_FAILURE() << ToText(errors); },
+        [] { ADD_FAILURE(); });
+  }
+  for (const char* wrong : {"strict_revocation=yes", "revoke_ms=10"}) {
+    EXPECT_EQ(ErrorsOf(RoutesText() + "[accounts]\n" + wrong).size(), 1u);
+  }
+}
+
 // Guards against members that are dialed at port 0 if seed_port is not set and
 // the list of seeds contains the ports for peer connections.
 TEST_F(settings_test, SeedAddress_NoSeedPort_UsesPortOfSeed) {
