--- a/app/route_gateway_updates.cc
+++ b/app/route_gateway_updates.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "app/json_log.h"
+#include "app/message_ids.h"
 #include "app/route_gateway.h"
 
 // Updates that route_gateway receives from the control group: routes, searchers
@@ -33,9 +34,12 @@
                 {"routes", config->routes.size()},
                 {"services", config->services.size()}});
       table_ = std::make_shared<const route_table>(
-          std::make_shared<const route_config>(*std::move(config)));
+          std::make_shared<const route_config>(*std::move(config)),
+          FirstMessageId());
+      route_version_ = update.routes.version;
       engine_.SetRoutes(table_, now, &effects);
       UpdateRelays(now);
+      UpdateFallbackRelays(now);
     } else {
       LogEvent(log_level::kError, "routes_unreadable",
                {{"version", update.routes.version}, {"problem", problem}});
