Result code 213 for the limit of a client account

Cause: requests beyond an account's limit have no result code of their own. Change: account_limit_exceeded, number 213, exit code 48, HTTP 429, not run. Result: not built yet; errors_page_test compares the table with the page.

--- a/bilberrycourse/result_code.cc
+++ b/bilberrycourse/result_code.cc
@@ -64,6 +64,10 @@
      "the time of Retry-After."},
     {result_code::kMemoryExhausted, 212, "memory_exhausted", 47, 503, true,
      "This instance has no memory left for the request; nothing was run."},
+    {result_code::kAccountLimitExceeded, 213, "account_limit_exceeded", 48, 429,
+     true,
+     "The client account has used up its requests until the time of "
+     "Retry-After; nothing was run."},
     {result_code::kDeadlineExceeded, 301, "deadline_exceeded", 20, 504, false,
      "The deadline passed before the shard answered."},
     {result_code::kBackendServerFailed, 302, "backend_server_failed", 21, 502,
--- a/bilberrycourse/result_code.h
+++ b/bilberrycourse/result_code.h
@@ -40,6 +40,7 @@
   kBackendServerLimited = 210,
   kContentQuarantined = 211,
   kMemoryExhausted = 212,
+  kAccountLimitExceeded = 213,
   // 3xx: results of running work, per shard or per request.
   kDeadlineExceeded = 301,
   kBackendServerFailed = 302,
