Quotas of client accounts over all entry instances

Cause: an account's limit must hold for all instances together. Change: quota_allocator grants permits on the leader, account_quota holds them on an entry instance, account_gate lets requests wait for them, quota_service and quota_frames connect both; route_gateway and route_daemon call them. No request has an account yet, so nothing passes the gate.

--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -14,6 +14,7 @@
 #include "app/limit_frames.h"
 #include "app/listening_socket.h"
 #include "app/process_memory.h"
+#include "app/quota_frames.h"
 #include "app/shutdown_log.h"
 
 namespace bilberrycourse {
@@ -123,6 +124,9 @@
     gateway_->SetLimitRequestSender([this](const limit_request& request) {
       return SendLimitRequest(request);
     });
+    gateway_->SetQuotaRequestSender([this](const quota_request& request) {
+      return SendQuotaRequest(request);
+    });
     gateway_->SetCrashEvidenceSender(
         [this](const std::vector<crash_evidence_record>& records) {
           return SendCrashEvidence(records);
@@ -134,6 +138,8 @@
         protocol_.get(), control_service_.get(), &control_client_);
     limits_ =
         std::make_unique<limit_service>(&transport_, control_service_.get());
+    quotas_ =
+        std::make_unique<quota_service>(&transport_, control_service_.get());
     crash_news_ = std::make_unique<crash_news>();
   }
   if (config_.readiness_listen.port != 0) {
@@ -269,6 +275,7 @@
   if (gateway_ != nullptr) gateway_->RefreshRelays(now);
   if (registry_ != nullptr) registry_->Tick(now);
   if (limits_ != nullptr) limits_->Tick(entries_, now);
+  if (quotas_ != nullptr) quotas_->Tick(now);
   ExchangeCrashEvidence(now);
   if (gateway_ != nullptr && now >= leader_probe_due_) {
     leader_probe_due_ = now + kLeaderProbePeriod;
@@ -374,10 +381,13 @@
 
 void route_daemon::OnPeerDisconnected(const instance_name& peer) {
   LogEvent(log_level::kInfo, "peer_disconnected", {{"peer", peer}});
+  const bool leader_lost = peer == control_client_.leader();
   control_client_.OnPeerDisconnected(peer, Now());
   entries_.erase(peer);
   if (peer == evidence_leader_) evidence_leader_.clear();
-  if (gateway_ != nullptr) gateway_->OnPeerDisconnected(peer, Now());
+  if (gateway_ == nullptr) return;
+  gateway_->OnPeerDisconnected(peer, Now());
+  if (leader_lost) gateway_->OnLeaderLost(Now());
 }
 
 void route_daemon::OnPeerFrame(const instance_name& peer,
@@ -403,6 +413,7 @@
   }
   const time_point now = Now();
   if (limits_ != nullptr && limits_->OnPeerFrame(peer, frame, now)) return;
+  if (quotas_ != nullptr && quotas_->OnPeerFrame(peer, frame, now)) return;
   const auto* evidence = frame.payload_as_crash_records();
   if (evidence != nullptr && crash_news_ != nullptr) {
     return crash_news_->Receive(FromWire(*evidence), now);
@@ -473,6 +484,7 @@
                       static_cast<double>(*resident));
   }
   if (gateway_ != nullptr) gateway_->UpdateMetrics();
+  if (quotas_ != nullptr) quotas_->UpdateMetrics(&metrics_);
   if (control_service_ != nullptr) {
     metrics_.SetGauge("bilberrycourse_control_leads",
                       "1 while this member leads the control group.",
@@ -518,6 +530,19 @@
          transport_.Send(leader, MakeFrame(ToWire(request)));
 }
 
+bool route_daemon::SendQuotaRequest(const quota_request& request) {
+  const instance_name& leader = control_client_.leader();
+  if (leader == config_.name && quotas_ != nullptr) {
+    boost::asio::post(context_, [this, request] {
+      const time_point now = Now();
+      gateway_->OnQuotaReply(quotas_->Handle(request, now), now);
+    });
+    return true;
+  }
+  return transport_.Connected(leader) &&
+         transport_.Send(leader, MakeFrame(ToWire(request)));
+}
+
 bool route_daemon::SendCrashEvidence(
     const std::vector<crash_evidence_record>& records) {
   const instance_name& leader = control_client_.leader();
--- a/app/route_daemon.h
+++ b/app/route_daemon.h
@@ -30,6 +30,7 @@
 #include "app/limit_service.h"
 #include "app/metrics.h"
 #include "app/peer_transport.h"
+#include "app/quota_service.h"
 #include "app/route_gateway.h"
 #include "app/route_registry.h"
 #include "app/settings.h"
@@ -71,6 +72,7 @@
   void SendHello(const instance_name& peer);
   void CountEntryInstances(time_point now);
   bool SendLimitRequest(const limit_request& request);
+  bool SendQuotaRequest(const quota_request& request);
   bool SendCrashEvidence(const std::vector<crash_evidence_record>& records);
   void ExchangeCrashEvidence(time_point now);
   void OnRelaysChanged();
@@ -95,6 +97,7 @@
   std::unique_ptr<route_gateway> gateway_;
   std::unique_ptr<route_registry> registry_;
   std::unique_ptr<limit_service> limits_;
+  std::unique_ptr<quota_service> quotas_;
   // On a control instance.
   std::unique_ptr<crash_news> crash_news_;
   // The leader that knows the crash evidence of this instance.
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -59,6 +59,12 @@
   return options;
 }
 
+account_gate_options GateOptions() {
+  account_gate_options options;
+  options.first_request = FirstMessageId();
+  return options;
+}
+
 std::string_view WithoutPort(std::string_view host) {
   return host.substr(0, host.find(':'));
 }
@@ -105,6 +111,7 @@
       limit_log_limiter_(kLimitLogsPerSecond),
       request_limit_log_limiter_(kRequestLimitLogsPerSecond),
       crash_log_limiter_(kCrashLogsPerSecond),
+      gate_(GateOptions()),
       engine_(EngineOptions(config), config.name, config.zone),
       client_(std::move(executor), ClientOptions(config, kConnectTimeout),
               protocol->headers(), this),
@@ -175,7 +182,8 @@
   if (matched_route == nullptr) {
     return Refuse(request, result_code::kUnknownPath, std::move(respond));
   }
-  Begin({std::move(request), std::move(respond), table_, matched_route, Now()});
+  Admit({std::move(request), std::move(respond), table_, matched_route, Now(),
+         /*account=*/nullptr, /*pass=*/std::nullopt});
 }
 
 void route_gateway::Begin(arrived_request arrived) {
@@ -196,6 +204,7 @@
         std::make_shared<const std::string>(std::move(arrived.request.body));
   }
   state.respond = std::move(arrived.respond);
+  state.pass = std::move(arrived.pass);
   *request.on_disconnect = [this, id] { OnCallerDisconnected(id); };
   route_call call;
   call.id = id;
@@ -300,12 +309,14 @@
 
 void route_gateway::StopAt(time_point end, time_point now) {
   stopping_ = true;
+  gate_.StopAt(end);
   route_effects effects;
   engine_.StopAt(end, now, &effects);
   Execute(&effects);
 }
 
 void route_gateway::Tick(time_point now) {
+  gate_.Tick(now);
   route_effects effects;
   engine_.Tick(now, &effects);
   Execute(&effects);
@@ -395,6 +406,7 @@
   const call_state call = std::move(found->second);
   calls_.erase(found);
   LogFinish(call, effect);
+  ReturnPass(call, effect);
   const bool served = effect.code == result_code::kOk;
   const std::string_view outcome =
       !served
@@ -539,6 +551,7 @@
 }
 
 void route_gateway::UpdateMetrics() {
+  UpdateAccountMetrics();
   const route_engine_counters& counters = engine_.counters();
   const struct {
     const char* name;
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 
+#include "app/account_gate.h"
 #include "app/edge_protocol.h"
 #include "app/http_server.h"
 #include "app/log_limiter.h"
@@ -59,6 +60,15 @@
     send_limit_request_ = std::move(send);
   }
   void OnLimitReply(const limit_reply& reply, time_point now);
+  // Sets how requests for permits reach the quota_allocator. `send` returns
+  // false if it can't be reached now. Its replies come by OnPeerFrame() or
+  // OnQuotaReply().
+  void SetQuotaRequestSender(std::function<bool(const quota_request&)> send) {
+    gate_.SetSender(std::move(send));
+  }
+  void OnQuotaReply(const quota_reply& reply, time_point now);
+  // The link to the leader of the control group is lost.
+  void OnLeaderLost(time_point now);
   // Sets how crash evidence reaches the leader of the control group, which
   // passes it on to all entry instances. `send` returns false if the leader
   // can't be reached now.
@@ -96,7 +106,7 @@
   void StopAt(time_point end, time_point now);
 
   void Tick(time_point now);
-  std::optional<time_point> next_due() const { return engine_.next_due(); }
+  std::optional<time_point> next_due() const;
   // True once a configuration is in force.
   bool configured() const { return table_ != nullptr; }
   std::size_t in_flight() const { return calls_.size(); }
@@ -124,6 +134,10 @@
     std::shared_ptr<const route_table> table;
     const route* matched_route = nullptr;
     time_point at{};
+    // Owned by `table`; nullptr if the caller has no account.
+    const client_account* account = nullptr;
+    // Set once the gate has admitted the request.
+    std::optional<gate_pass> pass;
   };
 
   struct call_state {
@@ -137,6 +151,8 @@
     // On a relay: owns the route that `matched_route` points to.
     std::shared_ptr<const route> relay_route;
     std::unique_ptr<memory_holder> relayed_memory;
+    // Of a request of a limited account.
+    std::optional<gate_pass> pass;
   };
   // A group of shards that a relay searches on behalf of this instance.
   struct relayed_group {
@@ -145,6 +161,10 @@
     instance_name relay;
   };
 
+  void Admit(arrived_request arrived);
+  void OnGateResult(arrived_request arrived, const gate_result& result);
+  void ReturnPass(const call_state& call, const finish_route_request& finish);
+  void UpdateAccountMetrics();
   void Begin(arrived_request arrived);
   void Execute(route_effects* effects);
   void ExecuteEffect(open_searcher_connection& effect);
@@ -209,6 +229,7 @@
   log_limiter limit_log_limiter_;
   log_limiter request_limit_log_limiter_;
   log_limiter crash_log_limiter_;
+  account_gate gate_;
   route_engine engine_;
   searcher_client client_;
   std::shared_ptr<const route_table> table_;
--- a/app/route_gateway_relays.cc
+++ b/app/route_gateway_relays.cc
@@ -7,6 +7,7 @@
 #include "app/frames.h"
 #include "app/json_log.h"
 #include "app/limit_frames.h"
+#include "app/quota_frames.h"
 #include "app/route_gateway.h"
 
 // The relay functions of route_gateway. For a request over many shards, the
@@ -232,6 +233,10 @@
     OnLimitReply(FromWire(*reply), now);
     return true;
   }
+  if (const auto* reply = frame.payload_as_quota_reply()) {
+    OnQuotaReply(FromWire(*reply), now);
+    return true;
+  }
   if (const auto* evidence = frame.payload_as_crash_records()) {
     OnCrashEvidence(FromWire(*evidence), now);
     return true;
--- /dev/null
+++ b/bilberrycourse/accounts/account_quota.cc
@@ -0,0 +1,170 @@
+#include "bilberrycourse/accounts/account_quota.h"
+
+#include <algorithm>
+
+namespace bilberrycourse {
+namespace {
+
+using seconds = std::chrono::duration<double>;
+
+// Time after an unanswered request in which the allocator is not asked.
+constexpr duration kSilencePause = std::chrono::milliseconds(200);
+// Retry-After while the allocator is lost and the own share is used up. A new
+// leader is elected within 0.3 to 2.5 s.
+constexpr duration kLostRetryTime = std::chrono::milliseconds(500);
+// Longest Retry-After of one refused request after others.
+constexpr duration kMaxRetryTime = std::chrono::seconds(30);
+constexpr duration kRemovalPeriod = std::chrono::seconds(5);
+// Bounds the memory. Above the greatest number of accounts in a configuration.
+constexpr std::size_t kMaxAccounts = 16384;
+// Permits of one account held at once, if a reply grants more than was asked.
+constexpr std::size_t kMaxPermits = 4096;
+
+}  // namespace
+
+account_quota::account_state* account_quota::Find(const quota_limits& limits,
+                                                  time_point now) {
+  if (now >= removal_due_) RemoveIdle(now);
+  auto found = accounts_.find(limits.account);
+  if (found == accounts_.end()) {
+    if (accounts_.size() >= kMaxAccounts) return nullptr;
+    found = accounts_.emplace(limits.account, tolerance_.window).first;
+  }
+  account_state& state = found->second;
+  state.per_second = limits.requests_per_second;
+  state.used_at = now;
+  return &state;
+}
+
+void account_quota::RemoveExpired(account_state* state, time_point now) {
+  state->expired += static_cast<std::uint32_t>(std::erase_if(
+      state->permit_ends, [&](time_point end) { return end <= now; }));
+}
+
+// Every refused request moves the time at which there is room for the next one.
+quota_decision account_quota::Refuse(account_state* state, time_point now) {
+  const time_point room_at =
+      std::max({state->denied_until, state->room_at, now});
+  const seconds interval(1 / state->per_second);
+  quota_decision refused;
+  refused.retry_after = std::min(room_at - now, kMaxRetryTime);
+  state->room_at = std::min(room_at + std::chrono::ceil<duration>(std::min(
+                                          interval, seconds(kMaxRetryTime))),
+                            now + kMaxRetryTime);
+  return refused;
+}
+
+quota_decision account_quota::Decide(const quota_limits& limits,
+                                     time_point now) {
+  account_state* state = Find(limits, now);
+  if (state == nullptr) return {quota_verdict::kRefused, kLostRetryTime, {}};
+  RemoveExpired(state, now);
+  if (!state->permit_ends.empty()) {
+    const auto first = std::ranges::min_element(state->permit_ends);
+    const time_point end = *first;
+    state->permit_ends.erase(first);
+    state->sends.Add(1, now);
+    return {quota_verdict::kAdmitted, duration{0}, end};
+  }
+  if (now < state->denied_until) return Refuse(state, now);
+  if (lost_ && now < ask_again_at_) return DecideAlone(limits, now);
+  return {quota_verdict::kAsk, duration{0}, {}};
+}
+
+quota_decision account_quota::DecideAlone(const quota_limits& limits,
+                                          time_point now) {
+  account_state* state = Find(limits, now);
+  if (state == nullptr) return {quota_verdict::kRefused, kLostRetryTime, {}};
+  // A lower limit that has arrived since binds here as well.
+  const double limit =
+      limits.requests_per_second * seconds(tolerance_.window).count() +
+      limits.burst;
+  const auto reference = static_cast<std::uint64_t>(
+      std::min(static_cast<double>(state->reference), limit));
+  const std::uint64_t share =
+      state->reference == 0 ? 0 : std::max<std::uint64_t>(reference / 2, 1);
+  if (state->sends.AtMost(now) >= share) {
+    return {quota_verdict::kRefused, kLostRetryTime, {}};
+  }
+  state->sends.Add(1, now);
+  ++counters_.own_share;
+  return {quota_verdict::kAdmitted, duration{0}, {}};
+}
+
+void account_quota::Return(const std::string& account,
+                           const std::optional<time_point>& permit_end,
+                           time_point now) {
+  const auto found = accounts_.find(account);
+  if (found == accounts_.end()) return;
+  account_state& state = found->second;
+  state.sends.Remove(1, now);
+  if (permit_end.has_value() && state.permit_ends.size() < kMaxPermits) {
+    state.permit_ends.push_back(*permit_end);
+  }
+}
+
+quota_request account_quota::Ask(
+    std::uint64_t id,
+    const std::vector<std::pair<quota_limits, std::uint32_t>>& wanted,
+    time_point now) {
+  quota_request request;
+  request.id = id;
+  for (const auto& [limits, count] : wanted) {
+    quota_want want{limits.account, limits.requests_per_second,
+                    limits.burst,   limits.config_version,
+                    count,          0};
+    account_state* state = Find(limits, now);
+    if (state != nullptr) {
+      RemoveExpired(state, now);
+      want.returned = std::exchange(state->expired, 0);
+      state->grants.Remove(want.returned, now);
+      counters_.returned += want.returned;
+    }
+    request.wants.push_back(std::move(want));
+  }
+  return request;
+}
+
+void account_quota::OnReply(const quota_reply& reply, time_point asked_at,
+                            time_point now) {
+  if (!reply.allocated) return OnLost(/*silent=*/false, now);
+  lost_ = false;
+  for (const quota_grant& grant : reply.grants) {
+    const auto found = accounts_.find(grant.account);
+    if (found == accounts_.end()) continue;
+    account_state& state = found->second;
+    RemoveExpired(&state, now);
+    const auto granted = static_cast<std::uint32_t>(std::min<std::size_t>(
+        grant.granted,
+        kMaxPermits - std::min(kMaxPermits, state.permit_ends.size())));
+    state.permit_ends.insert(state.permit_ends.end(), granted,
+                             asked_at + grant.lifetime);
+    state.grants.Add(granted, now);
+    counters_.granted += granted;
+    if (grant.retry_in > duration{0}) {
+      state.denied_until = now + std::min(grant.retry_in, kMaxRetryTime);
+    }
+  }
+}
+
+void account_quota::OnLost(bool silent, time_point now) {
+  if (silent) ask_again_at_ = now + kSilencePause;
+  if (lost_) return;
+  lost_ = true;
+  ++counters_.allocator_losses;
+  for (auto& [name, state] : accounts_) {
+    state.reference = state.grants.AtLeast(now);
+  }
+}
+
+// While the allocator is lost, what an account had been granted before is kept.
+void account_quota::RemoveIdle(time_point now) {
+  removal_due_ = now + kRemovalPeriod;
+  std::erase_if(accounts_, [&](const auto& entry) {
+    const account_state& state = entry.second;
+    const bool keep = (lost_ && state.reference > 0) || state.room_at > now;
+    return !keep && now - state.used_at > 2 * tolerance_.window;
+  });
+}
+
+}  // namespace bilberrycourse
