Tests of evacuations in the pool and end to end

Cause: the calls, the restart of all processes and the end of an evacuation were covered by no test with real processes.

--- a/app/testing/e2e/routed.py
+++ b/app/testing/e2e/routed.py
@@ -70,10 +70,12 @@
         with open(path, "w") as out:
             out.write(settings)
         self.log_path = os.path.join(folder, name + ".log")
-        with open(self.log_path, "wb") as log:
-            self.process = subprocess.Popen(
-                [os.path.join(ROOT, build, "bilberrycourse"), "serve", "--config", path],
-                stdout=log, stderr=log)
+        self.command = [os.path.join(ROOT, build, "bilberrycourse"), "serve", "--config", path]
+        self.start()
+
+    def start(self):
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(self.command, stdout=log, stderr=log)
 
     def running(self):
         return self.process.poll() is None
@@ -108,7 +110,7 @@
     def __init__(self):
         self.server = socket.create_server(("127.0.0.1", 0), backlog=512)
         self.address = "127.0.0.1:%d" % self.server.getsockname()[1]
-        self.reply_bytes, self.delay_s = 100, 0.0
+        self.reply_bytes, self.delay_s, self.requests = 100, 0.0, 0
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self):
@@ -128,6 +130,7 @@
                     name, value = line.decode("latin-1").split(":", 1)
                     headers[name.lower()] = value.strip()
                 reader.read(int(headers.get("content-length", 0)))
+                self.requests += 1
                 time.sleep(self.delay_s)
                 connection.sendall(
                     ("HTTP/1.1 200 OK\r\nX-Server-Stamp: stamp\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n\r\n"
@@ -222,6 +225,17 @@
                 "slots": 64, "state": "ready", "warmupLeftMs": 0, "sequence": self.sequence, "born": 1}
         return self.call(f"127.0.0.2:{self.control_port}", "PUT", f"/v1/instances/{name}", json.dumps(body))
 
+    def evacuate(self, zone, method="POST", seconds=10):
+        """Repeats the call, as an operator does, until it is not answered 503.
+        Returns the status."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            answer = self.call(f"127.0.0.2:{self.control_port}", method, f"/v1/evacuations/{zone}")
+            if answer is not None and answer[0] != 503:
+                return answer[0]
+            time.sleep(0.1)
+        return 503
+
     def add_endless_searchers(self, count):
         """Returns whether the entry instance sends to them within 20 s."""
         for number in range(count):
--- a/bilberrycourse/testing/searcher_pool_test.cc
+++ b/bilberrycourse/testing/searcher_pool_test.cc
@@ -157,5 +157,31 @@
   for (const auto& [id, count] : connections) EXPECT_LE(count, 66) << id;
 }
 
+// Guards against searchers of an evacuated zone that are still chosen, sampled
+// for probes or preferred in place of others, however they came there.
+TEST_F(searcher_pool_test, SetEvacuatedZones_AnyUse_LeavesSearchersOut) {
+  searcher_pool pool({}, "e1", "a");
+  pool.SetInstances(100);
+  pool.SetConnectionLimit("lots", 10);
+  Add(&pool, "i1", "a");
+  Add(&pool, "i2", "b");
+  std::vector<std::string> resumed;
+  pool.SetEvacuatedZones({"a", "c"}, &stopped_, &resumed);
+  EXPECT_EQ(stopped_, std::vector<std::string>{"i1"});
+  EXPECT_TRUE(pool.Find("i2")->preferred);
+  EXPECT_EQ(ChosenOutOf100(&pool, "i2"), 100);
+  EXPECT_EQ(pool.Sample(5), std::vector{pool.Find("i2")});
+  EXPECT_FALSE(pool.Evacuated("lots"));
+  // It moves into an evacuated zone, as after a correction of its record.
+  Add(&pool, "i2", "c");
+  EXPECT_EQ(stopped_.back(), "i2");
+  EXPECT_EQ(pool.Choose("lots", {}, now_), nullptr);
+  EXPECT_TRUE(pool.Evacuated("lots"));
+  EXPECT_FALSE(pool.Evacuated("other"));
+  pool.SetEvacuatedZones({"c"}, &stopped_, &resumed);
+  EXPECT_EQ(resumed, std::vector<std::string>{"i1"});
+  EXPECT_EQ(ChosenOutOf100(&pool, "i1"), 100);
+}
+
 }  // namespace
 }  // namespace bilberrycourse
