--- a/bilberrycourse/testing/evacuated_zones_test.cc
+++ b/bilberrycourse/testing/evacuated_zones_test.cc
@@ -34,7 +34,7 @@
   const struct {
     std::string zone;
     bool accepted;
-  } kCases[] = {
+  } cases[] = {
       {"a", true},
       {"zone-1_b.C", true},
       {std::string(128, 'z'), true},
@@ -46,7 +46,7 @@
       {"\xc3\xa4", false},
       {std::string("a\0", 2), false},
   };
-  for (const auto& [zone, accepted] : kCases) {
+  for (const auto& [zone, accepted] : cases) {
     EXPECT_EQ(IsZoneName(zone), accepted) << zone;
   }
 }
