Test: the origin searches what a relay refuses for its key

The way of a shard whose relay does not know a new key yet was untested; without it answers would lack these shards for up to a poll after each new key.

--- a/bilberrycourse/accounts/testing/authenticator_test.cc
+++ b/bilberrycourse/accounts/testing/authenticator_test.cc
@@ -22,6 +22,24 @@
     return strict_.Check(index_, route_, {"Bearer " + key}, lease_, At(ms));
   }
 
+  // Begins a request with k1 and a confirmation of this moment.
+  authentication Begin(route_engine_rig* rig, std::vector<relay_group> relays) {
+    lease_.OnConfirmed(rig->now, duration{0}, 0);
+    const authentication sender =
+        strict_.Check(index_, route_, {"Bearer k1"}, lease_, rig->now);
+    route_call call;
+    call.table = rig->table;
+    call.matched_route = &rig->table->config().routes.front();
+    call.sent_at = rig->now;
+    call.time_left = std::chrono::hours(1);
+    call.EndBy(*sender.last_start, rig->now);
+    call.relays = std::move(relays);
+    route_effects effects;
+    rig->engine.Begin(std::move(call), rig->now, &effects);
+    rig->Execute(&effects);
+    return sender;
+  }
+
   std::vector<client_account> accounts_ = {{"a", {"k1", "k2"}, 0, 0, 3},
                                            {"revoked", {}, 0, 0, {}}};
   account_index index_{accounts_, 17};
@@ -91,6 +109,26 @@
   EXPECT_TRUE(strict_.MayServe(index_, lease_, At(3960)));
 }
 
+// Guards against an answer without the shards of a relay that does not know a
+// new key yet.
+TEST_F(authenticator_test, OnRelayReport_KeyRefused_OriginSearchesShard) {
+  route_engine_rig rig;
+  rig.AddRoute("r", 2, true);
+  rig.AddSearcher("r-0", "i0");
+  rig.AddSearcher("r-1", "i1");
+  Begin(&rig, {{"e2", {0}}});
+  ASSERT_EQ(rig.relayed.size(), 1u);
+  ASSERT_EQ(rig.sends.size(), 1u);
+  shard_report report;
+  report.failed = {{0, result_code::kControlLeaseExpired, true}};
+  report.final = true;
+  route_effects effects;
+  rig.engine.OnRelayReport({}, 0, report, rig.now, &effects);
+  rig.Execute(&effects);
+  ASSERT_EQ(rig.sends.size(), 2u);
+  EXPECT_EQ(rig.sends.back().searcher, "i0");
+}
+
 // Guards against a process that was frozen and, when it resumes, begins a
 // request or sends an attempt before it handles its timers.
 TEST_F(authenticator_test, LastStart_FrozenAndThawed_StartsNothing) {
@@ -98,22 +136,11 @@
   rig.AddRoute("r", 0, true);
   rig.connect = false;
   rig.AddSearcher("r", "i1");
-  lease_.OnConfirmed(rig.now, duration{0}, 0);
-  const authentication sender =
-      strict_.Check(index_, route_, {"Bearer k1"}, lease_, rig.now);
-  route_call call;
-  call.table = rig.table;
-  call.matched_route = &rig.table->config().routes.front();
-  call.sent_at = rig.now;
-  call.time_left = std::chrono::hours(1);
-  call.EndBy(*sender.last_start, rig.now);
-  route_effects effects;
-  rig.engine.Begin(call, rig.now, &effects);
-  rig.Execute(&effects);
+  const authentication sender = Begin(&rig, {});
   rig.now += milliseconds(4750);
   EXPECT_FALSE(sender.MayBegin(rig.now));
   rig.connect = true;
-  effects.clear();
+  route_effects effects;
   rig.Execute(&effects);
   EXPECT_TRUE(rig.sends.empty());
   rig.Advance(milliseconds(1));
