--- a/app/route_gateway_accounts.cc
+++ b/app/route_gateway_accounts.cc
@@ -12,8 +12,8 @@
 
 // The lease of a gateway without one, which is never valid.
 const control_lease& NoLease() {
-  static const control_lease lease;
-  return lease;
+  static const control_lease kNoLease;
+  return kNoLease;
 }
 
 }  // namespace
--- a/bilberrycourse/testing/route_config_test.cc
+++ b/bilberrycourse/testing/route_config_test.cc
@@ -97,6 +97,7 @@
        [](route_config* c) { c->routes[0].backends.clear(); }},
       {"not idempotent",
        [](route_config* c) { c->routes[2].idempotent = false; }},
+      {"has no name", [](route_config* c) { c->accounts.resize(1); }},
   };
   for (const auto& test_case : cases) {
     route_config config = Valid();
