Own share of an account fits into its tolerance

Change: the part of the grants is what the allocator leaves of the tolerance, at most half, rounded at random.

--- a/app/testing/quota_property_test.cc
+++ b/app/testing/quota_property_test.cc
@@ -37,8 +37,8 @@
 };
 
 // Guards against more requests than the bound allows in any window, whatever
-// the demand, while instances are cut from the leader (at most a zone or 30% at
-// a time) or restart, and while the leader changes.
+// the demand, while instances are cut from the leader (a zone or about 30% at a
+// time) or restart, and while the leader changes.
 RC_GTEST_PROP(quota_property_test, AnyFaults_SendsOfAnyWindow_WithinBound, ()) {
   quota_tier tier(kInstances);
   tier.limits["a"] = {"a", *rc::gen::element(0.3, 2.0, 8.0, 22.0),
--- a/bilberrycourse/accounts/account_quota.cc
+++ b/bilberrycourse/accounts/account_quota.cc
@@ -1,12 +1,18 @@
 #include "bilberrycourse/accounts/account_quota.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace bilberrycourse {
 namespace {
 
 using seconds = std::chrono::duration<double>;
 
+// Parts of the slack: what the allocator leaves for own shares without a change
+// of the leader, and what a bucket holds beyond the burst; see quota_allocator.
+constexpr double kFreeSlack = 0.25;
+constexpr double kCapacitySlack = 0.5;
+constexpr double kShareOfGrants = 0.5;
 // Time after an unanswered request in which the allocator is not asked.
 constexpr duration kSilencePause = std::chrono::milliseconds(200);
 // Retry-After while the allocator is lost and the own share is used up. A new
@@ -20,8 +26,35 @@
 // Permits of one account held at once, if a reply grants more than was asked.
 constexpr std::size_t kMaxPermits = 4096;
 
+double LimitOfWindow(const quota_tolerance& tolerance,
+                     const quota_limits& limits) {
+  return limits.requests_per_second * seconds(tolerance.window).count() +
+         limits.burst;
+}
+
+// Returns a number in [0, 1) that differs between accounts and times.
+double RandomFraction(const std::string& account, time_point now) {
+  const std::uint64_t mixed =
+      (std::hash<std::string>()(account) ^
+       static_cast<std::uint64_t>(now.time_since_epoch().count())) *
+      0x9E3779B97F4A7C15ULL;
+  return static_cast<double>(mixed >> 11U) / static_cast<double>(1ULL << 53U);
+}
+
 }  // namespace
 
+std::uint64_t OwnShare(const quota_tolerance& tolerance,
+                       const quota_limits& limits, std::uint64_t grants,
+                       double random) {
+  const double limit = LimitOfWindow(tolerance, limits);
+  const double room =
+      tolerance.overshoot * limit + kFreeSlack * tolerance.slack;
+  const double part = room / (limit + kCapacitySlack * tolerance.slack);
+  const auto granted = static_cast<double>(grants);
+  const double share = granted * std::min(part, kShareOfGrants);
+  return static_cast<std::uint64_t>(std::min(share, limit) + random);
+}
+
 account_quota::account_state* account_quota::Find(const quota_limits& limits,
                                                   time_point now) {
   if (now >= removal_due_) RemoveIdle(now);
@@ -31,7 +64,7 @@
     found = accounts_.emplace(limits.account, tolerance_.window).first;
   }
   account_state& state = found->second;
-  state.per_second = limits.requests_per_second;
+  state.limits = limits;
   state.used_at = now;
   return &state;
 }
@@ -45,7 +78,7 @@
 quota_decision account_quota::Refuse(account_state* state, time_point now) {
   const time_point room_at =
       std::max({state->denied_until, state->room_at, now});
-  const seconds interval(1 / state->per_second);
+  const seconds interval(1 / state->limits.requests_per_second);
   quota_decision refused;
   refused.retry_after = std::min(room_at - now, kMaxRetryTime);
   state->room_at = std::min(room_at + std::chrono::ceil<duration>(std::min(
@@ -76,14 +109,9 @@
   account_state* state = Find(limits, now);
   if (state == nullptr) return {quota_verdict::kRefused, kLostRetryTime, {}};
   // A lower limit that has arrived since binds here as well.
-  const double limit =
-      limits.requests_per_second * seconds(tolerance_.window).count() +
-      limits.burst;
-  const auto reference = static_cast<std::uint64_t>(
-      std::min(static_cast<double>(state->reference), limit));
-  const std::uint64_t share =
-      state->reference == 0 ? 0 : std::max<std::uint64_t>(reference / 2, 1);
-  if (state->sends.AtMost(now) >= share) {
+  const double limit = std::max(LimitOfWindow(tolerance_, limits), 1.0);
+  const double share = std::min(static_cast<double>(state->own_share), limit);
+  if (static_cast<double>(state->sends.AtMost(now)) + 1 > share) {
     return {quota_verdict::kRefused, kLostRetryTime, {}};
   }
   state->sends.Add(1, now);
@@ -153,7 +181,9 @@
   lost_ = true;
   ++counters_.allocator_losses;
   for (auto& [name, state] : accounts_) {
-    state.reference = state.grants.AtLeast(now);
+    state.own_share =
+        OwnShare(tolerance_, state.limits, state.grants.AtLeast(now),
+                 RandomFraction(name, now));
   }
 }
 
@@ -162,7 +192,7 @@
   removal_due_ = now + kRemovalPeriod;
   std::erase_if(accounts_, [&](const auto& entry) {
     const account_state& state = entry.second;
-    const bool keep = (lost_ && state.reference > 0) || state.room_at > now;
+    const bool keep = (lost_ && state.own_share > 0) || state.room_at > now;
     return !keep && now - state.used_at > 2 * tolerance_.window;
   });
 }
--- a/bilberrycourse/accounts/account_quota.h
+++ b/bilberrycourse/accounts/account_quota.h
@@ -13,9 +13,10 @@
 //   }
 //
 // While the allocator is lost, an account may send while the instance's sends
-// of the last window stay below half of what it had been granted in the window
-// before the loss, but at least one. Sends before the loss count as well, so
-// the window around the loss is bounded too.
+// of the last window stay below its own share: half of what the instance had
+// been granted in the window before the loss, but at least one. Sends before
+// the loss count as well, so the window around the loss is bounded too.
+// Accounts with a high limit get less, see OwnShare().
 //
 // A permit ends one lifetime after it was asked for, not after its receipt: a
 // reply that waited in a link, or was read by a process that had been frozen,
@@ -52,6 +53,18 @@
   std::optional<time_point> permit_end;
 };
 
+// Returns how many requests an instance may send in a window without the
+// allocator, if it had been granted `grants` in the window before: at most
+// half, and at most the part with which all shares together fit into what the
+// allocator leaves of the tolerance, while other instances use up the limit. So
+// the bound holds for any set of instances that are cut off, also if most of an
+// account's callers are connected to them. `random` in [0, 1) rounds the share
+// up or down, so that the mean is kept: with few grants, an instance may send
+// one request or none.
+std::uint64_t OwnShare(const quota_tolerance& tolerance,
+                       const quota_limits& limits, std::uint64_t grants,
+                       double random);
+
 struct account_quota_counters {
   std::uint64_t granted = 0;
   std::uint64_t returned = 0;
@@ -94,14 +107,14 @@
   struct account_state {
     explicit account_state(duration window) : sends(window), grants(window) {}
 
-    double per_second = 0;
+    quota_limits limits;
     std::vector<time_point> permit_ends;
     // Expired permits that have not been given back.
     std::uint32_t expired = 0;
     window_counter sends;
     window_counter grants;
-    // Grants of the window that ended when the allocator was lost.
-    std::uint64_t reference = 0;
+    // Requests in a window while the allocator is lost.
+    std::uint64_t own_share = 0;
     time_point denied_until{};
     // When the bucket will have room for a request that is refused next.
     time_point room_at{};
