--- a/app/testing/quota_tier.h
+++ b/app/testing/quota_tier.h
@@ -41,7 +41,6 @@
   }
 
   void Request(std::size_t instance, const std::string& account) {
-    ++offered[account];
     const time_point at = now;
     gates[instance]->Enter(limits[account], now,
                            [this, account, at](const gate_result& result) {
@@ -117,7 +116,6 @@
   quota_allocator allocator;
   std::map<std::string, quota_limits> limits;
   std::map<std::string, std::vector<time_point>> sends;
-  std::map<std::string, std::size_t> offered;
   std::map<std::string, std::size_t> refused;
   duration longest_wait{0};
 
