Own shares of a lost quota allocator come from what its tolerance leaves

Cause: while the leader of the control group was away, an account could send only while its sends of the last window stayed below half of its grants. Change: a grant tells how many permits all instances got in the last window. An instance that loses the allocator may send its part of overshoot * limit + slack / 8 in each window, whatever it sent before; a new leader starts a bucket with slack / 8 in place of slack / 4. The tolerances are read from the settings.

--- a/app/peer_frame_generated.h
+++ b/app/peer_frame_generated.h
@@ -5079,6 +5079,7 @@
   uint32_t granted = 0;
   uint64_t lifetime_us = 0;
   uint64_t retry_in_us = 0;
+  uint64_t window_granted = 0;
 };
 
 struct quota_grant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5088,7 +5089,8 @@
     VT_ACCOUNT = 4,
     VT_GRANTED = 6,
     VT_LIFETIME_US = 8,
-    VT_RETRY_IN_US = 10
+    VT_RETRY_IN_US = 10,
+    VT_WINDOW_GRANTED = 12
   };
   const flatbuffers::String *account() const {
     return GetPointer<const flatbuffers::String *>(VT_ACCOUNT);
@@ -5102,6 +5104,9 @@
   uint64_t retry_in_us() const {
     return GetField<uint64_t>(VT_RETRY_IN_US, 0);
   }
+  uint64_t window_granted() const {
+    return GetField<uint64_t>(VT_WINDOW_GRANTED, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ACCOUNT) &&
@@ -5109,6 +5114,7 @@
            VerifyField<uint32_t>(verifier, VT_GRANTED, 4) &&
            VerifyField<uint64_t>(verifier, VT_LIFETIME_US, 8) &&
            VerifyField<uint64_t>(verifier, VT_RETRY_IN_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_WINDOW_GRANTED, 8) &&
            verifier.EndTable();
   }
   quota_grantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5132,6 +5138,9 @@
   void add_retry_in_us(uint64_t retry_in_us) {
     fbb_.AddElement<uint64_t>(quota_grant::VT_RETRY_IN_US, retry_in_us, 0);
   }
+  void add_window_granted(uint64_t window_granted) {
+    fbb_.AddElement<uint64_t>(quota_grant::VT_WINDOW_GRANTED, window_granted, 0);
+  }
   explicit quota_grantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5148,8 +5157,10 @@
     flatbuffers::Offset<flatbuffers::String> account = 0,
     uint32_t granted = 0,
     uint64_t lifetime_us = 0,
-    uint64_t retry_in_us = 0) {
+    uint64_t retry_in_us = 0,
+    uint64_t window_granted = 0) {
   quota_grantBuilder builder_(_fbb);
+  builder_.add_window_granted(window_granted);
   builder_.add_retry_in_us(retry_in_us);
   builder_.add_lifetime_us(lifetime_us);
   builder_.add_granted(granted);
@@ -5162,14 +5173,16 @@
     const char *account = nullptr,
     uint32_t granted = 0,
     uint64_t lifetime_us = 0,
-    uint64_t retry_in_us = 0) {
+    uint64_t retry_in_us = 0,
+    uint64_t window_granted = 0) {
   auto account__ = account ? _fbb.CreateString(account) : 0;
   return bilberrycourse::wire::Createquota_grant(
       _fbb,
       account__,
       granted,
       lifetime_us,
-      retry_in_us);
+      retry_in_us,
+      window_granted);
 }
 
 flatbuffers::Offset<quota_grant> Createquota_grant(flatbuffers::FlatBufferBuilder &_fbb, const quota_grantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7226,6 +7239,7 @@
   { auto _e = granted(); _o->granted = _e; }
   { auto _e = lifetime_us(); _o->lifetime_us = _e; }
   { auto _e = retry_in_us(); _o->retry_in_us = _e; }
+  { auto _e = window_granted(); _o->window_granted = _e; }
 }
 
 inline flatbuffers::Offset<quota_grant> quota_grant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const quota_grantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7240,12 +7254,14 @@
   auto _granted = _o->granted;
   auto _lifetime_us = _o->lifetime_us;
   auto _retry_in_us = _o->retry_in_us;
+  auto _window_granted = _o->window_granted;
   return bilberrycourse::wire::Createquota_grant(
       _fbb,
       _account,
       _granted,
       _lifetime_us,
-      _retry_in_us);
+      _retry_in_us,
+      _window_granted);
 }
 
 inline quota_replyT::quota_replyT(const quota_replyT &o)
--- a/app/quota_frames.cc
+++ b/app/quota_frames.cc
@@ -67,6 +67,7 @@
     out_grant->granted = grant.granted;
     out_grant->lifetime_us = ToMicros(grant.lifetime);
     out_grant->retry_in_us = ToMicros(grant.retry_in);
+    out_grant->window_granted = grant.window_granted;
     out.grants.push_back(std::move(out_grant));
   }
   return out;
@@ -81,7 +82,8 @@
     if (grant->account() == nullptr) continue;
     out.grants.push_back({grant->account()->str(), grant->granted(),
                           FromMicros(grant->lifetime_us()),
-                          FromMicros(grant->retry_in_us())});
+                          FromMicros(grant->retry_in_us()),
+                          grant->window_granted()});
   }
   return out;
 }
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -139,8 +139,8 @@
         protocol_.get(), control_service_.get(), &control_client_);
     limits_ =
         std::make_unique<limit_service>(&transport_, control_service_.get());
-    quotas_ =
-        std::make_unique<quota_service>(&transport_, control_service_.get());
+    quotas_ = std::make_unique<quota_service>(
+        &transport_, control_service_.get(), QuotaTolerance(config_));
     crash_news_ = std::make_unique<crash_news>();
   }
   if (config_.readiness_listen.port != 0) {
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -59,8 +59,9 @@
   return options;
 }
 
-account_gate_options GateOptions() {
+account_gate_options GateOptions(const settings& config) {
   account_gate_options options;
+  options.tolerance = QuotaTolerance(config);
   options.first_request = FirstMessageId();
   return options;
 }
@@ -111,7 +112,7 @@
       limit_log_limiter_(kLimitLogsPerSecond),
       request_limit_log_limiter_(kRequestLimitLogsPerSecond),
       crash_log_limiter_(kCrashLogsPerSecond),
-      gate_(GateOptions()),
+      gate_(GateOptions(config)),
       engine_(EngineOptions(config), config.name, config.zone),
       client_(std::move(executor), ClientOptions(config, kConnectTimeout),
               protocol->headers(), this),
--- a/app/settings.cc
+++ b/app/settings.cc
@@ -191,9 +191,10 @@
   return {};
 }
 
-problem_text ParseRevokeTime(const std::string& text, settings* out) {
-  if (text.empty()) return {};
-  return ParseNumber<&settings::revoke, 2000, 600000>(text, out);
+// Keeps the default if the platform leaves the value empty.
+template <problem_text (*Parse)(const std::string&, settings*)>
+problem_text ParseIfPresent(const std::string& text, settings* out) {
+  return text.empty() ? problem_text{} : Parse(text, out);
 }
 
 // A group of 2n + 1 members tolerates the loss of n.
@@ -263,7 +264,16 @@
     {"accounts", "strict_revocation", setting_requirement::kOptional,
      "true, false or empty", ParseStrictRevocation},
     {"accounts", "revoke_ms", setting_requirement::kOptional,
-     "2000 to 600000 milliseconds or empty", ParseRevokeTime},
+     "2000 to 600000 milliseconds or empty",
+     ParseIfPresent<ParseNumber<&settings::revoke, 2000, 600000>>},
+    {"accounts", "quota_window_s", setting_requirement::kOptional,
+     "1 to 3600 seconds or empty",
+     ParseIfPresent<ParseNumber<&settings::quota_window, 1, 3600>>},
+    {"accounts", "quota_overshoot", setting_requirement::kOptional,
+     "0 to 1 or empty", ParseIfPresent<ParseRatio<&settings::quota_overshoot>>},
+    {"accounts", "quota_slack", setting_requirement::kOptional,
+     "0 to 1000000 requests or empty",
+     ParseIfPresent<ParseNumber<&settings::quota_slack, 0, 1000000>>},
     {"operator", "token_file", setting_requirement::kRequiredForQuery,
      kSecretAllowed, ParseSecretFile<&settings::operator_token>},
     {"log", "level", setting_requirement::kOptional,
@@ -508,6 +518,14 @@
   return options;
 }
 
+quota_tolerance QuotaTolerance(const settings& config) {
+  quota_tolerance tolerance;
+  tolerance.window = config.quota_window;
+  tolerance.overshoot = config.quota_overshoot;
+  tolerance.slack = static_cast<double>(config.quota_slack);
+  return tolerance;
+}
+
 std::string SeedAddress(const settings& config, const std::string& ip) {
   for (const socket_address& seed : config.seeds) {
     if (seed.ip == ip) return seed.ToText();
--- a/app/settings.h
+++ b/app/settings.h
@@ -22,6 +22,7 @@
 
 #include "app/json_log.h"
 #include "bilberrycourse/accounts/authenticator.h"
+#include "bilberrycourse/accounts/quota_protocol.h"
 #include "bilberrycourse/types.h"
 
 namespace bilberrycourse {
@@ -103,6 +104,11 @@
   // acknowledgement of a configuration that revoked its key.
   bool strict_revocation = false;
   std::chrono::milliseconds revoke{5000};
+  // How far all entry instances together may exceed an account's limit; see
+  // quota_tolerance.
+  std::chrono::seconds quota_window{5};
+  double quota_overshoot = 0.1;
+  std::uint64_t quota_slack = 20;
   // [operator]
   std::string operator_token;
   // [log]
@@ -137,6 +143,9 @@
 
 memory_shares MemoryShares(const settings& config);
 
+// Returns the tolerance of account limits of [accounts].
+quota_tolerance QuotaTolerance(const settings& config);
+
 authenticator_options RevocationOptions(const settings& config);
 
 struct settings_error {
--- a/app/testing/settings_test.cc
+++ b/app/testing/settings_test.cc
@@ -253,7 +253,9 @@
         [](const settings_errors& errors) { ADD_FAILURE() << ToText(errors); },
         [] { ADD_FAILURE(); });
   }
-  for (const char* wrong : {"strict_revocation=yes", "revoke_ms=10"}) {
+  for (const char* wrong :
+       {"strict_revocation=yes", "revoke_ms=10", "quota_window_s=0",
+        "quota_overshoot=2", "quota_slack=-1"}) {
     EXPECT_EQ(ErrorsOf(RoutesText() + "[accounts]\n" + wrong).size(), 1u);
   }
 }
--- a/bilberrycourse/accounts/account_quota.cc
+++ b/bilberrycourse/accounts/account_quota.cc
@@ -8,11 +8,9 @@
 
 using seconds = std::chrono::duration<double>;
 
-// Parts of the slack: what the allocator leaves for own shares without a change
-// of the leader, and what a bucket holds beyond the burst; see quota_allocator.
-constexpr double kFreeSlack = 0.25;
-constexpr double kCapacitySlack = 0.5;
-constexpr double kShareOfGrants = 0.5;
+// Part of the slack that the allocator leaves for own shares; see
+// quota_allocator.
+constexpr double kFreeSlack = 0.125;
 // Time after an unanswered request in which the allocator is not asked.
 constexpr duration kSilencePause = std::chrono::milliseconds(200);
 // Retry-After while the allocator is lost and the own share is used up. A new
@@ -45,14 +43,14 @@
 
 std::uint64_t OwnShare(const quota_tolerance& tolerance,
                        const quota_limits& limits, std::uint64_t grants,
-                       double random) {
+                       std::uint64_t all_grants, double random) {
+  if (grants == 0) return 0;
   const double limit = LimitOfWindow(tolerance, limits);
-  const double room =
-      tolerance.overshoot * limit + kFreeSlack * tolerance.slack;
-  const double part = room / (limit + kCapacitySlack * tolerance.slack);
-  const auto granted = static_cast<double>(grants);
-  const double share = granted * std::min(part, kShareOfGrants);
-  return static_cast<std::uint64_t>(std::min(share, limit) + random);
+  const double room = std::min(
+      tolerance.overshoot * limit + kFreeSlack * tolerance.slack, limit);
+  const double part = static_cast<double>(grants) /
+                      static_cast<double>(std::max(grants, all_grants));
+  return static_cast<std::uint64_t>(room * part + random);
 }
 
 account_quota::account_state* account_quota::Find(const quota_limits& limits,
@@ -96,7 +94,6 @@
     const auto first = std::ranges::min_element(state->permit_ends);
     const time_point end = *first;
     state->permit_ends.erase(first);
-    state->sends.Add(1, now);
     return {quota_verdict::kAdmitted, duration{0}, end};
   }
   if (now < state->denied_until) return Refuse(state, now);
@@ -111,10 +108,10 @@
   // A lower limit that has arrived since binds here as well.
   const double limit = std::max(LimitOfWindow(tolerance_, limits), 1.0);
   const double share = std::min(static_cast<double>(state->own_share), limit);
-  if (static_cast<double>(state->sends.AtMost(now)) + 1 > share) {
+  if (static_cast<double>(state->sends_alone.AtMost(now)) + 1 > share) {
     return {quota_verdict::kRefused, kLostRetryTime, {}};
   }
-  state->sends.Add(1, now);
+  state->sends_alone.Add(1, now);
   ++counters_.own_share;
   return {quota_verdict::kAdmitted, duration{0}, {}};
 }
@@ -125,8 +122,9 @@
   const auto found = accounts_.find(account);
   if (found == accounts_.end()) return;
   account_state& state = found->second;
-  state.sends.Remove(1, now);
-  if (permit_end.has_value() && state.permit_ends.size() < kMaxPermits) {
+  if (!permit_end.has_value()) {
+    state.sends_alone.Remove(1, now);
+  } else if (state.permit_ends.size() < kMaxPermits) {
     state.permit_ends.push_back(*permit_end);
   }
 }
@@ -168,6 +166,7 @@
     state.permit_ends.insert(state.permit_ends.end(), granted,
                              asked_at + grant.lifetime);
     state.grants.Add(granted, now);
+    state.all_grants = grant.window_granted;
     counters_.granted += granted;
     if (grant.retry_in > duration{0}) {
       state.denied_until = now + std::min(grant.retry_in, kMaxRetryTime);
@@ -183,7 +182,7 @@
   for (auto& [name, state] : accounts_) {
     state.own_share =
         OwnShare(tolerance_, state.limits, state.grants.AtLeast(now),
-                 RandomFraction(name, now));
+                 state.all_grants, RandomFraction(name, now));
   }
 }
 
--- a/bilberrycourse/accounts/account_quota.h
+++ b/bilberrycourse/accounts/account_quota.h
@@ -12,11 +12,12 @@
 //     ... quotas.OnLost(silent, now), then DecideAlone().
 //   }
 //
-// While the allocator is lost, an account may send while the instance's sends
-// of the last window stay below its own share: half of what the instance had
-// been granted in the window before the loss, but at least one. Sends before
-// the loss count as well, so the window around the loss is bounded too.
-// Accounts with a high limit get less, see OwnShare().
+// While the allocator is lost, for an election or because the instance is cut
+// off, an account may send up to the instance's own share in each window. All
+// shares together are what the allocator leaves of the tolerance, so they need
+// not be taken from what was granted before the loss: at the usual load, an
+// election of a second then refuses few requests. They are divided by what each
+// instance was granted in the window before the loss; see OwnShare().
 //
 // A permit ends one lifetime after it was asked for, not after its receipt: a
 // reply that waited in a link, or was read by a process that had been frozen,
@@ -54,16 +55,14 @@
 };
 
 // Returns how many requests an instance may send in a window without the
-// allocator, if it had been granted `grants` in the window before: at most
-// half, and at most the part with which all shares together fit into what the
-// allocator leaves of the tolerance, while other instances use up the limit. So
-// the bound holds for any set of instances that are cut off, also if most of an
-// account's callers are connected to them. `random` in [0, 1) rounds the share
-// up or down, so that the mean is kept: with few grants, an instance may send
-// one request or none.
+// allocator, if it had been granted `grants` of `all_grants` in the window
+// before: its part of what the allocator leaves of the tolerance. The bound
+// holds for any set of instances that are cut off, while the others use up the
+// limit. `random` in [0, 1) rounds the share up or down, so that the mean is
+// kept: with few grants, an instance may send one request or none.
 std::uint64_t OwnShare(const quota_tolerance& tolerance,
                        const quota_limits& limits, std::uint64_t grants,
-                       double random);
+                       std::uint64_t all_grants, double random);
 
 struct account_quota_counters {
   std::uint64_t granted = 0;
@@ -105,14 +104,18 @@
 
  private:
   struct account_state {
-    explicit account_state(duration window) : sends(window), grants(window) {}
+    explicit account_state(duration window)
+        : sends_alone(window), grants(window) {}
 
     quota_limits limits;
     std::vector<time_point> permit_ends;
     // Expired permits that have not been given back.
     std::uint32_t expired = 0;
-    window_counter sends;
+    // Requests admitted without the allocator.
+    window_counter sends_alone;
     window_counter grants;
+    // Permits of all instances in the window before the latest reply.
+    std::uint64_t all_grants = 0;
     // Requests in a window while the allocator is lost.
     std::uint64_t own_share = 0;
     time_point denied_until{};
--- a/bilberrycourse/accounts/quota_allocator.cc
+++ b/bilberrycourse/accounts/quota_allocator.cc
@@ -14,7 +14,7 @@
 constexpr double kCapacityShare = 0.5;
 constexpr double kSpareShare = 0.125;
 constexpr double kCreditShare = 0.125;
-constexpr double kStartShare = 0.25;
+constexpr double kStartShare = 0.125;
 constexpr duration kRemovalPeriod = std::chrono::seconds(5);
 // Above the greatest number of accounts in a configuration, 10,000. Bounds the
 // memory if instances ask for unknown accounts.
@@ -68,6 +68,7 @@
                         std::min(tokens, Capacity(want.burst)),
                         grants_unknown ? started_at_ : now,
                         window_counter(lifetime),
+                        window_counter(tolerance_.window),
                         window_counter(tolerance_.window + kMaxQuotaLifetime)};
     found = accounts_.emplace(want.account, std::move(added)).first;
   }
@@ -133,6 +134,8 @@
       ++counters_.spares;
     }
   }
+  state->grants.Add(grant.granted, now);
+  grant.window_granted = state->grants.AtMost(now);
   counters_.granted += grant.granted;
   return grant;
 }
--- a/bilberrycourse/accounts/quota_allocator.h
+++ b/bilberrycourse/accounts/quota_allocator.h
@@ -37,7 +37,7 @@
 // are credited within W + kMaxQuotaLifetime.
 //
 // Soft state: after a change of the leader the former grants are unknown, so a
-// bucket starts with at most slack / 4 tokens. Accounts first seen a window
+// bucket starts with at most slack / 8 tokens. Accounts first seen a window
 // after Start() have no such grants and start with a full bucket.
 
 #include <cstdint>
@@ -86,6 +86,7 @@
     double tokens = 0;
     time_point filled_at{};
     window_counter spares;
+    window_counter grants;
     window_counter credited;
   };
 
--- a/bilberrycourse/accounts/quota_protocol.h
+++ b/bilberrycourse/accounts/quota_protocol.h
@@ -46,6 +46,8 @@
   duration lifetime{0};
   // If fewer were granted than wanted: time until the next may be available.
   duration retry_in{0};
+  // Permits that all instances were granted in the last window, these included.
+  std::uint64_t window_granted = 0;
 };
 
 // The reply to the quota_request with the same id.
