Bound the sum of own shares while an account's load rises

Cause: the property test with 1,000 cases found windows beyond the bound: an instance divided by the grants of all instances as of its latest reply, which were fewer than at the loss. Change: at least half of the limit is the divisor, and half of the overshoot is left for late permits.

--- a/bilberrycourse/accounts/account_quota.cc
+++ b/bilberrycourse/accounts/account_quota.cc
@@ -8,9 +8,10 @@
 
 using seconds = std::chrono::duration<double>;
 
-// Part of the slack that the allocator leaves for own shares; see
-// quota_allocator.
+// Parts of the slack and of the overshoot that are for own shares. The rest is
+// for what the allocator does not see; see quota_allocator.
 constexpr double kFreeSlack = 0.125;
+constexpr double kFreeOvershoot = 0.5;
 // Time after an unanswered request in which the allocator is not asked.
 constexpr duration kSilencePause = std::chrono::milliseconds(200);
 // Retry-After while the allocator is lost and the own share is used up. A new
@@ -46,10 +47,14 @@
                        std::uint64_t all_grants, double random) {
   if (grants == 0) return 0;
   const double limit = LimitOfWindow(tolerance, limits);
-  const double room = std::min(
-      tolerance.overshoot * limit + kFreeSlack * tolerance.slack, limit);
-  const double part = static_cast<double>(grants) /
-                      static_cast<double>(std::max(grants, all_grants));
+  const double room = std::min(kFreeOvershoot * tolerance.overshoot * limit +
+                                   kFreeSlack * tolerance.slack,
+                               limit);
+  // `all_grants` is as old as the latest reply. Half of the limit in its place
+  // keeps the sum of all shares in bounds while the load of an account rises.
+  const double whole =
+      std::max(static_cast<double>(std::max(grants, all_grants)), limit / 2);
+  const double part = static_cast<double>(grants) / whole;
   return static_cast<std::uint64_t>(room * part + random);
 }
 
