Test: replies with a status that HTTP does not have

Cause: searchers in trouble replied with 000, 042, 600, 700 or 999, and callers got some of these as if they were answers. Tests come first.

Read_CutInHead_IsNoReply uses the new Reopen() of its fixture, with the same checks.

--- a/app/testing/backend_client_test.cc
+++ b/app/testing/backend_client_test.cc
@@ -118,6 +118,20 @@
   EXPECT_EQ(events_, std::vector<std::string>{"reply"});
 }
 
+// Guards against a reply with a status that HTTP does not have that counts as a
+// lost connection, which would condemn the content of the request, or that
+// leaves the connection open.
+TEST_F(backend_client_test, Reply_StatusOutsideHttp_IsFailureAndClose) {
+  Write(
+      "HTTP/1.1 600 X\r\nX-Snapshot: 4\r\nX-Not-Run: 1\r\n"
+      "Content-Length: 2\r\n\r\n[]");
+  ASSERT_TRUE(RunUntil([&] { return events_.size() == 2; }));
+  EXPECT_EQ(events_, (std::vector<std::string>{"reply", "closed"}));
+  EXPECT_EQ(reply_.status, 502u);
+  EXPECT_FALSE(reply_.not_run);
+  EXPECT_EQ(client_->connections(), 0u);
+}
+
 // Guards against an attempt that waits for its deadline although its connection
 // has failed.
 TEST_F(backend_client_test, Connection_Broken_IsReported) {
--- a/app/testing/route_gateway_test.cc
+++ b/app/testing/route_gateway_test.cc
@@ -85,6 +85,15 @@
                                       deadline + "\r\n\r\n"));
   }
 
+  void Accept(tcp::socket* searcher) {
+    acceptor_.non_blocking(true);
+    EXPECT_TRUE(RunUntil([&] {
+      boost::system::error_code error;
+      acceptor_.accept(*searcher, error);
+      return !error;
+    }));
+  }
+
   // Reads until the bytes contain `end`.
   std::string ReadUntil(tcp::socket* from, const std::string& end) {
     std::string received;
@@ -152,6 +161,58 @@
   EXPECT_NE(answer.find("Content-Type: a/b\r\n"), std::string::npos);
 }
 
+// Guards against a status that HTTP does not have that reaches the caller, and
+// against a searcher in trouble that nobody sees: each reply is counted, and
+// the log lines about them are limited.
+TEST_F(route_gateway_test, Handle_StatusOutsideHttp_IsFailureOfSearcher) {
+  constexpr int kRequests = 12;
+  ::testing::internal::CaptureStdout();
+  for (int i = 0; i < kRequests; ++i) {
+    tcp::socket caller(context_);
+    SendRequest(&caller);
+    tcp::socket searcher(context_);
+    Accept(&searcher);
+    ReadUntil(&searcher, "\r\n\r\n");
+    asio::write(searcher, asio::buffer(std::string(
+                              "HTTP/1.1 600 X\r\nX-Server-Stamp: s\r\n"
+                              "X-Request-Id: r1\r\n"
+                              "Content-Length: 4\r\n\r\nbody")));
+    ASSERT_TRUE(ReadUntil(&caller, "\r\n\r\n").starts_with("HTTP/1.1 502 "));
+    searcher.non_blocking(true);
+    ASSERT_TRUE(RunUntil([&] {
+      boost::system::error_code error;
+      char byte = 0;
+      searcher.read_some(asio::buffer(&byte, 1), error);
+      return error && error != asio::error::would_block;
+    }));
+  }
+  const std::string log = ::testing::internal::GetCapturedStdout();
+  const std::string event = "\"event\":\"reply_status_invalid\"";
+  int lines = 0;
+  for (auto at = log.find(event); at != std::string::npos;
+       at = log.find(event, at + 1)) {
+    ++lines;
+  }
+  EXPECT_GE(lines, 1);
+  EXPECT_LT(lines, kRequests);
+  gateway_->UpdateMetrics();
+  EXPECT_NE(metrics_.Text().find("bilberrycourse_route_invalid_replies 12"),
+            std::string::npos);
+}
+
+// Guards against a request that waits without end for the final reply of a
+// searcher that sends interim ones.
+TEST_F(route_gateway_test, Handle_InterimRepliesOnly_EndsAtDeadline) {
+  tcp::socket caller(context_);
+  SendRequest(&caller, "200");
+  tcp::socket searcher(context_);
+  Accept(&searcher);
+  ReadUntil(&searcher, "\r\n\r\n");
+  asio::write(searcher,
+              asio::buffer(std::string("HTTP/1.1 100 Continue\r\n\r\n")));
+  EXPECT_TRUE(ReadUntil(&caller, "\r\n\r\n").starts_with("HTTP/1.1 504 "));
+}
+
 // Guards against a deadline that overflows: the request was sent and answered
 // 504 at once.
 TEST_F(route_gateway_test, Handle_HugeDeadline_IsBounded) {
--- a/app/testing/route_relay_test.cc
+++ b/app/testing/route_relay_test.cc
@@ -211,14 +211,14 @@
 }
 
 // Answers the origin's request with this id as if its searcher had answered
-// 200.
-wire::peer_frameT MakeResult(std::uint64_t relay_id) {
+// with `status`.
+wire::peer_frameT MakeResult(std::uint64_t relay_id, unsigned status = 200) {
   wire::relay_resultT result;
   result.relay_id = relay_id;
   result.answered = {0};
   result.stamps = {"s"};
   result.reply = std::make_unique<wire::forwarded_replyT>();
-  result.reply->status = 200;
+  result.reply->status = status;
   result.reply->stamp = "s";
   result.final = true;
   return MakeFrame(std::move(result));
@@ -247,6 +247,20 @@
   EXPECT_EQ(response_->status, 200u);
 }
 
+// Guards against a status that HTTP does not have that reaches the caller from
+// a relay of an older build.
+TEST_F(route_relay_test, OnPeerFrame_StatusOutsideHttp_OutcomeIsUnknown) {
+  for (const unsigned status : {0U, 101U, 600U, 70000U}) {
+    response_.reset();
+    const std::size_t former = relay_->relay_ids.size();
+    Request();
+    ASSERT_TRUE(RunUntil([&] { return relay_->relay_ids.size() > former; }));
+    relay_->transport->Send("e1", MakeResult(relay_->relay_ids.back(), status));
+    ASSERT_TRUE(RunUntil([&] { return response_ != nullptr; }));
+    EXPECT_EQ(response_->status, 502u) << status;
+  }
+}
+
 // Guards against a result of an instance that was not asked.
 TEST_F(route_relay_test, OnPeerFrame_ResultOfAnotherPeer_IsIgnored) {
   Request();
--- a/app/testing/searcher_client_test.cc
+++ b/app/testing/searcher_client_test.cc
@@ -28,6 +28,15 @@
     client_ = std::make_unique<searcher_client>(context_.get_executor(),
                                                 http_client_options{},
                                                 protocol_->headers(), this);
+    Reopen();
+  }
+
+  // Opens the connection, in place of one that is closed or left open.
+  void Reopen() {
+    client_->Close(kConnection);
+    if (socket_.is_open()) socket_.close();
+    closed_ = opened_ = 0;
+    replies_.clear();
     const std::uint16_t port = acceptor_.local_endpoint().port();
     client_->Open(kConnection, "127.0.0.1:" + std::to_string(port));
     acceptor_.accept(socket_);
@@ -190,12 +199,7 @@
         ASSERT_TRUE(RunUntil([&] { return closed_ == 1; }))
             << whole.substr(0, size);
         EXPECT_TRUE(replies_.empty()) << whole.substr(0, size);
-        closed_ = opened_ = 0;
-        client_->Open(
-            kConnection,
-            "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()));
-        acceptor_.accept(socket_);
-        ASSERT_TRUE(RunUntil([&] { return opened_ == 1; }));
+        Reopen();
       }
     }
   }
@@ -219,6 +223,64 @@
   EXPECT_TRUE(replies_.empty());
 }
 
+// Guards against a searcher in trouble whose reply reaches the caller with a
+// status that HTTP does not have, or whose switch of protocols is taken for an
+// interim reply.
+TEST_F(searcher_client_test, Read_StatusOutsideHttp_ClosesConnection) {
+  const std::string fields =
+      " X\r\nX-Server-Stamp: s\r\nX-Request-Id: r1\r\n"
+      "Content-Length: 4\r\n\r\nbody";
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  const std::string forms[] = {
+      "HTTP/1.1 000" + fields, "HTTP/1.1 042" + fields, "HTTP/1.1 099" + fields,
+      "HTTP/1.1 600" + fields, "HTTP/1.1 700" + fields, "HTTP/1.1 999" + fields,
+      "HTTP/1.1 101 Switching Protocols\r\n\r\n" + Reply("r1", "body"),
+      interim + "HTTP/1.1 600" + fields,
+      // The body never ends, and the id is that of another request.
+      "HTTP/1.1 600 X\r\nX-Request-Id: r0\r\nContent-Length: 9\r\n\r\n"};
+  for (const std::string& form : forms) {
+    Send("r1");
+    Write(form);
+    EXPECT_TRUE(RunUntil([&] { return closed_ + replies_.size() == 1; }))
+        << form;
+    EXPECT_TRUE(replies_.empty()) << form;
+    Reopen();
+  }
+}
+
+// Guards against a status at the edge of those that HTTP has that is refused.
+TEST_F(searcher_client_test, Read_StatusOfHttp_IsReply) {
+  for (const unsigned status : {200U, 204U, 299U, 302U, 418U, 599U}) {
+    Send("r1");
+    Write("HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 " + std::to_string(status) +
+          " X\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE(RunUntil([&] { return closed_ + replies_.size() == 1; }));
+    ASSERT_EQ(replies_.size(), 1u) << status;
+    EXPECT_EQ(replies_[0]->status, status);
+    replies_.clear();
+  }
+}
+
+// Guards against interim replies without a final one that are taken for a
+// reply, or that keep a connection open without bound.
+TEST_F(searcher_client_test, Read_InterimRepliesOnly_CloseConnection) {
+  const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+  Send("r1");
+  Write(interim);
+  socket_.close();
+  ASSERT_TRUE(RunUntil([&] { return closed_ == 1; }));
+  EXPECT_TRUE(replies_.empty());
+  Reopen();
+  Send("r1");
+  for (std::uint32_t i = 0; i <= http_client_options().max_skipped_replies;
+       ++i) {
+    Write(interim);
+  }
+  ASSERT_TRUE(RunUntil([&] { return closed_ == 1; }));
+  EXPECT_TRUE(replies_.empty());
+  EXPECT_EQ(end_, connection_end::kReplyLimit);
+}
+
 // Guards against missing a reply's statement that the request was not run.
 TEST_F(searcher_client_test, Read_Refusals_AreRecognized) {
   Send("r1");
