Treat a reply with a status that HTTP does not have as a failure

Cause: no status was checked. On the unchanged code, searcher_client_test.Read_StatusOutsideHttp_ClosesConnection saw 000, 042 and 099 skipped like interim replies, so that the caller waits for its deadline; 600, 700 and 999 were taken for replies, and after 101 so was what followed it.

Change: the message reader ends with bad_status at the head of a response outside 100 to 599 or with 101, and the client closes the connection with connection_end::kInvalidStatus. The engine counts a failure of the searcher, not a crash, believes nothing else in the reply, tries another replica as the route allows and does not send a request again that may not be repeated (result code 312 invalid_reply_status). A reply that a relay of an older build forwards is checked as well. POST /query gets 502, as for a reply beyond a limit.

--- a/app/backend_client.cc
+++ b/app/backend_client.cc
@@ -7,10 +7,13 @@
 #include <deque>
 #include <utility>
 
+#include "app/daemon_clock.h"
 #include "app/http_message.h"
 #include "app/http_message_reader.h"
+#include "app/json_log.h"
 #include "app/settings.h"
 #include "bilberrycourse/rest_time.h"
+#include "bilberrycourse/result_code.h"
 
 namespace bilberrycourse {
 namespace {
@@ -24,6 +27,8 @@
 // cancellation within this time. The next cancellation opens a new one.
 constexpr std::chrono::seconds kCancelTimeout{2};
 constexpr std::size_t kMaxQueuedCancels = 1000;
+// Log lines per second about replies with an invalid status.
+constexpr double kStatusLogsPerSecond = 5;
 constexpr unsigned kHttp11 = 11;
 constexpr unsigned kBadGateway = 502;
 // The answer to a cancellation has no content that is used.
@@ -131,6 +136,7 @@
                                backend_client_handler* handler)
     : executor_(std::move(executor)),
       handler_(handler),
+      status_log_limiter_(kStatusLogsPerSecond),
       http_(executor_, options, this) {}
 
 backend_client::~backend_client() { CloseAll(); }
@@ -188,10 +194,15 @@
   const auto found = open_connections_.find(id);
   std::optional<attempt_id> attempt;
   if (found != open_connections_.end()) {
+    if (end == connection_end::kInvalidStatus) {
+      LogInvalidStatus(found->second.address);
+    }
     attempt = found->second.attempt;
     open_connections_.erase(found);
   }
-  if (end == connection_end::kReplyLimit && attempt.has_value()) {
+  const bool failed_reply = end == connection_end::kReplyLimit ||
+                            end == connection_end::kInvalidStatus;
+  if (failed_reply && attempt.has_value()) {
     // The server has failed, but it did not crash: a lost connection would
     // count as evidence against the content of the request.
     backend_reply reply;
@@ -202,6 +213,16 @@
   handler_->OnBackendClosed(id, end != connection_end::kNotOpened);
 }
 
+void backend_client::LogInvalidStatus(const std::string& address) {
+  if (!status_log_limiter_.Allow(Now())) return;
+  const result_code_info& info = Describe(result_code::kInvalidReplyStatus);
+  LogEvent(log_level::kWarning, "reply_status_invalid",
+           {{"address", address},
+            {"code", info.number},
+            {"reason", info.name},
+            {"left_out", status_log_limiter_.TakeSuppressedCount()}});
+}
+
 bool backend_client::IsExpectedResponse(connection_id, const client_response&) {
   return true;
 }
--- a/app/backend_client.h
+++ b/app/backend_client.h
@@ -21,6 +21,7 @@
 #include <string>
 
 #include "app/http_client.h"
+#include "app/log_limiter.h"
 #include "bilberrycourse/request_limit.h"
 #include "bilberrycourse/types.h"
 
@@ -73,6 +74,9 @@
   void CloseAll();
   std::size_t connections() const { return http_.connections(); }
   std::uint64_t limit_closes() const { return http_.limit_closes(); }
+  std::uint64_t invalid_status_closes() const {
+    return http_.invalid_status_closes();
+  }
 
  private:
   struct open_connection {
@@ -89,8 +93,11 @@
   void OnResponse(connection_id connection, client_response response,
                   bool keep_alive) override;
 
+  void LogInvalidStatus(const std::string& address);
+
   boost::asio::any_io_executor executor_;
   backend_client_handler* handler_;
+  log_limiter status_log_limiter_;
   std::map<connection_id, open_connection> open_connections_;
   std::map<std::string, std::shared_ptr<cancel_channel>> cancel_channels_;
   http_client http_;
--- a/app/http_client.cc
+++ b/app/http_client.cc
@@ -55,6 +55,7 @@
   std::unordered_map<connection_id, std::shared_ptr<connection>> connections;
   memory_budget budget;
   std::uint64_t limit_closes = 0;
+  std::uint64_t invalid_status_closes = 0;
 };
 
 class http_client::connection
@@ -155,6 +156,9 @@
     if (IsSizeLimit(error) || error == kOutOfMemory) {
       return Fail(connection_end::kReplyLimit);
     }
+    if (error == http::error::bad_status) {
+      return Fail(connection_end::kInvalidStatus);
+    }
     if (error || !IsTransferCodingSupported(reader_.parser().get())) {
       return Fail(connection_end::kLost);
     }
@@ -182,6 +186,9 @@
     const auto self = shared_from_this();
     stream_.close();
     if (end == connection_end::kReplyLimit) ++client_->limit_closes;
+    if (end == connection_end::kInvalidStatus) {
+      ++client_->invalid_status_closes;
+    }
     client_->connections.erase(id_);
     client_->handler->OnConnectionClosed(id_, end);
   }
@@ -239,6 +246,10 @@
 
 std::uint64_t http_client::limit_closes() const { return impl_->limit_closes; }
 
+std::uint64_t http_client::invalid_status_closes() const {
+  return impl_->invalid_status_closes;
+}
+
 std::uint64_t http_client::buffered_bytes() const {
   return impl_->budget.used_bytes();
 }
--- a/app/http_client.h
+++ b/app/http_client.h
@@ -14,6 +14,9 @@
 // close by the server is also detected while the connection is idle.
 // Unsolicited bytes close the connection.
 //
+// A reply with a status that HTTP does not have closes the connection with
+// kInvalidStatus.
+//
 // A server in trouble may send bytes without end. Every form of it (head, body,
 // chunk framing, trailers, interim and foreign replies) ends at a limit of
 // http_client_options, which closes the connection with kReplyLimit. The user
@@ -91,6 +94,8 @@
   std::size_t connections() const;
   // Returns how many connections were closed because of a limit.
   std::uint64_t limit_closes() const;
+  // Returns how many connections were closed because of a reply's status.
+  std::uint64_t invalid_status_closes() const;
   // Memory in bytes of the replies that are being read.
   std::uint64_t buffered_bytes() const;
 
--- a/app/http_message_reader.h
+++ b/app/http_message_reader.h
@@ -16,6 +16,10 @@
 // interim and foreign messages, chunk framing and trailers. A memory_holder
 // bounds what a group of readers holds together.
 //
+// A response whose status HTTP does not have, and a switch to another protocol,
+// which no client asks for, end with http::error::bad_status as soon as the
+// head is read. Beast accepts any three digits.
+//
 // Reading stops at the first byte beyond a limit; IsSizeLimit() is true for the
 // error. If the memory must be given up, the error is kOutOfMemory. The caller
 // then closes the connection.
@@ -68,6 +72,13 @@
          boost::beast::iequals(first->value(), "chunked");
 }
 
+// Returns true if a response may have this status.
+inline bool IsResponseStatus(unsigned status) {
+  namespace http = boost::beast::http;
+  return status >= 100 && status <= 599 &&
+         status != static_cast<unsigned>(http::status::switching_protocols);
+}
+
 template <bool is_request>
 class http_message_reader {
  public:
@@ -181,11 +192,21 @@
       const std::size_t size = parser_->put(buffer_.data(), error);
       if (!parser_->is_header_done()) CountHead(size);
       buffer_.consume(size);
+      if (!HasValidStatus()) return boost::beast::http::error::bad_status;
       if (error) return error;
     }
     return error;
   }
 
+  bool HasValidStatus() {
+    if constexpr (is_request) {
+      return true;
+    } else {
+      return !parser_->is_header_done() ||
+             IsResponseStatus(parser_->get().result_int());
+    }
+  }
+
   // Counts the first `size` bytes of the buffer as part of an incomplete head.
   void CountHead(std::size_t size) {
     const char* data = static_cast<const char*>(buffer_.data().data());
--- a/app/query_service.h
+++ b/app/query_service.h
@@ -98,6 +98,9 @@
   const query_coordinator& coordinator() const { return coordinator_; }
   const admission_controller& admission() const { return admission_; }
   std::size_t backend_connections() const { return backend_.connections(); }
+  std::uint64_t invalid_backend_replies() const {
+    return backend_.invalid_status_closes();
+  }
 
   void OnBackendOpened(connection_id connection) override;
   void OnBackendClosed(connection_id connection, bool was_open) override;
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -23,13 +23,12 @@
 constexpr double kLimitLogsPerSecond = 5;
 // Log lines per second about request limits and rests of searchers.
 constexpr double kRequestLimitLogsPerSecond = 10;
+// Log lines per second about replies with an invalid status.
+constexpr double kStatusLogsPerSecond = 5;
 // Log lines per second about attempts whose connection broke.
 constexpr double kCrashLogsPerSecond = 10;
 // Relayed requests up to this size are accepted whatever the others hold.
 constexpr std::uint64_t kSmallRelayedRequestBytes = 2048;
-// Evidence of searcher crashes up to this age is sent to a new leader of the
-// control group; the former one has passed on what is older.
-constexpr duration kResentCrashEvidenceAge = std::chrono::seconds(10);
 // Missing shards listed in one log line; their total is always logged. A line
 // must stay below 4 KB, the size up to which writes to a pipe are atomic.
 constexpr std::size_t kMaxMissingListed = 12;
@@ -103,6 +102,7 @@
       stop_log_limiter_(kStopLogsPerSecond),
       retry_log_limiter_(kRetryLogsPerSecond),
       limit_log_limiter_(kLimitLogsPerSecond),
+      status_log_limiter_(kStatusLogsPerSecond),
       request_limit_log_limiter_(kRequestLimitLogsPerSecond),
       crash_log_limiter_(kCrashLogsPerSecond),
       engine_(EngineOptions(config), config.name, config.zone),
@@ -410,73 +410,6 @@
   call.respond(MakeResponse(effect));
 }
 
-void route_gateway::ExecuteEffect(attempt_lost& effect) {
-  if (!crash_log_limiter_.Allow(Now())) return;
-  LogDecision("attempt_lost",
-              {{"searcher", effect.searcher},
-               {"service", effect.service},
-               {"content", static_cast<std::uint64_t>(effect.content)},
-               {"left_out", crash_log_limiter_.TakeSuppressedCount()}});
-}
-
-void route_gateway::ExecuteEffect(crash_evidence_found& effect) {
-  for (const crash_evidence_record& record : effect.records) {
-    if (!crash_log_limiter_.Allow(Now())) break;
-    LogDecision("crash_evidence",
-                {{"content", static_cast<std::uint64_t>(record.content)},
-                 {"succeeded", record.success},
-                 {"searcher", record.server.replica},
-                 {"service", record.server.shard.service},
-                 {"left_out", crash_log_limiter_.TakeSuppressedCount()}});
-  }
-  if (!send_crash_evidence_ || !send_crash_evidence_(effect.records)) {
-    crash_evidence_unsent_ = true;
-  }
-}
-
-void route_gateway::ExecuteEffect(content_quarantined& effect) {
-  if (!crash_log_limiter_.Allow(Now())) return;
-  LogEvent(log_level::kWarning, "content_quarantined",
-           {{"content", static_cast<std::uint64_t>(effect.content)},
-            {"seconds", effect.time.count() / 1'000'000},
-            {"left_out", crash_log_limiter_.TakeSuppressedCount()}});
-}
-
-void route_gateway::OnCrashEvidence(
-    const std::vector<crash_evidence_record>& records, time_point now) {
-  route_effects effects;
-  engine_.OnCrashEvidence(records, now, &effects);
-  Execute(&effects);
-}
-
-bool route_gateway::ResendCrashEvidence(time_point now) {
-  const auto records = engine_.CrashEvidence(kResentCrashEvidenceAge, now);
-  crash_evidence_unsent_ = !records.empty() && send_crash_evidence_ &&
-                           !send_crash_evidence_(records);
-  return !crash_evidence_unsent_;
-}
-
-void route_gateway::ExecuteEffect(searcher_limit_changed& effect) {
-  if (!request_limit_log_limiter_.Allow(Now())) return;
-  LogDecision("searcher_limit_changed",
-              {{"searcher", effect.searcher},
-               {"limited", effect.per_second.has_value()},
-               {"requests_per_second", effect.per_second.value_or(0)},
-               {"left_out", request_limit_log_limiter_.TakeSuppressedCount()}});
-}
-
-void route_gateway::ExecuteEffect(searcher_resting& effect) {
-  if (!request_limit_log_limiter_.Allow(Now())) return;
-  LogDecision("searcher_resting",
-              {{"searcher", effect.searcher},
-               {"rest_ms", effect.time.count() / 1000},
-               {"left_out", request_limit_log_limiter_.TakeSuppressedCount()}});
-}
-
-void route_gateway::ExecuteEffect(searcher_leaving& effect) {
-  LogDecision("searcher_leaving", {{"searcher", effect.searcher}});
-}
-
 void route_gateway::ExecuteEffect(send_limit_request& effect) {
   if (send_limit_request_ && send_limit_request_(effect.request)) return;
   route_effects effects;
@@ -605,6 +538,9 @@
       {"bilberrycourse_reply_limit_closes",
        "Connections closed because a searcher sent too many bytes.",
        client_.limit_closes()},
+      {"bilberrycourse_route_invalid_replies",
+       "Replies of searchers with a status that HTTP does not have.",
+       invalid_replies_},
       {"bilberrycourse_reply_bytes", "Memory of replies that are being read.",
        client_.buffered_bytes()},
       {"bilberrycourse_relayed_request_bytes",
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -157,6 +157,7 @@
   void ExecuteEffect(route_progress& effect);
   void ExecuteEffect(attempt_lost& effect);
   void ExecuteEffect(crash_evidence_found& effect);
+  void ExecuteEffect(reply_status_invalid& effect);
   void ExecuteEffect(content_quarantined& effect);
   void ExecuteEffect(searcher_limit_changed& effect);
   void ExecuteEffect(searcher_resting& effect);
@@ -207,8 +208,11 @@
   bool stopping_ = false;
   log_limiter retry_log_limiter_;
   log_limiter limit_log_limiter_;
+  log_limiter status_log_limiter_;
   log_limiter request_limit_log_limiter_;
   log_limiter crash_log_limiter_;
+  // Replies with an invalid status, also those that relays forwarded.
+  std::uint64_t invalid_replies_ = 0;
   route_engine engine_;
   searcher_client client_;
   std::shared_ptr<const route_table> table_;
--- a/app/testing/searcher_client_test.cc
+++ b/app/testing/searcher_client_test.cc
@@ -244,6 +244,7 @@
     EXPECT_TRUE(RunUntil([&] { return closed_ + replies_.size() == 1; }))
         << form;
     EXPECT_TRUE(replies_.empty()) << form;
+    EXPECT_EQ(end_, connection_end::kInvalidStatus) << form;
     Reopen();
   }
 }
--- a/bilberrycourse/result_code.cc
+++ b/bilberrycourse/result_code.cc
@@ -89,6 +89,9 @@
      "were not tried."},
     {result_code::kReplyTooLarge, 311, "reply_too_large", 19, 502, false,
      "The backend server sent more bytes than one reply may have."},
+    {result_code::kInvalidReplyStatus, 312, "invalid_reply_status", 48, 502,
+     false,
+     "The backend server replied with a status that HTTP does not have."},
     {result_code::kVersionConflict, 401, "version_conflict", 30, 409, true,
      "Another change was accepted on the same base version."},
     {result_code::kInvalidDocument, 402, "invalid_document", 31, 422, true,
@@ -160,6 +163,10 @@
   }
 }
 
+bool IsFinalStatus(unsigned http_status) {
+  return http_status >= 200 && http_status <= 599;
+}
+
 result_code ResultCodeFromNumber(std::uint16_t number) {
   const auto* info =
       std::ranges::find(kResultCodes, number, &result_code_info::number);
--- a/bilberrycourse/result_code.h
+++ b/bilberrycourse/result_code.h
@@ -52,6 +52,7 @@
   kCancelled = 309,
   kCanaryNotPassed = 310,
   kReplyTooLarge = 311,
+  kInvalidReplyStatus = 312,
   // 4xx: configuration and operators.
   kVersionConflict = 401,
   kInvalidDocument = 402,
@@ -105,6 +106,9 @@
 // their request has not run and never will: 408, 421, 429 and 503.
 bool PromisesNotRun(unsigned http_status);
 
+// Returns true for the statuses that HTTP has for the final reply to a request.
+bool IsFinalStatus(unsigned http_status);
+
 // Returns the code with this number, or kInternal if there is none.
 result_code ResultCodeFromNumber(std::uint16_t number);
 
--- a/bilberrycourse/route_effects.h
+++ b/bilberrycourse/route_effects.h
@@ -184,6 +184,15 @@
   fingerprint content{};
 };
 
+// A searcher has replied with a status that HTTP does not have, to this
+// instance or to the relay.
+struct reply_status_invalid {
+  std::string searcher;
+  std::string service;
+  // Empty if the searcher replied to this instance.
+  instance_name relay;
+};
+
 // A searcher has crashed, or content that crashed one has succeeded since. The
 // records are for all other entry instances.
 struct crash_evidence_found {
@@ -229,13 +238,12 @@
 // requests on behalf of this one.
 struct fallback_wanted {};
 
-using route_effect =
-    std::variant<attempt_lost, crash_evidence_found, content_quarantined,
-                 isolation_changed, fallback_wanted, searcher_limit_changed,
-                 searcher_resting, searcher_leaving, send_limit_request,
-                 open_searcher_connection, close_searcher_connection,
-                 send_to_searcher, finish_route_request, send_to_relay,
-                 cancel_at_relay, relay_silent, route_progress>;
+using route_effect = std::variant<
+    attempt_lost, crash_evidence_found, content_quarantined, isolation_changed,
+    fallback_wanted, searcher_limit_changed, searcher_resting, searcher_leaving,
+    reply_status_invalid, send_limit_request, open_searcher_connection,
+    close_searcher_connection, send_to_searcher, finish_route_request,
+    send_to_relay, cancel_at_relay, relay_silent, route_progress>;
 using route_effects = std::vector<route_effect>;
 
 }  // namespace bilberrycourse
--- a/bilberrycourse/route_engine_attempts.cc
+++ b/bilberrycourse/route_engine_attempts.cc
@@ -318,6 +318,14 @@
                             time_point now, route_effects* out) {
   const auto found = connections_.find(connection);
   if (found == connections_.end()) return;
+  if (end == connection_end::kInvalidStatus &&
+      found->second.running.has_value()) {
+    // The searcher is reachable and has not crashed: the end of the connection
+    // is no evidence against the content of the request. A reply without a
+    // status stands for the one that was rejected.
+    return OnReply(connection, std::make_shared<const searcher_reply>(), false,
+                   std::nullopt, now, out);
+  }
   const connection_state closed = found->second;
   const bool limit_exceeded = end == connection_end::kReplyLimit;
   connections_.erase(found);
@@ -441,17 +449,23 @@
 void route_engine::HandleAttemptReply(const attempt_state& attempt,
                                       searcher_reply_pointer reply,
                                       time_point now, route_effects* out) {
-  const bool not_run = reply->not_executed || reply->misdirected;
+  // Nothing in a reply with an invalid status is believed, nor that the request
+  // has not run.
+  const bool valid = IsFinalStatus(reply->status);
+  if (!valid) {
+    out->push_back(reply_status_invalid{attempt.searcher, attempt.service, {}});
+  }
+  const bool not_run = valid && (reply->not_executed || reply->misdirected);
   const bool complete = IsSuccess(reply->status) && !reply->stamp.empty();
-  const bool failed = !complete && (IsSuccess(reply->status) ||
+  const bool failed = !complete && (!valid || IsSuccess(reply->status) ||
                                     reply->status >= kFirstServerError ||
                                     PromisesNotRun(reply->status));
   request_state* request = FindRequest(attempt.request);
   if (complete) NoteServiceSuccess(attempt, now, out);
   if (searcher_entry* entry = pool_.Find(attempt.searcher, attempt.serial)) {
-    if (reply->misdirected) {
+    if (valid && reply->misdirected) {
       entry->misdirected = true;
-    } else {
+    } else if (valid) {
       ObserveLimit(entry, reply->limit, now, out);
       ObserveRest(entry, *reply, now, out);
       if (reply->leaving && !std::exchange(entry->leaving, true)) {
@@ -497,11 +511,13 @@
   }
   // A success without a signature must not be forwarded, nor a status that
   // promises what the searcher has not proved.
-  if (!IsSuccess(reply->status) && !PromisesNotRun(reply->status)) {
+  if (valid && !IsSuccess(reply->status) && !PromisesNotRun(reply->status)) {
     part.error_reply = std::move(reply);
   }
   RetryOrFail(request, attempt.part, send_reason::kFailed,
-              result_code::kBackendServerFailed, now, out);
+              valid ? result_code::kBackendServerFailed
+                    : result_code::kInvalidReplyStatus,
+              now, out);
 }
 
 void route_engine::OnAttemptTimeout(attempt_id id, time_point now,
--- a/bilberrycourse/route_engine_relays.cc
+++ b/bilberrycourse/route_engine_relays.cc
@@ -18,6 +18,25 @@
   return matched_route.max_attempts > kMaxAttemptsWithoutReserve;
 }
 
+// Returns true if a relay forwards a reply with an invalid status, as instances
+// of earlier builds do.
+bool HasInvalidReply(const shard_report& report) {
+  return report.reply != nullptr && !IsFinalStatus(report.reply->status);
+}
+
+// Returns the report with the failure of the searcher in place of its reply.
+shard_report WithoutInvalidReply(shard_report report) {
+  report.reply = nullptr;
+  for (const std::size_t position : std::exchange(report.answered, {})) {
+    report.failed.push_back({position, {}, false});
+  }
+  for (failed_shard& failure : report.failed) {
+    failure.code = result_code::kInvalidReplyStatus;
+    failure.not_run = false;
+  }
+  return report;
+}
+
 }  // namespace
 
 void route_engine::StartRelays(request_state* request, time_point now,
@@ -69,6 +88,13 @@
   // whole.
   relay_task& task = request->relays[group];
   if (task.done) return;
+  if (HasInvalidReply(report)) {
+    for (const std::size_t index : task.group.parts) {
+      out->push_back(reply_status_invalid{
+          {}, request->parts[index].service, task.group.relay});
+    }
+    return OnRelayReport(id, group, WithoutInvalidReply(report), now, out);
+  }
   // Copied, because a shard that takes another way adds a task.
   const std::vector<std::size_t> positions = task.group.parts;
   task.reported = true;
--- a/bilberrycourse/testing/route_engine_promise_test.cc
+++ b/bilberrycourse/testing/route_engine_promise_test.cc
@@ -114,7 +114,9 @@
     for (const bool idempotent : {false, true}) {
       const finish_route_request finish = Answer(idempotent, status);
       EXPECT_EQ(finish.reply, nullptr) << status;
-      EXPECT_NE(finish.code, result_code::kOk) << status;
+      EXPECT_EQ(finish.code, idempotent ? result_code::kInvalidReplyStatus
+                                        : result_code::kOutcomeUnknown)
+          << status;
       EXPECT_EQ(finish.attempts, idempotent ? 2u : 1u) << status;
     }
     route_engine_rig rig;
@@ -130,6 +132,27 @@
   }
 }
 
+// Guards against a status that counts as a crash, which would quarantine the
+// content of the request, and against a second run after it.
+TEST_F(route_engine_promise_test, OnClosed_InvalidStatus_IsNoCrash) {
+  for (const bool idempotent : {false, true}) {
+    route_engine_rig rig;
+    rig.AddRoute("desk", 0, idempotent);
+    for (const char* id : {"k1", "k2", "k3"}) rig.AddSearcher("desk", id);
+    rig.Begin(1, "desk");
+    for (std::size_t i = 0; i < rig.sends.size(); ++i) {
+      rig.Break(rig.sends.at(i), connection_end::kInvalidStatus);
+    }
+    EXPECT_EQ(rig.sends.size(), idempotent ? 2u : 1u);
+    ASSERT_EQ(rig.finished.size(), 1u);
+    EXPECT_EQ(rig.finished[0].code, idempotent
+                                        ? result_code::kInvalidReplyStatus
+                                        : result_code::kOutcomeUnknown);
+    EXPECT_TRUE(rig.evidence.empty());
+    EXPECT_EQ(rig.engine.counters().broken_attempts, 0u);
+  }
+}
+
 // Guards against a part of a request over shards that counts as answered, or
 // that no other replica is asked for.
 TEST_F(route_engine_promise_test, OnReply_InvalidStatusOfPart_TriesReplica) {
--- a/bilberrycourse/types.h
+++ b/bilberrycourse/types.h
@@ -48,6 +48,8 @@
   kLost = 1,
   // The searcher sent more bytes than one exchange may have.
   kReplyLimit = 2,
+  // The searcher sent a status that no reply to the request can have.
+  kInvalidStatus = 3,
 };
 // An index version; versions of a service grow with time.
 enum class index_version : std::uint64_t {};
