--- a/app/cli_support.cc
+++ b/app/cli_support.cc
@@ -304,10 +304,12 @@
                                       cli_session* session) {
   std::string address;
   double timeout_s = 10;
-  Add("address", po::value(&address)->required(),
-      "IP:PORT of any entry instance");
-  Add("timeout", po::value(&timeout_s)->default_value(timeout_s),
-      "seconds to wait for an answer");
+  if (!is_local_) {
+    Add("address", po::value(&address)->required(),
+        "IP:PORT of any entry instance");
+    Add("timeout", po::value(&timeout_s)->default_value(timeout_s),
+        "seconds to wait for an answer");
+  }
   Add("json", po::bool_switch(&session->json_),
       "print one JSON object for scripts");
   Add("help", po::bool_switch(), "print this help");
@@ -338,7 +340,7 @@
                       usage_.substr(0, usage_.find(" [")) + " --help",
                   {}});
   }
-  if (!ParseSocketAddress(address, &session->address_)) {
+  if (!is_local_ && !ParseSocketAddress(address, &session->address_)) {
     return leaf::new_error(
         cli_error{result_code::kInvalidArguments,
                   "--address must be an IP number with a port",
--- a/app/cli_support.h
+++ b/app/cli_support.h
@@ -78,8 +78,8 @@
   bool json_ = false;
 };
 
-// One subcommand with its options; --address, --timeout, --json and --help
-// are always present.
+// One subcommand with its options; --json and --help are always present, and
+// --address and --timeout unless it asks no instance.
 class cli_command {
  public:
   cli_command(std::string usage, std::string description);
@@ -93,6 +93,8 @@
   // Adds the options of a change: --author, --reason, --change-id, --wait and
   // --token-file.
   void AddChangeOptions();
+  // The subcommand asks no instance.
+  void SetLocal() { is_local_ = true; }
 
   int Run(const std::vector<std::string>& args,
           const std::function<boost::leaf::result<result_code>(cli_session&)>&
@@ -121,6 +123,7 @@
   std::string change_id_;
   std::uint32_t wait_s_ = 0;
   bool is_change_ = false;
+  bool is_local_ = false;
 };
 
 // Return a member of `object`, or an empty value (0 for numbers) if it is
