Test: show the log of a failed reply with the status 600

Cause: a failed assertion while the standard output was captured hid its text and ended the test program at the next capture.

Change: the exchange is a function of the fixture; the capture ends before the test can return, and a failure shows the log.

--- a/app/testing/route_gateway_test.cc
+++ b/app/testing/route_gateway_test.cc
@@ -94,6 +94,28 @@
     }));
   }
 
+  // Replies with the status 600 to a request, and waits until its caller has
+  // got 502 and the connection is closed.
+  void ReplyWith600() {
+    tcp::socket caller(context_);
+    SendRequest(&caller);
+    tcp::socket searcher(context_);
+    Accept(&searcher);
+    ReadUntil(&searcher, "\r\n\r\n");
+    asio::write(searcher, asio::buffer(std::string(
+                              "HTTP/1.1 600 X\r\nX-Server-Stamp: s\r\n"
+                              "X-Request-Id: r1\r\n"
+                              "Content-Length: 4\r\n\r\nbody")));
+    ASSERT_TRUE(ReadUntil(&caller, "\r\n\r\n").starts_with("HTTP/1.1 502 "));
+    searcher.non_blocking(true);
+    ASSERT_TRUE(RunUntil([&] {
+      boost::system::error_code error;
+      char byte = 0;
+      searcher.read_some(asio::buffer(&byte, 1), error);
+      return error && error != asio::error::would_block;
+    }));
+  }
+
   // Reads until the bytes contain `end`.
   std::string ReadUntil(tcp::socket* from, const std::string& end) {
     std::string received;
@@ -167,26 +189,9 @@
 TEST_F(route_gateway_test, Handle_StatusOutsideHttp_IsFailureOfSearcher) {
   constexpr int kRequests = 12;
   ::testing::internal::CaptureStdout();
-  for (int i = 0; i < kRequests; ++i) {
-    tcp::socket caller(context_);
-    SendRequest(&caller);
-    tcp::socket searcher(context_);
-    Accept(&searcher);
-    ReadUntil(&searcher, "\r\n\r\n");
-    asio::write(searcher, asio::buffer(std::string(
-                              "HTTP/1.1 600 X\r\nX-Server-Stamp: s\r\n"
-                              "X-Request-Id: r1\r\n"
-                              "Content-Length: 4\r\n\r\nbody")));
-    ASSERT_TRUE(ReadUntil(&caller, "\r\n\r\n").starts_with("HTTP/1.1 502 "));
-    searcher.non_blocking(true);
-    ASSERT_TRUE(RunUntil([&] {
-      boost::system::error_code error;
-      char byte = 0;
-      searcher.read_some(asio::buffer(&byte, 1), error);
-      return error && error != asio::error::would_block;
-    }));
-  }
+  for (int i = 0; i < kRequests && !HasFatalFailure(); ++i) ReplyWith600();
   const std::string log = ::testing::internal::GetCapturedStdout();
+  ASSERT_FALSE(HasFailure()) << log;
   const std::string event = "\"event\":\"reply_status_invalid\"";
   int lines = 0;
   for (auto at = log.find(event); at != std::string::npos;
