Add a model of placement and the strategy interface of searcher_pool

Cause: whether the load is even and answers are fast depends on many instances that choose from old knowledge; no run without a network showed by how much. Change: placement_model runs the real searcher_pool and relay_plan; searcher_pool asks a placement_strategy, by default the present rule. Not yet formatted or covered by tests.

--- a/bilberrycourse/searcher_pool.cc
+++ b/bilberrycourse/searcher_pool.cc
@@ -28,7 +28,8 @@
 searcher_pool::searcher_pool(searcher_pool_options options, instance_name self,
                              availability_zone zone)
     : options_(options), self_(std::move(self)), zone_(std::move(zone)) {
-  random_.seed(std::random_device()());
+  random_.seed(options_.random_seed.has_value() ? *options_.random_seed
+                                                : std::random_device()());
 }
 
 searcher_entry* searcher_pool::Find(const std::string& id) {
@@ -140,10 +141,9 @@
 searcher_entry* searcher_pool::Choose(std::string_view service,
                                       const std::vector<std::string>& tried,
                                       time_point now, std::uint32_t priority) {
-  searcher_entry* best = nullptr;
-  double best_score = 0;
+  std::vector<searcher_entry*> entries;
+  std::vector<placement_candidate> candidates;
   searcher_entry* trial = nullptr;
-  std::uniform_real_distribution<double> jitter(0, 0.05);
   for (searcher_entry* entry : OfService(service)) {
     if (!entry->usable() || Contains(tried, entry->report.id)) continue;
     if (entry->resting(now) || entry->quota.Denied(priority, now)) continue;
@@ -152,12 +152,15 @@
       if (now >= entry->quarantined_until && entry->load() == 0) trial = entry;
       continue;
     }
-    const double score = Score(*entry, now) + jitter(random_);
-    if (best != nullptr && score >= best_score) continue;
-    best = entry;
-    best_score = score;
+    entries.push_back(entry);
+    candidates.push_back({Score(*entry, now)});
   }
-  return best != nullptr ? best : trial;
+  if (entries.empty()) return trial;
+  const placement_strategy* strategy =
+      tried.empty() && options_.strategy != nullptr
+          ? options_.strategy
+          : &StrategyFor(load_balancing::kBest);
+  return entries[strategy->Choose(candidates, &random_)];
 }
 
 duration searcher_pool::DeniedFor(std::string_view service,
--- a/bilberrycourse/searcher_pool.h
+++ b/bilberrycourse/searcher_pool.h
@@ -29,6 +29,7 @@
 #include <vector>
 
 #include "bilberrycourse/connection_pool.h"
+#include "bilberrycourse/placement/placement_strategy.h"
 #include "bilberrycourse/request_quota.h"
 #include "bilberrycourse/searcher_directory.h"
 #include "bilberrycourse/types.h"
@@ -68,6 +69,11 @@
   duration max_quarantine = std::chrono::seconds(3);
   // Share of a searcher's connection limit that the tier uses.
   double connection_share = 0.9;
+  // Chooses the searcher of first attempts; the default is `best`. Extra
+  // attempts always use `best`, because they must be faster than the first.
+  const placement_strategy* strategy = nullptr;
+  // Makes choices repeatable in tests.
+  std::optional<std::uint32_t> random_seed;
 };
 
 struct searcher_entry {
