Add the placement rule 'spread', selected by [routes] load_balancing

Cause: one pause of a searcher (100 ms) was one sample of ten or more times the expected time. The arithmetic mean of slowdowns then exceeded the cost of another zone for seconds after the pause had ended: 35% of the attempts went to other zones, of which 14 were hedges. Change: a placement_strategy also smooths samples. With 'spread' a sample far above the estimate is a limited step, others enter a geometric mean, a known slowdown lasts 1.6 times as long, and first attempts are drawn among searchers of similar score. request_sent and the metrics state whether the lowest score and the own zone were chosen. The default 'best' decides as before.

--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -8,6 +8,7 @@
 #include "app/daemon_clock.h"
 #include "app/json_log.h"
 #include "bilberrycourse/crash_evidence.h"
+#include "bilberrycourse/placement/placement_strategy.h"
 
 namespace bilberrycourse {
 namespace {
@@ -54,6 +55,7 @@
   route_engine_options options;
   options.budget.ratio = config.retry_ratio;
   options.budget.allowance = config.retry_allowance;
+  options.pool.strategy = &StrategyFor(config.balancing);
   options.answer_margin = config.caller_one_way + kAnswerProcessingTime;
   options.first_limit_request = FirstMessageId();
   return options;
@@ -385,6 +387,8 @@
        {"reason", ToString(effect.reason)},
        {"expected_us", effect.expected.count()},
        {"in_flight", effect.in_flight},
+       {"lowest_score", effect.placement.lowest_score},
+       {"other_zone", effect.placement.other_zone},
        {"remaining_ms", forwarded.remaining.count()},
        {"left_out", routine ? 0 : retry_log_limiter_.TakeSuppressedCount()}});
 }
@@ -592,6 +596,14 @@
       {"bilberrycourse_limit_allocator_losses",
        "Times at which the allocator of limits was lost.",
        counters.allocator_losses},
+      {"bilberrycourse_placement_choices", "Choices of a searcher.",
+       counters.choices},
+      {"bilberrycourse_placement_not_lowest",
+       "Choices of a searcher that did not have the lowest score.",
+       counters.choices_not_lowest},
+      {"bilberrycourse_placement_other_zone",
+       "Choices of a searcher in another availability zone.",
+       counters.choices_other_zone},
       {"bilberrycourse_searcher_crashes",
        "Searchers that crashed while they ran a request of this instance.",
        counters.searcher_crashes},
--- a/app/settings.cc
+++ b/app/settings.cc
@@ -176,6 +176,13 @@
   return {};
 }
 
+problem_text ParseLoadBalancingRule(const std::string& text, settings* out) {
+  const auto rule = ParseLoadBalancing(text);
+  if (!rule.has_value()) return "unknown rule";
+  out->balancing = *rule;
+  return {};
+}
+
 problem_text ParseBootstrap(const std::string& text, settings* out) {
   if (text != "true" && text != "false") return "neither true nor false";
   out->bootstrap = text == "true";
@@ -246,6 +253,8 @@
      ParseNumber<&settings::retry_allowance, 0, 1000000>},
     {"routes", "caller_one_way_ms", setting_requirement::kOptional,
      "0 to 1000 milliseconds", ParseNumber<&settings::caller_one_way, 0, 1000>},
+    {"routes", "load_balancing", setting_requirement::kOptional,
+     "best or spread", ParseLoadBalancingRule},
     {"operator", "token_file", setting_requirement::kRequiredForQuery,
      kSecretAllowed, ParseSecretFile<&settings::operator_token>},
     {"log", "level", setting_requirement::kOptional,
--- a/app/settings.h
+++ b/app/settings.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "app/json_log.h"
+#include "bilberrycourse/placement/load_balancing.h"
 #include "bilberrycourse/types.h"
 
 namespace bilberrycourse {
@@ -97,6 +98,8 @@
   // One-way network delay between callers and entry instances. Latency
   // objectives are measured from the time at which the caller sends a request.
   std::chrono::milliseconds caller_one_way{3};
+  // Rule by which an instance chooses among the searchers of a service.
+  load_balancing balancing = load_balancing::kBest;
   // [operator]
   std::string operator_token;
   // [log]
--- a/app/testing/settings_test.cc
+++ b/app/testing/settings_test.cc
@@ -140,6 +140,8 @@
       {"[operator]", "[log]\nlevel=loud\n[operator]", "log", "level"},
       {"[operator]", "[log]\ndecision_rate=1.5\n[operator]", "log",
        "decision_rate"},
+      {"[operator]", "[routes]\nload_balancing=fair\n[operator]", "routes",
+       "load_balancing"},
       {"[operator]", "[limits]\nread_timeout_ms=10s\n[operator]", "limits",
        "read_timeout_ms"},
       {"[operator]", "[limits]\nmax_request_bytes=1\n[operator]", "limits",
@@ -203,7 +205,8 @@
          "[peers]\nseeds=10.0.0.1:8106,10.0.0.2:8106\nseed_port=7380\n"
          "shared_key=0123456789abcdef\n"
          "[control]\ngroup=g\ntolerated_losses=2\nbootstrap=false\n"
-         "data_dir=data\n[routes]\nretry_ratio=0.2\nretry_allowance=54\n";
+         "data_dir=data\n[routes]\nretry_ratio=0.2\nretry_allowance=54\n"
+         "load_balancing=spread\n";
 }
 
 // Guards against control members that are dialed at the caller ports of the
@@ -220,6 +223,7 @@
         EXPECT_EQ(parsed.voters, 5u);
         EXPECT_FALSE(parsed.bootstrap);
         EXPECT_EQ(parsed.retry_allowance, 54u);
+        EXPECT_EQ(parsed.balancing, load_balancing::kSpread);
         return {};
       },
       [](const settings_errors& errors) { ADD_FAILURE() << ToText(errors); },
--- a/bilberrycourse/placement/placement_strategy.h
+++ b/bilberrycourse/placement/placement_strategy.h
@@ -12,24 +12,13 @@
 // the requests of all of them. docs/design/even-load.md compares the rules.
 
 #include <cstddef>
-#include <cstdint>
-#include <optional>
 #include <random>
 #include <span>
-#include <string_view>
 
-namespace bilberrycourse {
-
-enum class load_balancing : std::uint8_t {
-  // The lowest score, apart from a small jitter.
-  kBest = 0,
-  // A searcher of similar score is chosen with a probability that falls with
-  // the distance from the lowest score.
-  kSpread = 1,
-};
+#include "bilberrycourse/placement/load_balancing.h"
+#include "bilberrycourse/types.h"
 
-std::string_view ToString(load_balancing rule);
-std::optional<load_balancing> ParseLoadBalancing(std::string_view name);
+namespace bilberrycourse {
 
 struct placement_candidate {
   // Lower is better; in multiples of the expected service time.
@@ -46,6 +35,13 @@
   // Returns the index of the candidate to use; `candidates` is not empty.
   virtual std::size_t Choose(std::span<const placement_candidate> candidates,
                              std::minstd_rand* random) const = 0;
+  // Returns the estimate of a searcher's slowdown after a sample, whose weight
+  // is from 0 to 1.
+  virtual double Smoothed(double slowdown, double sample,
+                          double weight) const = 0;
+  // Returns the time in which a slowdown decays by a factor of e, given that of
+  // the pool.
+  virtual duration SlowdownDecayTime(duration configured) const = 0;
 };
 
 // The objects live as long as the process.
--- a/bilberrycourse/placement/testing/placement_model.h
+++ b/bilberrycourse/placement/testing/placement_model.h
@@ -43,6 +43,7 @@
   // Chooses by the true state of the searchers.
   bool exact = false;
   searcher_pool_options pool{};
+  relay_plan_options relays{};
 };
 
 struct placement_figures {
--- a/bilberrycourse/placement/testing/placement_model_implementation.h
+++ b/bilberrycourse/placement/testing/placement_model_implementation.h
@@ -93,7 +93,7 @@
     added.pool = std::make_unique<searcher_pool>(
         pool_options, instances[i].name, instances[i].zone);
     added.plan = std::make_unique<relay_plan>(
-        relay_plan_options{}, instances[i].name, instances[i].zone);
+        options_.relays, instances[i].name, instances[i].zone);
     added.plan->SetInstances(instances);
     added.plan->SetReplicaZones(shards_, zones);
     added.pool->Update(records, true, now_, &stopped, &unused);
@@ -161,14 +161,15 @@
   chooser& relay = choosers_[begun.chooser];
   const bool is_long = requests_[begun.request].is_long;
   auto [budget, created] = relay.budgets.try_emplace(
-      begun.shard, retry_budget_options{.ratio = 0.2});
+      begun.shard, retry_budget_options{.ratio = 0.2, .allowance = 54});
   if (created) budget->second.SetInstances(6);
   budget->second.OnRequest();
   Start(index, false);
   const duration objective = std::chrono::milliseconds(is_long ? 120 : 40);
-  const duration delay = std::clamp(
-      relay.times[is_long].Quantile(0.9, now_).value_or(Scaled(objective, 0.25)),
-      Scaled(objective, 0.06), Scaled(objective, 0.35));
+  const duration delay =
+      std::clamp(relay.times[is_long].Quantile(0.9, now_).value_or(
+                     Scaled(objective, 0.25)),
+                 Scaled(objective, 0.06), Scaled(objective, 0.35));
   At(now_ + delay, [this, index] { Hedge(index); });
 }
 
@@ -292,8 +293,7 @@
     const attempt& started = attempts_[index];
     if (requests_[parts_[started.part].request].measured) {
       // A slot that is free during a pause starts the work after it.
-      const time_point start =
-          WorkEnd(target, now_, duration{1}) - duration{1};
+      const time_point start = WorkEnd(target, now_, duration{1}) - duration{1};
       const duration wait = start - started.arrived_at;
       waits_ms_.push_back(static_cast<double>(wait.count()) / 1000);
     }
@@ -340,14 +340,16 @@
   if (!failed) relay.times[asked.is_long].Record(now_ - ended.sent_at, now_);
   if (!failed && !owner.answered) {
     owner.answered = true;
-    const duration back = owner.chooser == asked.origin
-                              ? duration{0}
-                              : Latency(relay.zone, choosers_[asked.origin].zone);
+    const duration back =
+        owner.chooser == asked.origin
+            ? duration{0}
+            : Latency(relay.zone, choosers_[asked.origin].zone);
     // The last one recorded is not always the latest, but relays of one request
     // differ by less than a millisecond.
     if (++asked.answered == 86) asked.took = now_ + back - asked.began;
   } else if (failed && !owner.answered && owner.running == 0 &&
-             owner.tried.size() < 3 && relay.budgets.at(owner.shard).TryTake()) {
+             owner.tried.size() < 3 &&
+             relay.budgets.at(owner.shard).TryTake()) {
     Start(ended.part, true);
   }
   Dispatch(ended.chooser, id);
--- a/bilberrycourse/route_effects.h
+++ b/bilberrycourse/route_effects.h
@@ -19,6 +19,7 @@
 
 #include "bilberrycourse/crash_evidence.h"
 #include "bilberrycourse/limit_protocol.h"
+#include "bilberrycourse/placement/placement_decision.h"
 #include "bilberrycourse/request_limit.h"
 #include "bilberrycourse/result_code.h"
 #include "bilberrycourse/types.h"
@@ -82,6 +83,7 @@
   // at the searcher before this one.
   duration expected{0};
   std::uint32_t in_flight = 0;
+  placement_decision placement;
 };
 
 // A shard that the answer does not contain.
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -73,6 +73,7 @@
 #include "bilberrycourse/retry_budget.h"
 #include "bilberrycourse/route_config.h"
 #include "bilberrycourse/route_effects.h"
+#include "bilberrycourse/route_engine_counters.h"
 #include "bilberrycourse/searcher_pool.h"
 #include "bilberrycourse/service_time_estimator.h"
 #include "bilberrycourse/types.h"
@@ -136,37 +137,6 @@
   bool streamed() const { return relay_route != nullptr; }
 };
 
-struct route_engine_counters {
-  std::uint64_t requests = 0;
-  std::uint64_t refused = 0;
-  std::uint64_t failed = 0;
-  std::uint64_t partial = 0;
-  std::uint64_t cancelled = 0;
-  std::uint64_t first_attempts = 0;
-  std::uint64_t hedges = 0;
-  std::uint64_t retries = 0;
-  std::uint64_t budget_refusals = 0;
-  std::uint64_t not_executed = 0;
-  std::uint64_t broken_attempts = 0;
-  std::uint64_t late_replies = 0;
-  // Permissions of the limit_allocator.
-  std::uint64_t permissions_wanted = 0;
-  std::uint64_t permissions_granted = 0;
-  std::uint64_t allocator_losses = 0;
-  // Parts that other instances were asked to search, because this one reaches
-  // none of their searchers, and losses of all searchers.
-  std::uint64_t delegated_parts = 0;
-  std::uint64_t isolations = 0;
-  // Replies of searchers that asked for rest.
-  std::uint64_t rests = 0;
-  // Attempts that a request limit moved to another searcher or excluded.
-  std::uint64_t limit_denials = 0;
-  // Crashes of searchers while they ran a request, and requests refused because
-  // their content has crashed searchers.
-  std::uint64_t searcher_crashes = 0;
-  std::uint64_t quarantine_refusals = 0;
-};
-
 class route_engine {
  public:
   route_engine(route_engine_options options, instance_name self,
@@ -277,6 +247,7 @@
     connection_id connection{};
     time_point sent_at{};
     duration expected{0};
+    placement_decision placement;
   };
 
   struct part_state {
--- a/bilberrycourse/route_engine_attempts.cc
+++ b/bilberrycourse/route_engine_attempts.cc
@@ -51,6 +51,10 @@
   attempt.content = request->call.content;
   attempt.reason = reason;
   attempt.expected = ExpectedServiceTime(*request->call.matched_route);
+  attempt.placement = pool_.latest_decision();
+  ++counters_.choices;
+  if (!attempt.placement.lowest_score) ++counters_.choices_not_lowest;
+  if (attempt.placement.other_zone) ++counters_.choices_other_zone;
   part.tried.push_back(attempt.searcher);
   part.running.push_back(attempt.id);
   entry->waiting.push_back(attempt.id);
@@ -187,6 +191,7 @@
   effect.reason = attempt->reason;
   effect.expected = attempt->expected;
   effect.in_flight = static_cast<std::uint32_t>(entry->in_flight.size());
+  effect.placement = attempt->placement;
   out->push_back(std::move(effect));
   pool_.OnSent(entry, attempt->expected, now);
   WatchContact(now);
--- a/bilberrycourse/searcher_pool.cc
+++ b/bilberrycourse/searcher_pool.cc
@@ -7,6 +7,8 @@
 #include <functional>
 #include <utility>
 
+#include "bilberrycourse/placement/placement_strategy.h"
+
 namespace bilberrycourse {
 namespace {
 
@@ -111,15 +113,26 @@
 }
 
 double searcher_pool::Decayed(double value, double baseline,
-                              const searcher_entry& entry,
-                              time_point now) const {
+                              duration decay_time, const searcher_entry& entry,
+                              time_point now) {
   const double age = static_cast<double>((now - entry.sampled_at).count()) /
-                     static_cast<double>(options_.decay_time.count());
+                     static_cast<double>(decay_time.count());
   return baseline + (value - baseline) * std::exp(-std::max(age, 0.0));
 }
 
+double searcher_pool::SlowdownNow(const searcher_entry& entry,
+                                  time_point now) const {
+  return Decayed(entry.slowdown, 1.0,
+                 strategy().SlowdownDecayTime(options_.decay_time), entry, now);
+}
+
+double searcher_pool::FailureRateNow(const searcher_entry& entry,
+                                     time_point now) const {
+  return Decayed(entry.failure_rate, 0.0, options_.decay_time, entry, now);
+}
+
 double searcher_pool::Score(const searcher_entry& entry, time_point now) const {
-  double score = Decayed(entry.slowdown, 1.0, entry, now);
+  double score = SlowdownNow(entry, now);
   if (!entry.in_flight.empty() && entry.expected > duration{0}) {
     const double age =
         static_cast<double>((now - *entry.in_flight.begin()).count()) /
@@ -132,12 +145,17 @@
     score += options_.limited_cost;
   }
   score *= 1 + options_.in_flight_cost * static_cast<double>(entry.load());
-  score += options_.failure_cost * Decayed(entry.failure_rate, 0.0, entry, now);
+  score += options_.failure_cost * FailureRateNow(entry, now);
   if (entry.report.zone != zone_) score += options_.other_zone_cost;
   if (!entry.preferred) score += options_.not_preferred_cost;
   return score;
 }
 
+const placement_strategy& searcher_pool::strategy() const {
+  return options_.strategy != nullptr ? *options_.strategy
+                                      : StrategyFor(load_balancing::kBest);
+}
+
 searcher_entry* searcher_pool::Choose(std::string_view service,
                                       const std::vector<std::string>& tried,
                                       time_point now, std::uint32_t priority) {
@@ -155,12 +173,20 @@
     entries.push_back(entry);
     candidates.push_back({Score(*entry, now)});
   }
-  if (entries.empty()) return trial;
-  const placement_strategy* strategy =
-      tried.empty() && options_.strategy != nullptr
-          ? options_.strategy
-          : &StrategyFor(load_balancing::kBest);
-  return entries[strategy->Choose(candidates, &random_)];
+  if (entries.empty()) {
+    decision_ = {true, trial != nullptr && trial->report.zone != zone_};
+    return trial;
+  }
+  const placement_strategy& chooser =
+      tried.empty() ? strategy() : StrategyFor(load_balancing::kBest);
+  const std::size_t chosen = chooser.Choose(candidates, &random_);
+  const double score = candidates[chosen].score;
+  decision_ = {std::none_of(candidates.begin(), candidates.end(),
+                            [&](const auto& candidate) {
+                              return candidate.score < score;
+                            }),
+               entries[chosen]->report.zone != zone_};
+  return entries[chosen];
 }
 
 duration searcher_pool::DeniedFor(std::string_view service,
@@ -218,11 +244,10 @@
 void searcher_pool::RecordSample(searcher_entry* entry, double slowdown,
                                  double failed, time_point now) {
   const double weight = options_.smoothing;
-  entry->slowdown = (1 - weight) * Decayed(entry->slowdown, 1.0, *entry, now) +
-                    weight * slowdown;
+  entry->slowdown =
+      strategy().Smoothed(SlowdownNow(*entry, now), slowdown, weight);
   entry->failure_rate =
-      (1 - weight) * Decayed(entry->failure_rate, 0.0, *entry, now) +
-      weight * failed;
+      (1 - weight) * FailureRateNow(*entry, now) + weight * failed;
   entry->sampled_at = now;
 }
 
--- a/bilberrycourse/searcher_pool.h
+++ b/bilberrycourse/searcher_pool.h
@@ -29,13 +29,15 @@
 #include <vector>
 
 #include "bilberrycourse/connection_pool.h"
-#include "bilberrycourse/placement/placement_strategy.h"
+#include "bilberrycourse/placement/placement_decision.h"
 #include "bilberrycourse/request_quota.h"
 #include "bilberrycourse/searcher_directory.h"
 #include "bilberrycourse/types.h"
 
 namespace bilberrycourse {
 
+class placement_strategy;
+
 // Number of entry instances assumed until the control group has sent it. It is
 // high, because after a restart of the whole tier every instance would
 // otherwise take a large share of the connections and of the retry budget.
@@ -69,11 +71,11 @@
   duration max_quarantine = std::chrono::seconds(3);
   // Share of a searcher's connection limit that the tier uses.
   double connection_share = 0.9;
-  // Chooses the searcher of first attempts; the default is `best`. Extra
-  // attempts always use `best`, because they must be faster than the first.
+  // Chooses the searcher of first attempts; nullptr is `best`. Extra attempts
+  // always use `best`, because they must be faster than the first.
   const placement_strategy* strategy = nullptr;
   // Makes choices repeatable in tests.
-  std::optional<std::uint32_t> random_seed;
+  std::optional<std::uint32_t> random_seed = std::nullopt;
 };
 
 struct searcher_entry {
@@ -141,6 +143,8 @@
   searcher_entry* Choose(std::string_view service,
                          const std::vector<std::string>& tried, time_point now,
                          std::uint32_t priority = 0);
+  // Describes the latest result of Choose(), for logs and metrics.
+  const placement_decision& latest_decision() const { return decision_; }
   // Returns the time until a request limit that excludes this priority admits
   // it again at some searcher of the service; 0 if no limit excludes it.
   duration DeniedFor(std::string_view service, std::uint32_t priority,
@@ -209,8 +213,11 @@
 
   void UpdatePreferred(service_state* service);
   double Score(const searcher_entry& entry, time_point now) const;
-  double Decayed(double value, double baseline, const searcher_entry& entry,
-                 time_point now) const;
+  const placement_strategy& strategy() const;
+  static double Decayed(double value, double baseline, duration decay_time,
+                        const searcher_entry& entry, time_point now);
+  double SlowdownNow(const searcher_entry& entry, time_point now) const;
+  double FailureRateNow(const searcher_entry& entry, time_point now) const;
   void RecordSample(searcher_entry* entry, double slowdown, double failed,
                     time_point now);
   void Remove(const std::string& id, std::vector<std::string>* stopped,
@@ -228,6 +235,7 @@
   std::uint64_t next_serial_ = 1;
   // Breaks ties, so that instances with equal scores spread their load.
   std::minstd_rand random_;
+  placement_decision decision_;
 };
 
 }  // namespace bilberrycourse
