--- a/app/settings.h
+++ b/app/settings.h
@@ -23,6 +23,7 @@
 #include "app/json_log.h"
 #include "bilberrycourse/accounts/authenticator.h"
 #include "bilberrycourse/accounts/quota_protocol.h"
+#include "bilberrycourse/placement/load_balancing.h"
 #include "bilberrycourse/types.h"
 
 namespace bilberrycourse {
@@ -99,6 +100,8 @@
   // One-way network delay between callers and entry instances. Latency
   // objectives are measured from the time at which the caller sends a request.
   std::chrono::milliseconds caller_one_way{3};
+  // Rule by which an instance chooses among the searchers of a service.
+  load_balancing balancing = load_balancing::kBest;
   // [accounts]
   // True if no request runs that was sent later than `revoke` after the
   // acknowledgement of a configuration that revoked its key.
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -233,6 +233,7 @@
     connection_id connection{};
     time_point sent_at{};
     duration expected{0};
+    placement_decision placement;
   };
 
   struct part_state {
--- a/bilberrycourse/route_engine_counters.h
+++ b/bilberrycourse/route_engine_counters.h
@@ -38,6 +38,11 @@
   // their content has crashed searchers.
   std::uint64_t searcher_crashes = 0;
   std::uint64_t quarantine_refusals = 0;
+  // Choices of a searcher, those of a searcher without the lowest score, and
+  // those of one in another availability zone.
+  std::uint64_t choices = 0;
+  std::uint64_t choices_not_lowest = 0;
+  std::uint64_t choices_other_zone = 0;
 };
 
 }  // namespace bilberrycourse
