--- a/bilberrycourse/config_check/config_text.cc
+++ b/bilberrycourse/config_check/config_text.cc
@@ -1,5 +1,6 @@
 #include "bilberrycourse/config_check/config_text.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -24,8 +25,9 @@
 }
 
 std::string ShownKey(std::string_view key) {
-  return std::string(key.substr(0, kShownKeyCharacters)) +
-         (key.size() > kShownKeyCharacters ? "..." : "");
+  // At most half of a short key.
+  const std::size_t shown = std::min(kShownKeyCharacters, key.size() / 2);
+  return std::string(key.substr(0, shown)) + "...";
 }
 
 }  // namespace bilberrycourse
