Findings of the review of accounts, quotas and evacuations

- An instance forgot for the life of a link that a relay checks accounts: the loss of a replaced link came after the hello on the new one.
- A request whose deadline passed while it waited for a permit was sent.
- Expired permits were forgotten if the message that gave them back was not sent.
- A limit near the largest double made the own share undefined.
A member sends nothing to an instance without routes until a quorum has confirmed its state, and keeps the list that all of them ask for.

--- a/app/account_gate.cc
+++ b/app/account_gate.cc
@@ -128,12 +128,14 @@
   std::vector<std::pair<quota_limits, std::uint32_t>> list;
   for (auto& [account, want] : wanted) list.push_back(std::move(want));
   const std::uint64_t id = next_request_++;
-  if (send_ && send_(quotas_.Ask(id, list, now))) {
+  const quota_request message = quotas_.Ask(id, list, now);
+  if (send_ && send_(message)) {
     in_flight_ = {
         id, now,
         std::max(oldest + options_.answer_time, now + options_.answer_time / 2),
         false};
   } else {
+    quotas_.OnNotSent(message, now);
     Lose(/*silent=*/false, now);
   }
 }
--- a/app/control_service.cc
+++ b/app/control_service.cc
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr std::size_t kWallClockBytes = 8;
+// Oldest confirmation with which an instance takes its first routes.
+constexpr duration kMaxFirstRoutesAge = std::chrono::milliseconds(1200);
 constexpr duration kRepairPeriod = std::chrono::milliseconds(100);
 // Delay before a folder that failed is reopened.
 constexpr duration kReopenDelay = std::chrono::milliseconds(500);
@@ -83,6 +85,7 @@
   member_.reset();
   store_.reset();
   state_ = control_state();
+  whole_update_.clear();
   FailProposals();
   reads_.clear();
   room_ = log_room();
@@ -274,12 +277,11 @@
   control_poll_reply reply;
   reply.leader = leader();
   if (member_ == nullptr) return reply;
+  const auto age = member_->confirmation_age(now);
   if (known.routed) {
-    reply.routes = state_.SaveRouteUpdate(
-        known.route_version, known.searcher_revision, known.evacuation_version);
+    reply.routes = RouteUpdate(known, age);
     reply.group = Group();
   }
-  const auto age = member_->confirmation_age(now);
   reply.confirmed = age.has_value();
   reply.age = age.value_or(duration{0});
   reply.published_version = state_.published_version();
@@ -293,6 +295,30 @@
   return reply;
 }
 
+// An instance without routes takes only confirmed ones, so it gets no others:
+// after a loss of power all entry instances ask several times a second, and
+// each list of all searchers costs milliseconds that the election needs. They
+// all ask for the same list, so it is kept.
+std::string control_service::RouteUpdate(
+    const known_versions& known, const std::optional<duration>& age) const {
+  const bool nothing_known = known.route_version == 0 &&
+                             known.searcher_revision == 0 &&
+                             known.evacuation_version.value_or(0) == 0;
+  if (!nothing_known) {
+    return state_.SaveRouteUpdate(known.route_version, known.searcher_revision,
+                                  known.evacuation_version);
+  }
+  if (!age.has_value() || *age > kMaxFirstRoutesAge) return {};
+  const known_versions current{
+      0, known.evacuation_version.has_value(), state_.routes().version,
+      state_.searchers().revision(), state_.evacuations().version};
+  if (whole_update_.empty() || current != whole_update_versions_) {
+    whole_update_ = state_.SaveRouteUpdate(0, 0, known.evacuation_version);
+    whole_update_versions_ = current;
+  }
+  return whole_update_;
+}
+
 bool control_service::leads() const {
   return member_ != nullptr && member_->role() == consensus_role::kLeader;
 }
--- a/app/control_service.h
+++ b/app/control_service.h
@@ -74,6 +74,7 @@
   // Version of the evacuated zones; unset for pollers of earlier builds, which
   // do not know evacuations.
   std::optional<std::uint64_t> evacuation_version;
+  bool operator==(const known_versions&) const = default;
 };
 
 struct request_key {
@@ -149,6 +150,8 @@
   void ExecuteEffect(role_changed_effect& effect);
   void ExecuteEffect(stopped_effect& effect);
   void OnStoreEvent(std::uint64_t opening, const log_store_event& event);
+  std::string RouteUpdate(const known_versions& known,
+                          const std::optional<duration>& age) const;
   void Open(time_point now);
   void ScheduleReopen(result_code code, time_point now);
   void CompactIfDue();
@@ -186,6 +189,9 @@
   time_point room_log_due_{};
   time_point room_transfer_due_{};
   mutable std::uint64_t published_cache_version_ = 0;
+  // Everything that an instance without routes gets, and the versions in it.
+  mutable std::string whole_update_;
+  mutable known_versions whole_update_versions_;
   mutable std::string published_cache_;
   // Number of times the folder was opened. Completions that belong to an
   // earlier opening are dropped.
--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -190,6 +190,15 @@
                   std::move(arrived.respond));
   }
   const edge_headers& names = protocol_->headers();
+  const duration time_left = ParseDeadline(HeaderValue(request, names.deadline))
+                                 .value_or(kDefaultDeadline) -
+                             (now - arrived.at);
+  // The deadline may pass while the request waits for a permit.
+  if (arrived.pass.has_value() && time_left <= duration{0}) {
+    gate_.Return(*arrived.pass, now);
+    return Refuse(request, result_code::kDeadlinePassed,
+                  std::move(arrived.respond));
+  }
   const route_request_id id{next_request_++};
   call_state& state = calls_[id];
   state.matched_route = arrived.matched_route;
@@ -216,9 +225,7 @@
   call.matched_route = arrived.matched_route;
   call.content = ContentOf(state.forwarded);
   call.sent_at = EstimateSendTime(request, arrived.at);
-  call.time_left = ParseDeadline(HeaderValue(request, names.deadline))
-                       .value_or(kDefaultDeadline) -
-                   (now - arrived.at);
+  call.time_left = time_left;
   call.priority = state.priority();
   if (sender.last_start.has_value()) call.EndBy(*sender.last_start, now);
   call.relays =
--- a/app/route_gateway_relays.cc
+++ b/app/route_gateway_relays.cc
@@ -278,7 +278,9 @@
 void route_gateway::OnPeerDisconnected(const instance_name& peer,
                                        time_point now) {
   fallback_peers_.OnDisconnected(peer, now);
-  account_checkers_.erase(peer);
+  // After the loss of a link that was replaced, the peer's hello has arrived on
+  // the other link and is not sent again.
+  if (!transport_->Connected(peer)) account_checkers_.erase(peer);
   UpdateFallbackRelays(now);
   route_effects effects;
   engine_.OnRelayLost(peer, now, &effects);
--- a/app/testing/control_service_test.cc
+++ b/app/testing/control_service_test.cc
@@ -176,6 +176,33 @@
   EXPECT_EQ(service->state().routes().document, Document(version));
 }
 
+class restarted_member_test : public full_disk_test {};
+
+// Guards against a member that sends the whole directory again and again to
+// instances that can't use it yet, while it needs its CPU time for an election.
+TEST_F(restarted_member_test,
+       AnswerPoll_NothingKnown_SendsConfirmedRoutesOnly) {
+  auto service = Start(Now());
+  ASSERT_TRUE(RunUntil(service.get(), [&] { return service->leads(); }));
+  ASSERT_EQ(Change(service.get(), 1), result_code::kOk);
+  service->Drain();
+  service.reset();
+  service = Start(Now());
+  known_versions nothing;
+  nothing.routed = true;
+  EXPECT_EQ(service->AnswerPoll(nothing, Now()).routes, "");
+  ASSERT_TRUE(RunUntil(service.get(), [&] {
+    return service->AnswerPoll(nothing, Now()).confirmed;
+  }));
+  for (const std::uint64_t version : {1U, 2U}) {
+    const auto update =
+        LoadRouteUpdate(service->AnswerPoll(nothing, Now()).routes);
+    ASSERT_TRUE(update.has_value());
+    EXPECT_EQ(update->routes.version, version);
+    ASSERT_EQ(Change(service.get(), version + 1), result_code::kOk);
+  }
+}
+
 class route_registry_test : public control_service_test,
                             public control_client_handler {
  protected:
--- a/bilberrycourse/accounts/account_quota.cc
+++ b/bilberrycourse/accounts/account_quota.cc
@@ -1,6 +1,7 @@
 #include "bilberrycourse/accounts/account_quota.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 
 namespace bilberrycourse {
@@ -47,6 +48,8 @@
                        std::uint64_t all_grants, double random) {
   if (grants == 0) return 0;
   const double limit = LimitOfWindow(tolerance, limits);
+  // Rates near the largest double add up to no finite limit.
+  if (!std::isfinite(limit)) return grants;
   const double room = std::min(kFreeOvershoot * tolerance.overshoot * limit +
                                    kFreeSlack * tolerance.slack,
                                limit);
@@ -156,6 +159,16 @@
   return request;
 }
 
+void account_quota::OnNotSent(const quota_request& request, time_point now) {
+  for (const quota_want& want : request.wants) {
+    const auto found = accounts_.find(want.account);
+    if (found == accounts_.end()) continue;
+    found->second.expired += want.returned;
+    found->second.grants.Add(want.returned, now);
+    counters_.returned -= want.returned;
+  }
+}
+
 void account_quota::OnReply(const quota_reply& reply, time_point asked_at,
                             time_point now) {
   if (!reply.allocated) return OnLost(/*silent=*/false, now);
--- a/bilberrycourse/accounts/account_quota.h
+++ b/bilberrycourse/accounts/account_quota.h
@@ -92,6 +92,9 @@
       std::uint64_t id,
       const std::vector<std::pair<quota_limits, std::uint32_t>>& wanted,
       time_point now);
+  // Called when a request of Ask() could not be sent. Its expired permits are
+  // given back with the next one.
+  void OnNotSent(const quota_request& request, time_point now);
   // Applies the reply to a request that was sent at `asked_at`.
   void OnReply(const quota_reply& reply, time_point asked_at, time_point now);
   // The allocator can't be reached; `silent` if it has not answered in time. It
--- a/bilberrycourse/result_code.cc
+++ b/bilberrycourse/result_code.cc
@@ -21,7 +21,7 @@
     {result_code::kInvalidField, 106, "invalid_field", 2, 400, true,
      "A field is missing, has the wrong type or is out of range."},
     {result_code::kDeadlinePassed, 107, "deadline_passed", 2, 504, true,
-     "The deadline had passed before the request was read."},
+     "The deadline had passed before the request was read or sent."},
     {result_code::kMissingIdempotencyKey, 108, "missing_idempotency_key", 2,
      400, true,
      "A non-idempotent request needs an Idempotency-Key header and "
--- a/bilberrycourse/route_engine_searchers.cc
+++ b/bilberrycourse/route_engine_searchers.cc
@@ -33,6 +33,12 @@
   std::vector<connection_id> unused;
   pool_.Update(changes, complete_list, now, &stopped, &unused);
   LeaveSearchers(stopped, std::move(unused), now, out);
+  // A searcher may move to an evacuated zone; it gets no probe there.
+  std::erase_if(stopped, [&](const std::string& id) {
+    const searcher_entry* entry = pool_.Find(id);
+    return entry == nullptr || !entry->evacuated;
+  });
+  ReleaseProbed(stopped, now, out);
   for (const searcher_record& change : changes) {
     Preconnect(pool_.Find(change.report.id), now, out);
   }
