--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -27,7 +27,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 BOUNDS = {"seedLagS": 3, "addrReuseS": 2, "contactMs": 4000, "ackTimeoutMs": 5000, "catchUpS": 4, "drainMs": 3000,
           "graceS": 6, "lossSlackMs": 200, "configApplyMs": 3000, "downgradeSlackMs": 250, "maxStretchMs": 12000,
-          "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retryBudgetSlack": 56, "recoveryS": 12}
+          "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retryBudgetSlack": 54, "recoveryS": 12}
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
