--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,116 +1,110 @@
-"""All machines lose power while a change is being written; the write is torn on some of them."""
-import json
+"""The core is renewed machine by machine while an entry machine stands still."""
 import os
-import shutil
-import socket
+import signal
 import sys
 import time
+import uuid
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-2"))
-from deployment import BOUNDS, TROUBLE, CannotRun, Deployment, finish  # noqa: E402
+from deployment import BOUNDS, TROUBLE, CannotRun, Deployment, call, finish  # noqa: E402
+from searcher import Searcher  # noqa: E402
 
-ROUTES = 60  # The pages' example has 3 routes and 21 services, the sites 18 and 52.
-BLOCK_BYTES = 4096
-TORN_MACHINES = 3  # On the other two the write is missing.
-DOWN_S = 0.8
+FROZEN_S = 7.9     # node_freeze: 8.0 s at most
+POWER_OFF_S = 7.0  # node_kill, two machines of the core, power: 7.0 s at most
+CONTACT_S, APPLY_S, CATCH_UP_S = BOUNDS["contactMs"] / 1000, BOUNDS["configApplyMs"] / 1000, BOUNDS["catchUpS"]
 
 
-def config(version):
-    routes = [{"name": f"r-{i}", "host": "cold.example", "pathPrefix": f"/site{i}/", "routeType": "idempotent",
-               "timeoutMs": 4000 + version, "targetLatencyMs": 500, "priority": 1, "backend": "portal",
-               "maxAttempts": 2} for i in range(ROUTES)]
-    return {"version": version, "routes": routes,
-            "services": [{"name": "portal", "healthPath": "/health", "maxConnections": 51, "protocol": "h1",
-                          "tls": False}],
+def config(version, service):
+    routes = [{"name": "r-1", "host": "cold.example", "pathPrefix": "/site/", "routeType": "idempotent",
+               "timeoutMs": 4000, "targetLatencyMs": 500, "priority": 1, "backend": service, "maxAttempts": 2}]
+    services = [{"name": name, "healthPath": "/health", "maxConnections": 51, "protocol": "h1", "tls": False}
+                for name in ("desk-old", "desk-new")]
+    return {"version": version, "routes": routes, "services": services,
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
                        "idleTimeoutMs": 15000}}
 
 
-def log_name(folder):
-    names = [name for name in os.listdir(folder) if name.startswith("log-") and not name.endswith(".tmp")]
-    if len(names) != 1:
-        raise CannotRun("the log was being compacted")
-    return names[0]
-
-
-def read(path):
-    with open(path, "rb") as file:
-        return file.read()
-
-
-def lose_power(core, before):
-    """Leaves on the disk what it held before the last write, and of that write all blocks but the first."""
-    name = log_name(core.data_dir)
-    synced, written = read(os.path.join(before, name)), read(os.path.join(core.data_dir, name))
-    if not written.startswith(synced):
-        raise CannotRun("the log was written anew")
-    missing_to = min(len(written), (len(synced) // BLOCK_BYTES + 1) * BLOCK_BYTES)
-    if len(written) - missing_to < BLOCK_BYTES:
-        raise CannotRun("the last write took a single block")
-    shutil.rmtree(core.data_dir)
-    shutil.copytree(before, core.data_dir)
-    with open(os.path.join(core.data_dir, name), "ab") as log:
-        log.write(bytes(missing_to - len(synced)) + written[missing_to:])
-    return {"synced_bytes": len(synced), "missing_bytes": missing_to - len(synced),
-            "present_bytes": len(written) - missing_to}
+def ask(d, entry):
+    """Sends one request. Returns the service that ran it, or the status."""
+    request_id = uuid.uuid4().hex[:16]
+    status, _, body = call(d.frontend(entry), "GET", "/site/7", headers=(
+        "X-Request-Id: " + request_id, "X-Deadline-Ms: 2000"), timeout_s=2, host="cold.example")
+    result = body.split()[0].decode() if status == 200 else str(status)
+    d.note(sent=request_id, to=entry, answer=result)
+    return result
 
 
 def play(record):
-    with Deployment(cores=5, entries=1) as d:
-        d.start_all()
-        if not d.put_config(config(1), 20):
+    with Deployment(cores=8, entries=2) as d:
+        old, new = d.core_names[:5], d.core_names[5:]
+        entry, other = d.entry_names
+        for name in old + d.entry_names:
+            d.processes[name].start()
+        if not d.put_config(config(1, "desk-old"), 20, [d.processes[name] for name in old]):
             raise CannotRun("the first configuration was not acknowledged")
-        time.sleep(BOUNDS["catchUpS"] + 1)  # All five are voters and no longer count as lost.
-        acknowledged = 2
-        if not d.put_config(config(acknowledged)):
-            raise CannotRun("a change was not acknowledged")
-        time.sleep(0.5)  # Every machine has written and synced it.
-        before = {}
-        for core in d.cores():
-            before[core.name] = os.path.join(d.folder, "before-" + core.name)
-            shutil.copytree(core.data_dir, before[core.name])
-        # One more change, whose answer nobody waits for.
-        body = json.dumps(config(acknowledged + 1)).encode()
-        with socket.create_connection(d.control(d.cores()[0]), timeout=1) as operator:
-            operator.sendall(b"PUT /v1/config HTTP/1.1\r\nHost: control.example\r\nContent-Type: application/json\r\n"
-                             b"Content-Length: %d\r\n\r\n" % len(body) + body)
-            time.sleep(0.2)
-            for process in d.processes.values():
-                process.kill()
-        d.note(sent=acknowledged + 1, power_lost=sorted(d.processes))
-        for i, core in enumerate(d.cores()):
-            if TROUBLE and i < TORN_MACHINES:
-                d.note(torn="the last write to the log", machine=core.name, **lose_power(core, before[core.name]))
-            else:
-                shutil.rmtree(core.data_dir)
-                shutil.copytree(before[core.name], core.data_dir)
-                d.note(missing="the last write to the log", machine=core.name)
-        time.sleep(DOWN_S)
-        for process in d.processes.values():
-            process.start(bootstrap=False)
-        d.note(power_back=sorted(d.processes))
-        back = time.monotonic()
-        newest, statuses = None, {}
-        while time.monotonic() < back + BOUNDS["recoveryS"] + BOUNDS["contactMs"] / 1000:
-            for core in d.cores():
-                status, version = d.read_config(core)
-                statuses[status] = statuses.get(status, 0) + 1
-                if version is not None:
-                    newest = max(newest or 0, version)
-            if newest is not None and time.monotonic() > back + BOUNDS["contactMs"] / 1000:
-                break
-            time.sleep(0.25)
-        d.note(acknowledged=acknowledged, newest_read_back=newest, read_statuses=statuses,
-               seconds_after_return=round(time.monotonic() - back, 1))
-        for core in d.cores():
-            with open(core.log) as log:
-                for line in log:
-                    if "control_refuses_to_vote" in line:
-                        d.note(machine=core.name, log=json.loads(line)["reason"])
-        held = newest is not None and newest >= acknowledged
-        d.write_record(record, "held" if held else
-                       f"broken: version {acknowledged} was acknowledged, read back: {newest}")
-        return held
+        searchers = [Searcher(d, "desk-old", 0), Searcher(d, "desk-new", 1)]
+        time.sleep(3)
+        # Three spare machines of the core start, empty; each will take the place of an old one.
+        seeds = d.processes[old[0]].fields["seeds"]
+        for name in new:
+            d.processes[name].start(bootstrap=False, seeds=seeds)
+        d.note(started=new)
+        time.sleep(CATCH_UP_S + 1)  # No longer count as lost.
+        if any(ask(d, name) != "desk-old" for name in d.entry_names):
+            raise CannotRun("the deployment does not serve")
+
+        frozen_at = time.monotonic()
+        if TROUBLE:
+            d.processes[entry].signal(signal.SIGSTOP)
+            d.note(frozen=entry)
+        for leaving in (old[:2], old[2:3]):
+            for name in leaving:
+                d.processes[name].signal(signal.SIGTERM)
+                d.note(sigterm=name)
+            time.sleep(2.7)
+        for name in old[:3]:
+            if d.processes[name].running():
+                d.processes[name].kill()
+        # The platform writes the settings anew.
+        settings = [f"{d.processes[name].ip}:{d.ports['control']}" for name in new]
+        for name in d.entry_names:
+            process = d.processes[name]
+            process.write_settings(seeds=settings)
+            process.signal(signal.SIGHUP)
+        for name in old[3:]:
+            d.processes[name].kill()
+        power_off_at = time.monotonic()
+        d.note(power_lost=old[3:])
+        if not d.put_config(config(2, "desk-new"), 4, [d.processes[name] for name in new]):
+            raise CannotRun("the change was not acknowledged: the core has no majority")
+        acknowledged_at = time.monotonic()
+        time.sleep(max(0.0, frozen_at + FROZEN_S - time.monotonic()))
+        d.processes[entry].signal(signal.SIGCONT)
+        thawed_at = time.monotonic()
+        d.note(thawed=entry, after_s=round(thawed_at - frozen_at, 2))
+
+        # In touch from here until the two machines of the core are back.
+        in_touch_at = max(thawed_at + CONTACT_S, power_off_at + CONTACT_S, acknowledged_at + APPLY_S) + 0.1
+        time.sleep(max(0.0, in_touch_at - time.monotonic()))
+        results = {entry: [], other: []}
+        while time.monotonic() < power_off_at + POWER_OFF_S - 0.1:
+            for name in d.entry_names:
+                results[name].append(ask(d, name))
+            time.sleep(0.1)
+        d.note(acknowledged_before_s=round(in_touch_at - acknowledged_at, 2), answers=results)
+        for name in old[3:]:
+            d.processes[name].start(bootstrap=False, seeds=settings)
+        d.note(power_back=old[3:])
+        for searcher in searchers:
+            searcher.stop()
+        if not results[entry] or "desk-new" not in results[other]:
+            raise CannotRun("no request was sent in time, or the calm machine does not serve")
+        late = [result for result in results[entry] if result == "desk-old"]
+        verdict = "held" if not late else (
+            f"broken: {len(late)} of {len(results[entry])} requests ran at the service of version 1, "
+            f"more than {APPLY_S} s after version 2 was acknowledged")
+        d.write_record(record, verdict)
+        return not late
 
 
 if __name__ == "__main__":
--- a/review/common-2/searcher.py
+++ b/review/common-2/searcher.py
@@ -41,6 +41,9 @@
         class Server(socketserver.ThreadingTCPServer):
             allow_reuse_address = daemon_threads = True
 
+            def handle_error(self, *unused):
+                pass  # The caller has closed the connection.
+
         self.server = Server((f"{deployment.net}.{100 + address_index}", deployment.ports["frontend"]), Handler)
         self.address = "%s:%d" % self.server.server_address
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
