Drop everything behind the first defect of an unsynced log tail

Cause: RecoverLog() took an unsynced write for torn only if it was a prefix of a record or ended in zeros. A disk may leave a later block of a write without an earlier one, and this was called damage although no sync had covered it.

Recovery now ends the log at the first defect behind the synced length. Nothing there has been acknowledged or acted on, because replies and votes wait for the sync. A defect before the synced length is damage as before.

--- a/bilberrycourse/log_codec.cc
+++ b/bilberrycourse/log_codec.cc
@@ -228,22 +228,6 @@
   return false;
 }
 
-// Returns true if `rest`, which starts at a record boundary, is the remainder
-// of an unsynced write: a prefix of the written bytes, or a longer file whose
-// missing part reads as zeros. A complete record that does not end in zeros was
-// written completely, so that a wrong checksum means damage.
-bool IsTornTail(std::string_view rest) {
-  std::size_t written = rest.size();
-  while (written > 0 && rest[written - 1] == '\0') --written;
-  if (written < kHeaderBytes) return true;
-  byte_reader in{rest};
-  const std::uint64_t length = in.Number(4);
-  const std::uint64_t record_length = kHeaderBytes + length + kChecksumBytes;
-  // One of 256 checksums ends in a zero byte, so that `written` is too short
-  // for an intact record; the caller has verified the checksum before.
-  return length <= kMaxPayloadBytes && written < record_length;
-}
-
 }  // namespace
 
 std::string EncodeLogFile(std::uint64_t generation,
@@ -313,9 +297,9 @@
       if (offset < std::max(created_length, synced_length)) {
         return damaged(offset, "synced record is damaged");
       }
-      if (!IsTornTail(rest)) {
-        return damaged(offset, "record is damaged and not a torn tail");
-      }
+      // No sync has covered these bytes, so a loss of power may leave any mix
+      // of written, missing and older blocks here. Intact records behind the
+      // first defect may lack their predecessors and are dropped too.
       result.torn_tail = true;
       break;
     }
--- a/bilberrycourse/log_codec.h
+++ b/bilberrycourse/log_codec.h
@@ -15,9 +15,9 @@
 // Recovery: records up to the synced length must be intact, otherwise the log
 // is damaged. The synced length is the larger of the length of the file at its
 // creation, which is stored in the first record, and the length in the sync
-// mark. After it, an unsynced write may have left a tail that is truncated or
-// ends in zero bytes; recovery drops such a torn tail. Any other damage is an
-// error.
+// mark. After it, a loss of power may leave an unsynced write present, missing
+// or torn in any mix of blocks, with intact records behind a hole. The log ends
+// at the first defect there; recovery drops the rest as a torn tail.
 
 #include <cstdint>
 #include <optional>
@@ -44,7 +44,8 @@
   result_code code = result_code::kOk;
   std::string reason;
   recovered_log log;
-  // The file must be truncated to this length before anything is appended.
+  // The file must be truncated to this length, and synced, before anything is
+  // appended.
   std::uint64_t valid_length = 0;
   bool torn_tail = false;
 };
