Recover a log whose sync mark was torn, and keep one mark synced

Cause: both slots of the mark were written without a sync, so that one loss of power could tear both, and a folder with changes but without a readable mark was called damaged. The mark only narrows down which records are known to be synced; its loss says nothing about the log.

A lost mark now leaves the length at creation as the bound. The store overwrites only one slot until it has synced the file, every 8 batches and after the batch has been reported, so that no change waits for it and one slot survives any loss of power.

--- a/app/control_service.cc
+++ b/app/control_service.cc
@@ -130,6 +130,7 @@
            {{"member", static_cast<std::uint64_t>(opened.log.identity.id)},
             {"created", opened.created},
             {"torn_tail", opened.torn_tail},
+            {"sync_mark_lost", opened.sync_mark_lost},
             {"entries", opened.log.entries.size()},
             {"log_bytes", log_bytes()},
             {"disk_room", room_.disk().value_or(0)},
--- a/app/log_store.cc
+++ b/app/log_store.cc
@@ -20,6 +20,9 @@
 constexpr std::string_view kLogPrefix = "log-";
 constexpr std::string_view kTemporarySuffix = ".tmp";
 const char kSyncMarkName[] = "sync-mark";
+// Marks in a row without a sync of their file. Bounds the part of the log in
+// which damage that comes with a loss of power is taken for a torn write.
+constexpr int kMaxUnsyncedMarks = 8;
 
 result_code ResultCodeOfErrno(int error) {
   return error == ENOSPC || error == EDQUOT ? result_code::kDiskFull
@@ -215,14 +218,24 @@
   return std::string(kLogPrefix) + std::to_string(generation);
 }
 
-result_code log_store::WriteSyncMark(std::string* reason) {
+result_code log_store::WriteSyncMark(bool sync, std::string* reason) {
   ++mark_.sequence;
   mark_.generation = generation_;
   mark_.length = length_;
-  const result_code code =
-      files_->Write(kSyncMarkName, mark_.sequence % 2 * kSyncMarkBytes,
-                    EncodeSyncMark(mark_));
-  if (code != result_code::kOk) *reason = "cannot write the sync mark";
+  result_code code = files_->Write(kSyncMarkName, mark_slot_ * kSyncMarkBytes,
+                                   EncodeSyncMark(mark_));
+  if (code != result_code::kOk) {
+    *reason = "cannot write the sync mark";
+    return code;
+  }
+  if (++unsynced_marks_ < kMaxUnsyncedMarks && !sync) return code;
+  code = files_->Sync(kSyncMarkName);
+  if (code != result_code::kOk) {
+    *reason = "cannot sync the sync mark";
+    return code;
+  }
+  unsynced_marks_ = 0;
+  mark_slot_ = 1 - mark_slot_;
   return code;
 }
 
@@ -310,7 +323,9 @@
     std::string bytes;
     code = files_->Read(LogName(generation_), &bytes);
     if (code != result_code::kOk) return failed(code, "cannot read the log");
-    const std::optional<sync_mark> mark = DecodeSyncMarks(mark_bytes);
+    std::size_t newest_slot = 0;
+    const std::optional<sync_mark> mark =
+        DecodeSyncMarks(mark_bytes, &newest_slot);
     if (mark && mark->generation > generation_) {
       return failed(result_code::kLogDamaged,
                     LogName(mark->generation) + " is missing");
@@ -321,14 +336,6 @@
     if (recovered.code != result_code::kOk) {
       return failed(recovered.code, recovered.reason);
     }
-    // The mark is synced before the first change is written, so only a folder
-    // whose creation was interrupted may have no readable mark.
-    if (!mark && (generation_ != 1 || recovered.valid_length != bytes.size() ||
-                  recovered.log.state != hard_state{} ||
-                  !recovered.log.entries.empty())) {
-      return failed(result_code::kLogDamaged,
-                    "the sync mark is missing or damaged");
-    }
     if (recovered.log.identity.group != settings_.group ||
         recovered.log.identity.instance != settings_.instance) {
       return failed(result_code::kDataFolderForeign,
@@ -336,7 +343,16 @@
                         recovered.log.identity.instance + " of group " +
                         recovered.log.identity.group);
     }
-    if (mark) mark_ = *mark;
+    result.sync_mark_lost = !mark.has_value();
+    if (mark) {
+      mark_ = *mark;
+      mark_slot_ = 1 - newest_slot;
+      // A killed process may have left the newest mark unsynced.
+      code = files_->Sync(kSyncMarkName);
+      if (code != result_code::kOk) {
+        return failed(code, "cannot sync the sync mark");
+      }
+    }
     result.log = std::move(recovered.log);
     result.torn_tail = recovered.torn_tail;
     log_bytes_ = length_ = recovered.valid_length;
@@ -349,11 +365,12 @@
     code = files_->Sync(LogName(generation_));
     if (code != result_code::kOk) return failed(code, "cannot sync the log");
   }
-  code = WriteSyncMark(&reason);
-  if (code == result_code::kOk) code = files_->Sync(kSyncMarkName);
-  if (code == result_code::kOk) code = files_->SyncFolder();
-  if (code != result_code::kOk)
-    return failed(code, "cannot sync the sync mark");
+  code = WriteSyncMark(/*sync=*/true, &reason);
+  if (code != result_code::kOk) return failed(code, reason);
+  code = files_->SyncFolder();
+  if (code != result_code::kOk) {
+    return failed(code, "cannot sync the data folder");
+  }
   for (const std::string& name : names) {
     const std::uint64_t generation = GenerationOf(name);
     if (generation != 0 && generation != generation_) files_->Remove(name);
@@ -405,7 +422,8 @@
     if (code != result_code::kOk) return code;
     log_bytes_ = length_ += bytes.size();
   }
-  return WriteSyncMark(reason);
+  reason->clear();
+  return result_code::kOk;
 }
 
 void log_store::Run() {
@@ -422,9 +440,12 @@
     lock.unlock();
     log_store_event event{result_code::kOk, batch.back().position, {}};
     event.code = WriteBatch(batch, &event.reason);
+    on_completed_(event);
+    if (event.code == result_code::kOk) {
+      event.code = WriteSyncMark(/*sync=*/false, &event.reason);
+      if (event.code != result_code::kOk) on_completed_(event);
+    }
     const bool failed = event.code != result_code::kOk;
-    if (!failed) event.reason.clear();
-    on_completed_(std::move(event));
     lock.lock();
     busy_ = false;
     failed_ = failed;
--- a/app/log_store.h
+++ b/app/log_store.h
@@ -12,16 +12,18 @@
 //
 // Persist() queues an effect. One worker thread writes everything that is
 // queued, syncs it once and reports completion through the callback, which runs
-// on the worker thread. After a failed write or sync the store reports the
-// failure once and accepts no more effects: data of a failed sync may be lost
-// even if a second sync succeeds.
+// on the worker thread; then it writes the sync mark. After a failed write or
+// sync the store reports the failure once and accepts no more effects: data of
+// a failed sync may be lost even if a second sync succeeds.
 //
 // A new generation is written beside the log that it replaces, so the disk
 // needs room for both; see log_room.h.
 //
 // A folder without any log file gets a new random member id. Open() returns
 // kDataFolderForeign for a folder of another group or instance, and kLogDamaged
-// for a damaged one.
+// for a damaged one. Nothing that a loss of power leaves is damage: it may lose
+// or tear every write behind the last sync of its file, in all files at once,
+// and again while Open() recovers from the first loss.
 
 #include <atomic>
 #include <condition_variable>
@@ -135,6 +137,8 @@
     bool created = false;
     // True if an unsynced tail was dropped.
     bool torn_tail = false;
+    // True if neither slot of the sync mark was readable.
+    bool sync_mark_lost = false;
   };
 
   log_store(storage_files* files, log_store_settings settings,
@@ -161,7 +165,7 @@
                          std::string* reason);
   result_code StartGeneration(const recovered_log& contents,
                               std::string* reason);
-  result_code WriteSyncMark(std::string* reason);
+  result_code WriteSyncMark(bool sync, std::string* reason);
   std::string LogName(std::uint64_t generation) const;
 
   storage_files* files_;
@@ -171,6 +175,10 @@
   std::uint64_t generation_ = 0;
   std::uint64_t length_ = 0;
   sync_mark mark_;
+  // The slot that the next mark overwrites. The other slot is synced.
+  std::size_t mark_slot_ = 0;
+  // Marks written since the last sync of their file.
+  int unsynced_marks_ = 0;
   // Copy of length_ for other threads.
   std::atomic<std::uint64_t> log_bytes_ = 0;
 
--- a/bilberrycourse/log_codec.cc
+++ b/bilberrycourse/log_codec.cc
@@ -328,19 +328,22 @@
   return out;
 }
 
-std::optional<sync_mark> DecodeSyncMarks(std::string_view file) {
+std::optional<sync_mark> DecodeSyncMarks(std::string_view file,
+                                         std::size_t* slot) {
   std::optional<sync_mark> newest;
-  for (std::size_t slot = 0; slot < 2; ++slot) {
-    if (file.size() < (slot + 1) * kSyncMarkBytes) break;
+  for (std::size_t i = 0; i < 2; ++i) {
+    if (file.size() < (i + 1) * kSyncMarkBytes) break;
     const std::string_view bytes =
-        file.substr(slot * kSyncMarkBytes, kSyncMarkBytes);
+        file.substr(i * kSyncMarkBytes, kSyncMarkBytes);
     byte_reader in{bytes};
     sync_mark mark;
     mark.sequence = in.Number(8);
     mark.generation = in.Number(8);
     mark.length = in.Number(8);
     if (in.Number(8) != XXH64(bytes.data(), kSyncMarkBytes - 8, 0)) continue;
-    if (!newest || mark.sequence > newest->sequence) newest = mark;
+    if (newest && mark.sequence <= newest->sequence) continue;
+    newest = mark;
+    if (slot != nullptr) *slot = i;
   }
   return newest;
 }
--- a/bilberrycourse/log_codec.h
+++ b/bilberrycourse/log_codec.h
@@ -53,9 +53,10 @@
 log_recovery RecoverLog(std::string_view file, std::uint64_t generation,
                         std::uint64_t synced_length);
 
-// Records the generation of the current log file and its synced length. Two
-// slots are written alternately, so that a torn write of one slot leaves the
-// other slot intact.
+// Records the generation of the current log file and a length up to which it is
+// synced. The file has two slots, of which the writer overwrites only one until
+// it has synced the file, so that a loss of power leaves the other one intact.
+// Without a readable slot only the length at creation is known to be synced.
 struct sync_mark {
   std::uint64_t sequence = 0;
   std::uint64_t generation = 0;
@@ -66,8 +67,10 @@
 inline constexpr std::size_t kSyncMarkBytes = 32;
 
 std::string EncodeSyncMark(const sync_mark& mark);
-// Returns the newest valid slot of the file; nullopt if neither is valid.
-std::optional<sync_mark> DecodeSyncMarks(std::string_view file);
+// Returns the newest valid mark of the file and its slot (0 or 1); nullopt if
+// neither slot is valid. `slot` may be null.
+std::optional<sync_mark> DecodeSyncMarks(std::string_view file,
+                                         std::size_t* slot = nullptr);
 
 }  // namespace bilberrycourse
 
