Keep the files of a damaged folder until the group has taken its instance in

Cause: an instance of the interface routes discards a damaged or foreign folder without knowing whether the others hold what was in it.

The files are now renamed and kept until the instance is a voter of the group under its new id, which needs a majority that holds the log. The newest log is renamed after the older ones and before the mark, with a sync of the folder between the steps, so that a loss of power never leaves an older log that opens as a complete one. At most two sets are kept, so that they can't fill the disk. The worker of log_store removes them, because the files belong to one thread.

--- a/app/control_service.cc
+++ b/app/control_service.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "app/daemon_clock.h"
+#include "app/folder_set_aside.h"
 #include "app/frames.h"
 #include "app/json_log.h"
 #include "bilberrycourse/consensus_codec.h"
@@ -90,18 +91,11 @@
   reads_.clear();
   room_ = log_room();
   compaction_position_ = 0;
-  if (discard_folder_) {
-    discard_folder_ = false;
-    // Destroyed first, because it holds the lock of the folder.
-    files_.reset();
-    const auto folder = StorageFilesFactory()(config_.data_dir);
-    std::vector<std::string> names;
-    folder->List(&names);
-    for (const std::string& name : names) folder->Remove(name);
-    folder->SyncFolder();
-  }
+  // Destroyed first, because it holds the lock of the folder.
   files_.reset();
   files_ = StorageFilesFactory()(config_.data_dir);
+  if (folder_unusable_) SetAside();
+  has_set_aside_ = !SetAsideFiles(files_.get()).empty();
   const auto completed = [executor = executor_, alive = alive_,
                           opening = ++opening_](const log_store_event& event) {
     boost::asio::post(executor, [alive, opening, event] {
@@ -159,8 +153,33 @@
 void control_service::ScheduleReopen(result_code code, time_point now) {
   if (config_.interface != serving_interface::kRoutes) return;
   reopen_at_ = now + kReopenDelay;
-  discard_folder_ = code == result_code::kDataFolderForeign ||
-                    code == result_code::kLogDamaged;
+  folder_unusable_ = code == result_code::kDataFolderForeign ||
+                     code == result_code::kLogDamaged;
+}
+
+// If this fails half-way, the folder is still recognized as unusable when it is
+// opened.
+void control_service::SetAside() {
+  folder_unusable_ = false;
+  const result_code code = SetFolderAside(files_.get());
+  boost::json::array names;
+  for (const std::string& name : SetAsideFiles(files_.get())) {
+    names.emplace_back(name);
+  }
+  LogEvent(log_level::kWarning, "folder_set_aside",
+           {{"code", bilberrycourse::Describe(code).number},
+            {"kept_files", std::move(names)}});
+}
+
+void control_service::RemoveSetAsideIfVoter() {
+  if (!has_set_aside_ || member_->membership_change_pending() ||
+      !member_->membership().IsVoter(member_->identity().id)) {
+    return;
+  }
+  has_set_aside_ = false;
+  LogEvent(log_level::kInfo, "set_aside_removed", {});
+  // A failure shows at the next opening, which finds the files again.
+  store_->RunTask([files = files_.get()] { RemoveSetAside(files); });
 }
 
 void control_service::OnSeedsChanged() {
@@ -173,13 +192,14 @@
   if (reopen_at_.has_value() && now >= *reopen_at_) {
     reopen_at_.reset();
     LogEvent(log_level::kWarning, "folder_reopened",
-             {{"discarded", discard_folder_}});
+             {{"set_aside", folder_unusable_}});
     Open(now);
   }
   if (member_ == nullptr) return;
   if (now >= room_check_due_) {
     room_check_due_ = now + kRoomCheckPeriod;
     CheckRoom();
+    RemoveSetAsideIfVoter();
   }
   consensus_effects effects;
   member_->Tick(now, &effects);
--- a/app/control_service.h
+++ b/app/control_service.h
@@ -13,8 +13,9 @@
 // stays out of the group and reports the reason, while the entry role continues
 // with the other members. With the routed interface no operator repairs a
 // folder: after a failed write the folder is reopened until that succeeds, and
-// a damaged or foreign folder is discarded, so that the instance rejoins as one
-// that lost its disk.
+// a damaged or foreign folder is set aside, so that the instance rejoins as one
+// that lost its disk. The files are kept until the group has taken the new
+// member in as a voter (folder_set_aside.h).
 //
 // A full disk must not end in a log that can't be compacted any more. The log
 // is compacted while there is room for that (log_room), and a leader whose disk
@@ -154,6 +155,8 @@
                           const std::optional<duration>& age) const;
   void Open(time_point now);
   void ScheduleReopen(result_code code, time_point now);
+  void SetAside();
+  void RemoveSetAsideIfVoter();
   void CompactIfDue();
   void Compact(time_point now);
   void OnWritten(std::uint64_t position);
@@ -198,7 +201,10 @@
   std::uint64_t opening_ = 0;
   // When to reopen the folder after a failure; unset while it works.
   std::optional<time_point> reopen_at_;
-  bool discard_folder_ = false;
+  // True if the folder must be set aside before it is opened again.
+  bool folder_unusable_ = false;
+  // True while the folder keeps files that were set aside.
+  bool has_set_aside_ = false;
   result_code stop_code_ = result_code::kOk;
   std::string stop_reason_;
   // Guards store completions that arrive after destruction.
--- a/app/log_store.cc
+++ b/app/log_store.cc
@@ -29,8 +29,16 @@
                                             : result_code::kStorageIo;
 }
 
-// Returns the generation in the name of a log file, 0 for any other file.
-std::uint64_t GenerationOf(std::string_view name) {
+std::uint64_t RandomId() {
+  std::random_device device;
+  std::uint64_t id = 0;
+  while (id == 0) id = (std::uint64_t{device()} << 32) | device();
+  return id;
+}
+
+}  // namespace
+
+std::uint64_t LogGeneration(std::string_view name) {
   if (!name.starts_with(kLogPrefix)) return 0;
   name.remove_prefix(kLogPrefix.size());
   if (name.empty() || name.size() > 18) return 0;
@@ -42,15 +50,6 @@
   return generation;
 }
 
-std::uint64_t RandomId() {
-  std::random_device device;
-  std::uint64_t id = 0;
-  while (id == 0) id = (std::uint64_t{device()} << 32) | device();
-  return id;
-}
-
-}  // namespace
-
 // ---- posix_storage_files ----
 
 posix_storage_files::posix_storage_files(std::string folder)
@@ -293,7 +292,7 @@
   for (const std::string& name : names) {
     // An unfinished generation takes the room that the steps below may need.
     if (name.ends_with(kTemporarySuffix)) files_->Remove(name);
-    if (const std::uint64_t generation = GenerationOf(name)) {
+    if (const std::uint64_t generation = LogGeneration(name)) {
       generations.push_back(generation);
     }
     has_mark = has_mark || name == kSyncMarkName;
@@ -372,7 +371,7 @@
     return failed(code, "cannot sync the data folder");
   }
   for (const std::string& name : names) {
-    const std::uint64_t generation = GenerationOf(name);
+    const std::uint64_t generation = LogGeneration(name);
     if (generation != 0 && generation != generation_) files_->Remove(name);
   }
   identity_ = result.log.identity;
@@ -389,6 +388,15 @@
   queue_changed_.notify_all();
 }
 
+void log_store::RunTask(std::function<void()> task) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (failed_) return;
+    tasks_.push_back(std::move(task));
+  }
+  queue_changed_.notify_all();
+}
+
 void log_store::Drain() {
   std::unique_lock lock(mutex_);
   queue_changed_.wait(lock,
@@ -430,9 +438,17 @@
   std::vector<persist_effect> batch;
   std::unique_lock lock(mutex_);
   while (true) {
-    queue_changed_.wait(lock, [&] { return stopping_ || !queue_.empty(); });
+    queue_changed_.wait(
+        lock, [&] { return stopping_ || !queue_.empty() || !tasks_.empty(); });
     // Effects that are queued at shutdown are still written.
-    if (queue_.empty()) return;
+    if (queue_.empty()) {
+      if (stopping_) return;
+      const auto tasks = std::exchange(tasks_, {});
+      lock.unlock();
+      for (const auto& task : tasks) task();
+      lock.lock();
+      continue;
+    }
     batch.assign(std::make_move_iterator(queue_.begin()),
                  std::make_move_iterator(queue_.end()));
     queue_.clear();
--- a/app/log_store.h
+++ b/app/log_store.h
@@ -111,6 +111,9 @@
 // program replaces it, which must happen before any folder is opened.
 storage_files_factory& StorageFilesFactory();
 
+// Returns the generation in the name of a log file, 0 for any other file.
+std::uint64_t LogGeneration(std::string_view name);
+
 struct log_store_settings {
   std::string group;
   instance_name instance;
@@ -153,6 +156,10 @@
 
   void Persist(persist_effect effect);
 
+  // Runs `task` on the worker thread, between two writes, so that it may use
+  // the files. It is dropped if the store fails or is destroyed before.
+  void RunTask(std::function<void()> task);
+
   // Length of the log file in bytes.
   std::uint64_t log_bytes() const { return log_bytes_; }
 
@@ -185,6 +192,7 @@
   std::mutex mutex_;
   std::condition_variable queue_changed_;
   std::deque<persist_effect> queue_;
+  std::vector<std::function<void()>> tasks_;
   bool busy_ = false;
   bool stopping_ = false;
   bool failed_ = false;
--- a/app/testing/control_service_test.cc
+++ b/app/testing/control_service_test.cc
@@ -5,6 +5,8 @@
 #include <boost/asio/io_context.hpp>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -73,6 +75,59 @@
   EXPECT_EQ(Role(*service, start + std::chrono::milliseconds(600)), "unformed");
 }
 
+// A group of one member, whose folder holds its only copy.
+class damaged_folder_test : public control_service_test {
+ protected:
+  damaged_folder_test() { config_.initial_members = {config_.name}; }
+
+  template <typename Condition>
+  bool RunUntil(control_service* service, Condition condition) {
+    return RunContextUntil(&context_, condition,
+                           [service] { service->Tick(Now()); });
+  }
+  std::string ReadFile(const std::string& name) const {
+    std::ifstream file(folder_ / name, std::ios::binary);
+    return {std::istreambuf_iterator<char>(file), {}};
+  }
+  // Forms the group and damages a synced byte of its log. Returns the files.
+  std::map<std::string, std::string> WriteDamagedFolder() {
+    auto service = Start(Now());
+    EXPECT_TRUE(RunUntil(service.get(), [&] { return service->leads(); }));
+    service->Drain();
+    service.reset();
+    std::fstream log(folder_ / "log-1",
+                     std::ios::in | std::ios::out | std::ios::binary);
+    log.seekp(60).put('!');
+    log.close();
+    return {{"log-1", ReadFile("log-1")}, {"sync-mark", ReadFile("sync-mark")}};
+  }
+};
+
+// Guards against a damaged folder that is erased on a timer: it may be the last
+// copy of something until the group has taken its instance in.
+TEST_F(damaged_folder_test, Tick_FolderDamaged_FilesAreKeptUntilVoter) {
+  const auto files = WriteDamagedFolder();
+  config_.bootstrap = false;
+  const time_point start = Now();
+  auto service = Start(start);
+  ASSERT_EQ(Role(*service, start), "stopped");
+  for (int i = 1; i < 20; ++i) {
+    service->Tick(start + i * std::chrono::milliseconds(600));
+  }
+  EXPECT_EQ(Role(*service, Now()), "unformed");
+  service.reset();
+  for (const auto& [name, bytes] : files) {
+    EXPECT_EQ(ReadFile("set-aside-1-" + name), bytes) << name;
+  }
+  config_.bootstrap = true;
+  service = Start(Now());
+  EXPECT_TRUE(RunUntil(service.get(), [&] {
+    return service->leads() &&
+           !std::filesystem::exists(folder_ / "set-aside-1-log-1") &&
+           !std::filesystem::exists(folder_ / "set-aside-1-sync-mark");
+  }));
+}
+
 // Guards against a member that stays stopped after its disk was full for a
 // short time.
 TEST_F(control_service_test, Tick_DiskFullAtStart_OpensOnceSpaceIsFree) {
--- a/app/testing/log_store_power_loss_test.cc
+++ b/app/testing/log_store_power_loss_test.cc
@@ -1,3 +1,4 @@
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <memory>
@@ -5,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "app/folder_set_aside.h"
 #include "app/log_store.h"
 #include "app/testing/power_loss_files.h"
 
@@ -206,5 +208,59 @@
   TestAllPowerLosses();
 }
 
+// Guards against a damaged log that opens as a complete one because a loss of
+// power interrupted the steps that set it aside, or that is gone after them.
+TEST_F(log_store_power_loss_test, SettingAside_KeepsDamagedLogUnused) {
+  Append(2, 30, /*new_term=*/true);
+  Compact();
+  Append(2, 30);
+  store_.reset();
+  choice_sequence all_written(1);
+  auto folder = files_.FolderAfterPowerLoss(files_.time(), &all_written);
+  // The removal of the first generation was not synced.
+  ASSERT_TRUE(folder.contains("log-1") && folder.contains("log-2"));
+  folder["log-2"][60] ^= 1;
+  power_loss_files damaged(folder);
+  ASSERT_EQ(SetFolderAside(&damaged), result_code::kOk);
+  for (std::size_t time = 0; time <= damaged.time(); ++time) {
+    choice_sequence choices(kFolders);
+    do {
+      power_loss_files left(damaged.FolderAfterPowerLoss(time, &choices));
+      log_store store(&left, {"group", "c1", 10}, [](log_store_event) {});
+      const log_store::open_result opened = store.Open();
+      if (opened.code == result_code::kOk) {
+        EXPECT_EQ(opened.log.identity.id, member_id{10});
+      } else {
+        EXPECT_EQ(opened.code, result_code::kLogDamaged);
+        ASSERT_EQ(SetFolderAside(&left), result_code::kOk);
+      }
+      bool kept = false;
+      for (const std::string& name : SetAsideFiles(&left)) {
+        std::string bytes;
+        left.Read(name, &bytes);
+        kept = kept || bytes == folder["log-2"];
+      }
+      EXPECT_TRUE(kept) << "operation " << time;
+    } while (choices.Next());
+  }
+}
+
+// Guards against set-aside files that fill the disk.
+TEST_F(log_store_power_loss_test, SettingAsideRepeatedly_KeepsTwoFolders) {
+  store_.reset();
+  for (const char* contents : {"first", "second", "third", "fourth"}) {
+    files_.Write("log-1", 0, contents);
+    ASSERT_EQ(SetFolderAside(&files_), result_code::kOk);
+  }
+  EXPECT_THAT(
+      SetAsideFiles(&files_),
+      ::testing::ElementsAre("set-aside-1-log-1", "set-aside-1-sync-mark",
+                             "set-aside-2-log-1"));
+  ASSERT_EQ(RemoveSetAside(&files_), result_code::kOk);
+  std::vector<std::string> names;
+  files_.List(&names);
+  EXPECT_THAT(names, ::testing::IsEmpty());
+}
+
 }  // namespace
 }  // namespace bilberrycourse
