Test: read the disks for the check that committed entries are synced

The oracle of consensus_cluster counted an entry as not synced while a compaction that repeats it was unsynced, although the generation before still holds it.

The check now reads the bytes of the simulated disk and compares the term of the committed entry. The deliberate faults count_own_unsynced and count_learners are still found.

--- a/bilberrycourse/testing/consensus_cluster.h
+++ b/bilberrycourse/testing/consensus_cluster.h
@@ -434,22 +434,22 @@
   }
 
  private:
-  // Returns the last entry that is synced on the disk of member `id`. The value
-  // of a stopped node is unknown; it counts as if it held every entry.
-  log_index DurableIndex(member_id id) const {
+  // Returns true if the disk of member `id` holds the committed entry `index`,
+  // and so all entries before it. A generation that is not synced yet has not
+  // replaced the one before it. The disk of a stopped node counts as if it held
+  // every entry.
+  bool IsDurable(member_id id, log_index index) const {
     for (const node& n : nodes_) {
       if (n.id != id || n.member == nullptr) continue;
-      log_index durable = n.member->last_index();
-      for (const persist_effect& effect : n.unsynced) {
-        if (!effect.entries.empty()) {
-          durable = std::min(durable, effect.entries.front().index - 1);
-        }
-        if (effect.snapshot)
-          durable = std::min(durable, effect.snapshot->index);
-      }
-      return durable;
+      const log_recovery disk =
+          RecoverLog(n.synced, n.generation, n.synced.size());
+      const log_index base = disk.log.snapshot ? disk.log.snapshot->index : 0;
+      if (index <= base) return true;
+      if (index - base > disk.log.entries.size()) return false;
+      return disk.log.entries[index - base - 1].term ==
+             oracle_.committed[index - 1].term;
     }
-    return ~log_index{0};
+    return true;
   }
 
   // Checks that a quorum of disks holds the committed entries. A check for lost
@@ -457,12 +457,14 @@
   // entries: the leader must crash between append and sync while the only
   // follower that has synced is lost.
   void CheckDurable(const consensus_member& leader) {
+    const log_index commit = leader.commit_index();
+    if (commit == 0 || commit > oracle_.committed.size()) return;
     std::size_t voters = 0;
     std::size_t durable = 0;
     for (const log_member& member : leader.membership().members) {
       if (member.role != member_role::kVoter) continue;
       ++voters;
-      if (DurableIndex(member.id) >= leader.commit_index()) ++durable;
+      if (IsDurable(member.id, commit)) ++durable;
     }
     oracle_.Check(2 * durable > voters,
                   "an entry was committed without a quorum of synced disks");
