Hand the vote of a stopping control instance to a spare

No leader could be elected any more.

Cause: a member that stopped handed over its leadership, but took its vote along. The group replaces a voter only after 1.5 s of silence, so for about 2 s it bore one loss less than the users count. On the old code no member_repair line follows shutdown_finished before the disks are lost.

A member that shuts down now says so in all its messages. The leader replaces it at once, while it still votes, and the process ends when it is removed, when no spare can take its vote, or at the end of its grace period. Removed members learn of it from discovery replies, which state the index of the committed membership. The new field stands at the end of the message; builds before ignore it.

--- a/app/control_service.cc
+++ b/app/control_service.cc
@@ -289,8 +289,9 @@
 
 std::vector<log_member> control_service::Group() const {
   if (member_ == nullptr) return {};
-  return member_->membership().members.empty() ? member_->known_group()
-                                               : member_->membership().members;
+  const bool outside =
+      member_->membership().members.empty() || member_->removed();
+  return outside ? member_->known_group() : member_->membership().members;
 }
 
 control_poll_reply control_service::AnswerPoll(const known_versions& known,
@@ -400,6 +401,19 @@
   Execute(std::move(effects));
 }
 
+void control_service::Leave(time_point now) {
+  if (member_ == nullptr) return;
+  consensus_effects effects;
+  member_->Leave(now, &effects);
+  Execute(std::move(effects));
+}
+
+bool control_service::HandoverPending(time_point now) const {
+  if (member_ == nullptr) return false;
+  const repair_options& repair = repair_->options();
+  return member_->HandoverPending(repair.voters, repair.alive_within, now);
+}
+
 void control_service::Drain() {
   if (store_ != nullptr) store_->Drain();
 }
--- a/app/control_service.h
+++ b/app/control_service.h
@@ -128,6 +128,13 @@
   void OnPeerConnected(time_point now);
   // Hands leadership over; the member keeps following until the process ends.
   void TransferLeadership(time_point now);
+  // Announces the shutdown, so that a spare takes the vote of this member.
+  void Leave(time_point now);
+  // True while a spare can take the vote of this leaving member, or has begun
+  // to.
+  bool HandoverPending(time_point now) const;
+  // True if the group has removed this member.
+  bool removed() const { return member_ != nullptr && member_->removed(); }
   // Blocks until everything written so far is synced or has failed.
   void Drain();
 
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -49,6 +49,9 @@
 // A control instance transfers its leadership at once, and none of its requests
 // is in flight for longer than this.
 constexpr duration kControlShutdownTime = std::chrono::milliseconds(300);
+// A control instance whose vote is being taken over ends this long before the
+// end of the grace period in any case.
+constexpr duration kHandoverMargin = std::chrono::milliseconds(500);
 // Large enough for the headers of every caller that keeps to its limits.
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
 // A readiness check has no body, and a page of metrics a few KB.
@@ -605,8 +608,7 @@
       SendHello(peer);
     }
   }
-  if (control_service_ != nullptr)
-    control_service_->TransferLeadership(shutdown_started_);
+  if (control_service_ != nullptr) control_service_->Leave(shutdown_started_);
 }
 
 void route_daemon::CheckShutdown(time_point now) {
@@ -616,6 +618,12 @@
       gateway_ == nullptr ? kControlShutdownTime
                           : std::max(grace - kIdleCloseMargin, duration{0});
   if (elapsed < open_time) return;
+  // A member that leaves for good must not take its vote along: from its end
+  // on, the group has to bear as many losses as before.
+  if (control_service_ != nullptr && elapsed < grace - kHandoverMargin &&
+      control_service_->HandoverPending(now)) {
+    return;
+  }
   if (!closing_idle_) {
     closing_idle_ = true;
     main_server_.StopAccepting();
@@ -633,6 +641,8 @@
   LogCutOffConnections(main_server_);
   LogEvent(log_level::kInfo, "shutdown_finished",
            {{"unfinished", unfinished},
+            {"vote_handed_over",
+             control_service_ != nullptr && control_service_->removed()},
             {"connections", main_server_.pending()},
             {"elapsed_ms", elapsed.count() / 1000}});
   main_server_.Close();
--- a/bilberrycourse/consensus_codec.cc
+++ b/bilberrycourse/consensus_codec.cc
@@ -120,6 +120,7 @@
   table.add_offset(message.offset);
   table.add_total(message.total);
   table.add_data(data);
+  table.add_leaving(message.leaving);
   builder.Finish(table.Finish());
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
           builder.GetSize()};
@@ -156,6 +157,7 @@
   message.offset = table->offset();
   message.total = table->total();
   message.data = ToStringView(table->data());
+  message.leaving = table->leaving();
   if (!DecodeMembers(table->members(), &message.members)) return std::nullopt;
   if (table->entries() != nullptr) {
     for (const wire::entry* entry : *table->entries()) {
--- a/bilberrycourse/consensus_generated.h
+++ b/bilberrycourse/consensus_generated.h
@@ -328,6 +328,7 @@
   uint64_t offset = 0;
   uint64_t total = 0;
   std::vector<uint8_t> data{};
+  bool leaving = false;
   messageT() = default;
   messageT(const messageT &o);
   messageT(messageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -360,7 +361,8 @@
     VT_MEMBERS = 42,
     VT_OFFSET = 44,
     VT_TOTAL = 46,
-    VT_DATA = 48
+    VT_DATA = 48,
+    VT_LEAVING = 50
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -431,6 +433,9 @@
   const flatbuffers::Vector<uint8_t> *data() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DATA);
   }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -461,6 +466,7 @@
            VerifyField<uint64_t>(verifier, VT_TOTAL, 8) &&
            VerifyOffset(verifier, VT_DATA) &&
            verifier.VerifyVector(data()) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            verifier.EndTable();
   }
   messageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -541,6 +547,9 @@
   void add_data(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data) {
     fbb_.AddOffset(message::VT_DATA, data);
   }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(message::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
   explicit messageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -576,7 +585,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bilberrycourse::consensus_wire::member>>> members = 0,
     uint64_t offset = 0,
     uint64_t total = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data = 0,
+    bool leaving = false) {
   messageBuilder builder_(_fbb);
   builder_.add_total(total);
   builder_.add_offset(offset);
@@ -597,6 +607,7 @@
   builder_.add_data(data);
   builder_.add_members(members);
   builder_.add_entries(entries);
+  builder_.add_leaving(leaving);
   builder_.add_forced(forced);
   builder_.add_formed(formed);
   builder_.add_rejected(rejected);
@@ -628,7 +639,8 @@
     const std::vector<flatbuffers::Offset<bilberrycourse::consensus_wire::member>> *members = nullptr,
     uint64_t offset = 0,
     uint64_t total = 0,
-    const std::vector<uint8_t> *data = nullptr) {
+    const std::vector<uint8_t> *data = nullptr,
+    bool leaving = false) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::consensus_wire::entry>>(*entries) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<bilberrycourse::consensus_wire::member>>(*members) : 0;
   auto data__ = data ? _fbb.CreateVector<uint8_t>(*data) : 0;
@@ -656,7 +668,8 @@
       members__,
       offset,
       total,
-      data__);
+      data__,
+      leaving);
 }
 
 flatbuffers::Offset<message> Createmessage(flatbuffers::FlatBufferBuilder &_fbb, const messageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -788,7 +801,8 @@
         held_us(o.held_us),
         offset(o.offset),
         total(o.total),
-        data(o.data) {
+        data(o.data),
+        leaving(o.leaving) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new bilberrycourse::consensus_wire::entryT(*entries_) : nullptr); }
   members.reserve(o.members.size());
@@ -819,6 +833,7 @@
   std::swap(offset, o.offset);
   std::swap(total, o.total);
   std::swap(data, o.data);
+  std::swap(leaving, o.leaving);
   return *this;
 }
 
@@ -854,6 +869,7 @@
   { auto _e = offset(); _o->offset = _e; }
   { auto _e = total(); _o->total = _e; }
   { auto _e = data(); if (_e) { _o->data.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->data.begin()); } }
+  { auto _e = leaving(); _o->leaving = _e; }
 }
 
 inline flatbuffers::Offset<message> message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const messageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -887,6 +903,7 @@
   auto _offset = _o->offset;
   auto _total = _o->total;
   auto _data = _o->data.size() ? _fbb.CreateVector(_o->data) : 0;
+  auto _leaving = _o->leaving;
   return bilberrycourse::consensus_wire::Createmessage(
       _fbb,
       _kind,
@@ -911,7 +928,8 @@
       _members,
       _offset,
       _total,
-      _data);
+      _data,
+      _leaving);
 }
 
 inline const bilberrycourse::consensus_wire::message *Getmessage(const void *buf) {
--- a/bilberrycourse/consensus_member.cc
+++ b/bilberrycourse/consensus_member.cc
@@ -274,6 +274,7 @@
   message.group = group_;
   message.formation = state_.formation;
   message.from = identity_.id;
+  message.leaving = leaving_;
   send_message_effect send{instance, address, std::move(message)};
   // Every message carries a term and a formation, so it is held back until the
   // hard state is synced. Unsynced entries are never acknowledged, because
@@ -387,7 +388,9 @@
       role_ != consensus_role::kLeader &&
       now - std::max(last_leader_contact_, time_point(duration(started_us_))) >=
           4 * settings_.election_timeout_max;
-  if ((role_ == consensus_role::kUnformed || leaderless) &&
+  // A leaving member tells spares apart from those that leave as well, and
+  // learns of its removal, as the leader sends nothing to a removed member.
+  if ((role_ == consensus_role::kUnformed || leaderless || leaving_) &&
       now >= discover_due_) {
     Discover(now, out);
   }
@@ -405,6 +408,10 @@
     if (transfer_target_ != kNoMember && now >= transfer_deadline_) {
       transfer_target_ = kNoMember;
     }
+    if (leaving_ && transfer_target_ == kNoMember && now >= transfer_due_) {
+      transfer_due_ = now + 2 * settings_.election_timeout_max;
+      TransferLeadership(now, out);
+    }
     if (now >= heartbeat_due_) {
       heartbeat_due_ = now + settings_.heartbeat;
       ReplicateAll(true, now, out);
@@ -436,7 +443,8 @@
       message.kind != message_kind::kSnapshotChunk &&
       discovered_.size() < kMaxDiscovered) {
     discovered_instance& peer = discovered_[message.members.front().instance];
-    peer = {message.members.front(), message.formation, true, now};
+    peer = {message.members.front(), message.formation, true, message.leaving,
+            now};
   }
 
   switch (message.kind) {
--- a/bilberrycourse/consensus_member.h
+++ b/bilberrycourse/consensus_member.h
@@ -197,6 +197,8 @@
   // Time since the last message from the member.
   duration since_last_contact{0};
   bool receiving_snapshot = false;
+  // The member is shutting down.
+  bool leaving = false;
 };
 
 // An instance outside the group that could replace a lost member.
@@ -260,6 +262,20 @@
   // and kNoQuorum if no other voter is in contact.
   result_code TransferLeadership(time_point now, consensus_effects* out);
 
+  // Announces that the process of this member shuts down. A leader transfers
+  // its leadership, again if that fails. The member keeps voting and following,
+  // so that the group can replace it before it is gone.
+  void Leave(time_point now, consensus_effects* out);
+  bool leaving() const { return leaving_; }
+  // True while this leaving voter should stay, because a spare that was heard
+  // within `alive_within` can take its vote, or has begun to. `voters` is the
+  // number of voters of a complete group.
+  bool HandoverPending(std::size_t voters, duration alive_within,
+                       time_point now) const;
+  // True if the group has committed a membership without this member since the
+  // newest one in its log.
+  bool removed() const;
+
   // Age of the last quorum confirmation whose commit index this member has
   // applied; empty if there is none. Followers add an upper bound of the
   // transit time.
@@ -277,7 +293,7 @@
   log_index snapshot_index() const { return snapshot_.index; }
   const group_membership& membership() const;
   // Members of the group as reported by one of them, while this member itself
-  // belongs to no group.
+  // belongs to no group or was removed from it.
   const std::vector<log_member>& known_group() const { return known_group_; }
   bool membership_change_pending() const;
   // Id of the formation that this member belongs to; 0 if none.
@@ -285,8 +301,9 @@
   result_code stop_code() const { return stop_code_; }
   const std::string& stop_reason() const { return stop_reason_; }
 
-  // Input of member_repair; both are empty unless this member is the leader.
+  // Empty unless this member is the leader.
   std::vector<peer_status> peers(time_point now) const;
+  // Instances outside the group that may join it, without those that leave.
   std::vector<spare_status> spares(time_point now) const;
 
  private:
@@ -316,6 +333,7 @@
     log_snapshot snapshot;
     std::uint64_t snapshot_offset = 0;
     time_point chunk_sent_at{};
+    bool leaving = false;
   };
 
   struct pending_persist {
@@ -343,6 +361,7 @@
     log_member member;
     std::uint64_t formation = 0;
     bool formed = false;
+    bool leaving = false;
     time_point last_contact{};
   };
 
@@ -407,6 +426,8 @@
   void TryFormGroup(time_point now, consensus_effects* out);
   std::vector<log_member> DiscoverTargets() const;
   void LearnGroup(const consensus_message& message);
+  void CheckRemoval(const consensus_message& message);
+  log_index CommittedMembershipIndex() const;
   bool IsCoordinator(const instance_name& instance) const;
   void AbandonFormation(consensus_effects* out);
 
@@ -486,6 +507,13 @@
   member_id transfer_target_ = kNoMember;
   time_point transfer_deadline_{};
 
+  bool leaving_ = false;
+  // When a leaving leader tries to transfer its leadership again.
+  time_point transfer_due_{};
+  // Index of the newest committed membership that another member has reported,
+  // if this member is not in it.
+  log_index removed_index_ = 0;
+
   time_point discover_due_{};
   std::vector<control_instance> discovery_targets_;
   // True if this member has formed the group but has never led it, so that no
@@ -493,6 +521,9 @@
   bool formation_unsent_ = false;
   std::map<instance_name, discovered_instance> discovered_;
   std::vector<log_member> known_group_;
+  // Formation and index of known_group_; the index is 0 if it is unknown.
+  std::uint64_t known_group_formation_ = 0;
+  log_index known_group_index_ = 0;
 
   // Added to the clock value in follower_us, so that an echo of a value sent by
   // an earlier process is recognized.
--- a/bilberrycourse/consensus_member_formation.cc
+++ b/bilberrycourse/consensus_member_formation.cc
@@ -68,10 +68,39 @@
 }
 
 // A discovery message lists its sender first, then the members of the sender's
-// group.
+// group. A member that was removed still reports the group that it knew, so an
+// older membership does not replace a newer one.
 void consensus_member::LearnGroup(const consensus_message& message) {
   if (!message.formed || message.members.size() < 2) return;
+  if (message.formation == known_group_formation_ &&
+      message.index < known_group_index_) {
+    return;
+  }
   known_group_.assign(message.members.begin() + 1, message.members.end());
+  known_group_formation_ = message.formation;
+  known_group_index_ = message.index;
+}
+
+void consensus_member::CheckRemoval(const consensus_message& message) {
+  if (!formed() || !message.formed || message.formation != state_.formation ||
+      message.members.size() < 2 ||
+      message.index <= std::max(memberships_.back().index, removed_index_)) {
+    return;
+  }
+  const bool listed = std::any_of(
+      message.members.begin() + 1, message.members.end(),
+      [&](const log_member& member) { return member.id == identity_.id; });
+  removed_index_ = listed ? 0 : message.index;
+}
+
+bool consensus_member::removed() const {
+  return formed() && removed_index_ > memberships_.back().index;
+}
+
+log_index consensus_member::CommittedMembershipIndex() const {
+  return memberships_.empty() || membership_change_pending()
+             ? 0
+             : memberships_.back().index;
 }
 
 void consensus_member::OnDiscover(const consensus_message& message,
@@ -80,6 +109,7 @@
     return;
   }
   LearnGroup(message);
+  CheckRemoval(message);
   const log_member& sender = message.members.front();
   if (sender.instance == identity_.instance) return;
   if (discovered_.size() >= kMaxDiscovered &&
@@ -87,7 +117,10 @@
     return;
   }
   discovered_[sender.instance] = {sender, message.formation, message.formed,
-                                  now};
+                                  message.leaving, now};
+  if (const auto peer = peers_.find(sender.id); peer != peers_.end()) {
+    peer->second.leaving = message.leaving;
+  }
   if (!formed() && message.formation != 0 &&
       message.formation != state_.formation) {
     // An existing group takes precedence over one that is being formed.
@@ -116,6 +149,7 @@
     reply.kind = message_kind::kDiscoverReply;
     reply.to = message.from;
     reply.formed = formed();
+    reply.index = CommittedMembershipIndex();
     reply.members = {Self()};
     for (const log_member& member : membership().members) {
       reply.members.push_back(member);
--- a/bilberrycourse/consensus_member_leader.cc
+++ b/bilberrycourse/consensus_member_leader.cc
@@ -154,6 +154,7 @@
                                    const consensus_message& message,
                                    time_point now) {
   peer.last_contact = now;
+  peer.leaving = message.leaving;
   if (message.sequence > peer.acked_sequence) {
     peer.acked_sequence = message.sequence;
     peer.acked_sent_at = time_point(duration(message.sent_us));
@@ -227,6 +228,7 @@
   if (role_ != consensus_role::kLeader || found == peers_.end()) return;
   peer_progress& peer = found->second;
   peer.last_contact = now;
+  peer.leaving = message.leaving;
   if (peer.state != replication_state::kSnapshot ||
       message.index != peer.snapshot.index || peer.snapshot.state == nullptr ||
       message.offset > peer.snapshot.state->size()) {
@@ -420,7 +422,7 @@
   if (role_ != consensus_role::kLeader) return result_code::kNotLeader;
   const peer_progress* best = nullptr;
   for (const auto& [id, peer] : peers_) {
-    if (!membership().IsVoter(id) ||
+    if (!membership().IsVoter(id) || peer.leaving ||
         now - peer.last_contact >= settings_.election_timeout_min) {
       continue;
     }
@@ -445,21 +447,42 @@
   Send(transfer_target_, std::move(message), out);
 }
 
+void consensus_member::Leave(time_point now, consensus_effects* out) {
+  if (leaving_ || role_ == consensus_role::kStopped) return;
+  leaving_ = true;
+  discover_due_ = now;
+  transfer_due_ = now;
+  Tick(now, out);
+}
+
+bool consensus_member::HandoverPending(std::size_t voters,
+                                       duration alive_within,
+                                       time_point now) const {
+  if (!leaving_ || role_ == consensus_role::kStopped || removed()) return false;
+  if (!membership().IsVoter(identity_.id)) return membership_change_pending();
+  // A learner or a surplus voter is there to replace somebody.
+  if (membership().members.size() > voters) return true;
+  const std::vector<spare_status> candidates = spares(now);
+  return std::any_of(candidates.begin(), candidates.end(),
+                     [&](const spare_status& spare) {
+                       return spare.since_last_contact < alive_within;
+                     });
+}
+
 std::vector<peer_status> consensus_member::peers(time_point now) const {
   std::vector<peer_status> result;
   for (const auto& [id, peer] : peers_) {
-    result.push_back({*membership().Find(id), peer.match,
-                      now - peer.last_contact,
-                      peer.state == replication_state::kSnapshot});
+    result.push_back(
+        {*membership().Find(id), peer.match, now - peer.last_contact,
+         peer.state == replication_state::kSnapshot, peer.leaving});
   }
   return result;
 }
 
 std::vector<spare_status> consensus_member::spares(time_point now) const {
   std::vector<spare_status> result;
-  if (role_ != consensus_role::kLeader) return result;
   for (const auto& [instance, peer] : discovered_) {
-    if (membership().Find(peer.member.id) == nullptr &&
+    if (membership().Find(peer.member.id) == nullptr && !peer.leaving &&
         peer.formation == state_.formation) {
       result.push_back({peer.member, now - peer.last_contact});
     }
--- a/bilberrycourse/consensus_types.h
+++ b/bilberrycourse/consensus_types.h
@@ -147,7 +147,8 @@
   // Append: index of the entry before `entries`. Votes: last index of the
   // candidate. Append replies: highest index that is known to match the
   // leader's log, synced or not; in a rejection, the index that was rejected.
-  // Chunks and their replies: index of the snapshot.
+  // Chunks and their replies: index of the snapshot. Discover replies: index of
+  // the membership in `members` if it is committed, otherwise 0.
   log_index index = 0;
   log_term index_term = 0;
   // Append: commit index of the leader. Append replies: last index of the
@@ -180,6 +181,8 @@
   std::uint64_t offset = 0;
   std::uint64_t total = 0;
   std::string data;
+  // The process of the sender is shutting down.
+  bool leaving = false;
 };
 
 }  // namespace bilberrycourse
--- a/bilberrycourse/member_repair.cc
+++ b/bilberrycourse/member_repair.cc
@@ -8,6 +8,7 @@
   repair_view view;
   if (member.role() != consensus_role::kLeader) return view;
   view.self = member.identity().id;
+  view.self_leaving = member.leaving();
   view.membership = member.membership();
   view.peers = member.peers(now);
   view.spares = member.spares(now);
@@ -29,6 +30,7 @@
   };
 
   const peer_status* lost = nullptr;
+  const peer_status* leaving = nullptr;
   const peer_status* least_advanced = nullptr;
   const peer_status* learner = nullptr;
   for (const peer_status& peer : view.peers) {
@@ -38,10 +40,11 @@
            peer.since_last_contact > lost->since_last_contact)) {
         lost = &peer;
       }
+      if (peer.leaving) leaving = &peer;
       if (least_advanced == nullptr || peer.match < least_advanced->match) {
         least_advanced = &peer;
       }
-    } else if (peer.since_last_contact >= options_.lost_after) {
+    } else if (peer.since_last_contact >= options_.lost_after || peer.leaving) {
       // A lost learner would prevent a working spare from being added.
       return make_change(membership_change_kind::kRemove, peer.member);
     } else if (learner == nullptr) {
@@ -49,15 +52,21 @@
     }
   }
 
+  const peer_status* replaced = lost != nullptr ? lost : leaving;
   const std::size_t voters = view.membership.voter_count();
   if (voters > options_.voters) {
-    // If the lost voter is back in contact, the voter with the least advanced
-    // log is removed.
-    const peer_status* surplus = lost != nullptr ? lost : least_advanced;
+    // A leaving leader transfers its leadership, and its successor removes it.
+    if (replaced == nullptr && view.self_leaving) return std::nullopt;
+    // If the voter is back in contact, or no longer leaves, the voter with the
+    // least advanced log is removed.
+    const peer_status* surplus =
+        replaced != nullptr ? replaced : least_advanced;
     if (surplus == nullptr) return std::nullopt;
     return make_change(membership_change_kind::kRemove, surplus->member);
   }
-  if (voters == options_.voters && lost == nullptr) return std::nullopt;
+  if (voters == options_.voters && replaced == nullptr && !view.self_leaving) {
+    return std::nullopt;
+  }
 
   if (learner != nullptr) {
     if (learner->since_last_contact >= options_.alive_within ||
@@ -72,7 +81,8 @@
   for (const spare_status& spare : view.spares) {
     if (spare.since_last_contact >= options_.alive_within) continue;
     const bool same_instance =
-        lost != nullptr && spare.member.instance == lost->member.instance;
+        replaced != nullptr &&
+        spare.member.instance == replaced->member.instance;
     if (selected == nullptr || same_instance) selected = &spare;
     if (same_instance) break;
   }
--- a/bilberrycourse/member_repair.h
+++ b/bilberrycourse/member_repair.h
@@ -1,18 +1,21 @@
 #ifndef BILBERRYCOURSE_MEMBER_REPAIR_H_
 #define BILBERRYCOURSE_MEMBER_REPAIR_H_
 
-// Plans the replacement of a lost voter by a spare. The daemon calls Plan() on
-// each tick while its member is the leader, and proposes the returned change.
+// Plans the replacement of a lost or leaving voter by a spare. The daemon calls
+// Plan() on each tick while its member is the leader, and proposes the returned
+// change.
 //
 //   member_repair repair({.voters = 3});
 //   if (auto change = repair.Plan(MakeRepairView(member, now))) {
 //     member.ProposeMembership(*change, now, &out);
 //   }
 //
-// A voter without contact for `lost_after` is replaced in three changes, one at
-// a time: add a spare as a learner, promote the learner once it has caught up
-// and synced, remove the lost voter. The group never has fewer voters than
-// configured.
+// A voter without contact for `lost_after`, or one that is shutting down, is
+// replaced in three changes, one at a time: add a spare as a learner, promote
+// the learner once it has caught up and synced, remove the voter. The group
+// never has fewer voters than configured. Lost voters come before leaving ones,
+// which still vote. Without a spare nothing changes, so that a member that only
+// restarts stays in the group.
 
 #include <optional>
 #include <vector>
@@ -30,6 +33,7 @@
 
 struct repair_view {
   member_id self = kNoMember;
+  bool self_leaving = false;
   group_membership membership;
   std::vector<peer_status> peers;
   std::vector<spare_status> spares;
@@ -48,6 +52,7 @@
   // Returns the next change; nullopt if there is nothing to do or the previous
   // change is not yet committed.
   std::optional<membership_change> Plan(const repair_view& view) const;
+  const repair_options& options() const { return options_; }
 
  private:
   repair_options options_;
--- a/bilberrycourse/testing/consensus_cluster.h
+++ b/bilberrycourse/testing/consensus_cluster.h
@@ -203,6 +203,33 @@
     });
   }
 
+  void Leave(std::size_t i) {
+    Invoke(i, [](consensus_member& m, time_point now, consensus_effects* out) {
+      m.Leave(now, out);
+    });
+  }
+
+  // Runs until no leaving member waits for a successor any more, or `limit`
+  // ticks, and ends the processes of leaving members. Returns the ticks.
+  std::size_t EndLeaving(std::size_t limit) {
+    std::size_t ticks = 0;
+    const auto waits = [&](const node& n) {
+      return n.member != nullptr && n.member->leaving() &&
+             n.member->HandoverPending(options_.voters, std::chrono::seconds(1),
+                                       now_ + n.clock_offset);
+    };
+    while (ticks < limit && std::any_of(nodes_.begin(), nodes_.end(), waits)) {
+      Run(1);
+      ++ticks;
+    }
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (nodes_[i].member != nullptr && nodes_[i].member->leaving()) {
+        Crash(i, 0);
+      }
+    }
+    return ticks;
+  }
+
   // Syncs the first `count` outstanding writes.
   void Sync(std::size_t i, std::size_t count) {
     node& n = nodes_[i];
@@ -414,13 +441,17 @@
     nodes_[i].inbox.clear();
   }
 
-  // Ends all faults and returns the number of ticks until the group has the
-  // configured number of voters, all with intact disks, and all voters have
-  // applied a new entry; nullopt if this takes more than `limit` ticks.
+  // Ends all faults, restarts leaving members and returns the number of ticks
+  // until the group has the configured number of voters, all with intact disks,
+  // and all voters have applied a new entry; nullopt if this takes more than
+  // `limit` ticks.
   std::optional<std::size_t> Settle(std::size_t limit) {
     Heal();
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
       Resume(i);
+      if (nodes_[i].member != nullptr && nodes_[i].member->leaving()) {
+        Crash(i, 0);
+      }
       Start(i);
     }
     const std::size_t before = oracle_.committed.size();
--- a/bilberrycourse/testing/consensus_property_test.cc
+++ b/bilberrycourse/testing/consensus_property_test.cc
@@ -36,6 +36,7 @@
   kTransfer,
   kAddLearner,
   kPromote,
+  kLeave,
 };
 
 struct weighted_operation {
@@ -67,6 +68,7 @@
     {operation::kTransfer, "transfer", 2},
     {operation::kAddLearner, "add_learner", 2},
     {operation::kPromote, "promote", 2},
+    {operation::kLeave, "leave", 2},
 };
 
 struct command {
@@ -168,6 +170,9 @@
     case operation::kTransfer:
       if (leader < cluster.size()) cluster.Transfer(leader);
       break;
+    case operation::kLeave:
+      cluster.Leave(node);
+      break;
     case operation::kAddLearner:
     case operation::kPromote: {
       if (leader == cluster.size()) break;
--- a/bilberrycourse/testing/log_codec_property_test.cc
+++ b/bilberrycourse/testing/log_codec_property_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "bilberrycourse/consensus_codec.h"
+#include "bilberrycourse/consensus_generated.h"
 #include "bilberrycourse/log_codec.h"
 
 namespace bilberrycourse {
@@ -244,6 +245,7 @@
   m.offset = *rc::gen::arbitrary<std::uint64_t>();
   m.total = *rc::gen::arbitrary<std::uint64_t>();
   m.data = *rc::gen::arbitrary<std::string>();
+  m.leaving = *rc::gen::arbitrary<bool>();
   m.members = {{member_id{3}, *rc::gen::arbitrary<std::string>(), "a:1",
                 member_role::kVoter}};
   m.entries = {{8, 2, entry_kind::kCommand,
@@ -254,6 +256,7 @@
   RC_ASSERT(copy.has_value());
   RC_ASSERT(copy->from == m.from && copy->to == m.to);
   RC_ASSERT(copy->kind == m.kind && copy->data == m.data);
+  RC_ASSERT(copy->leaving == m.leaving);
   RC_ASSERT(copy->members == m.members);
   RC_ASSERT(*copy->entries.at(0).payload == *m.entries[0].payload);
   // Encoding is deterministic, so equal bytes mean equal fields.
@@ -269,5 +272,22 @@
   DecodeGroupMembership(damaged);
 }
 
+// Guards against a message of the build before, which has no field `leaving`,
+// that is refused or taken for one of a member that leaves.
+TEST(consensus_codec_property_test, Message_WithoutLeaving_StaysInGroup) {
+  flatbuffers::FlatBufferBuilder builder;
+  consensus_wire::messageBuilder earlier(builder);
+  earlier.add_kind(static_cast<std::uint8_t>(message_kind::kAppendReply));
+  earlier.add_from(3);
+  earlier.add_match(8);
+  builder.Finish(earlier.Finish());
+  const auto message =
+      DecodeMessage({reinterpret_cast<const char*>(builder.GetBufferPointer()),
+                     builder.GetSize()});
+  ASSERT_TRUE(message.has_value());
+  EXPECT_EQ(message->match, 8u);
+  EXPECT_FALSE(message->leaving);
+}
+
 }  // namespace
 }  // namespace bilberrycourse
--- a/bilberrycourse/testing/member_repair_test.cc
+++ b/bilberrycourse/testing/member_repair_test.cc
@@ -15,6 +15,7 @@
   bool voter;
   int silence_s;
   log_index match;
+  bool leaving = false;
 };
 
 struct repair_case {
@@ -85,6 +86,36 @@
      false,
      true,
      "add 33"},
+    {"LeavingAndSpare",
+     {{2, true, 0, 9}, {3, true, 0, 9, true}},
+     {4},
+     false,
+     true,
+     "add 4"},
+    {"LeavingWithoutSpare",
+     {{2, true, 0, 9}, {3, true, 0, 9, true}},
+     {},
+     false,
+     true,
+     ""},
+    {"LeavingAfterPromotion",
+     {{2, true, 0, 5}, {3, true, 0, 9, true}, {4, true, 0, 9}},
+     {},
+     false,
+     true,
+     "remove 3"},
+    {"LostBeforeLeaving",
+     {{2, true, 10, 5}, {3, true, 0, 9, true}, {4, true, 0, 9}},
+     {},
+     false,
+     true,
+     "remove 2"},
+    {"LeavingLearner",
+     {{2, true, 0, 9}, {3, true, 0, 9}, {4, false, 0, 9, true}},
+     {},
+     false,
+     true,
+     "remove 4"},
 };
 
 class member_repair_test : public ::testing::TestWithParam<repair_case> {};
@@ -106,7 +137,8 @@
         member_id{peer.id}, "c" + std::to_string(peer.id % 30), "",
         peer.voter ? member_role::kVoter : member_role::kLearner};
     view.membership.members.push_back(member);
-    view.peers.push_back({member, peer.match, seconds(peer.silence_s), false});
+    view.peers.push_back(
+        {member, peer.match, seconds(peer.silence_s), false, peer.leaving});
   }
   for (const std::uint64_t id : test_case.spares) {
     view.spares.push_back({{member_id{id}, "c" + std::to_string(id % 30), "",
