Ask the seeds again when no member confirms the known control group

Cause: seeds outside a known group were skipped for ever, to keep hundreds of instances from holding links to them, and only members of that group were asked, also when none of them confirmed it any more.

control_contacts now decides who is dialed and asked. Nothing more is dialed while a quorum confirms. Settings are read again while no group confirms itself, instead of only without any link, and a removed control instance reports the newest group that it knows.

--- a/app/control_client.cc
+++ b/app/control_client.cc
@@ -65,7 +65,9 @@
       handler_(handler),
       route_lease_(LeaseOptions(RevocationOptions(config))),
       poll_target_(FirstPollTarget(config, local != nullptr)),
-      poll_answered_(local != nullptr) {}
+      poll_answered_(local != nullptr) {
+  OnSeedsChanged();
+}
 
 void control_client::Tick(time_point now) {
   if (now >= poll_due_) {
@@ -73,8 +75,8 @@
       poll_target_ = PreferredTarget(now);
     } else {
       keep_target_until_ = now + kPreferencePause;
-      poll_target_ = NextTarget(poll_target_);
-      if (now - fresh_at_ >= kContactLossTime) ProbeMembers();
+      poll_target_ = NextTarget(poll_target_, now);
+      if (now - fresh_at_ >= kContactLossTime) ProbeMembers(now);
     }
     PollCurrentTarget(now);
   }
@@ -93,16 +95,18 @@
                  now);
       continue;
     }
-    found->second.target = NextTarget(found->second.target);
+    found->second.target = NextTarget(found->second.target, now);
     SendCall(id, now);
   }
 }
 
-void control_client::ProbeMembers() {
+void control_client::ProbeMembers(time_point now) {
   if (local_ != nullptr || config_.interface != serving_interface::kRoutes) {
     return;
   }
-  for (const instance_name& name : ControlNames()) transport_->Probe(name);
+  for (const control_contact& contact : contacts_.Targets(now)) {
+    transport_->Probe(contact.name);
+  }
 }
 
 void control_client::PollCurrentTarget(time_point now) {
@@ -143,8 +147,17 @@
           route_version_, searcher_revision_, evacuation_version_};
 }
 
-void control_client::SetGroup(std::vector<instance_name> names) {
-  group_ = std::move(names);
+bool control_client::SetGroup(const std::vector<log_member>& members) {
+  return contacts_.SetGroup(members);
+}
+
+void control_client::OnSeedsChanged() {
+  std::vector<control_contact> seeds;
+  for (const instance_name& name : config_.initial_members) {
+    seeds.push_back({name, SeedAddress(config_, name)});
+  }
+  for (const instance_name& name : config_.spares) seeds.push_back({name, ""});
+  contacts_.SetSeeds(std::move(seeds));
 }
 
 void control_client::OnPollReply(const instance_name& from,
@@ -164,25 +177,30 @@
   poll_reply.leader = ToText(reply.leader());
   poll_reply.routes = ToText(reply.routes());
   ApplyPollReply(sent_at, poll_reply, now);
-  ApplyInstances(reply);
+  ApplyInstances(reply, now);
 }
 
-// A partitioned member sees only some of the entry instances, so the list is
-// ignored unless the member has a fresh confirmation.
-void control_client::ApplyInstances(const wire::control_news& reply) {
-  if (!reply.confirmed() ||
-      reply.confirmed_age_us() >
-          static_cast<std::uint64_t>(kMaxConfirmationAge.count())) {
-    return;
-  }
-  if (reply.group_digest() != group_digest_ && reply.group() != nullptr) {
-    std::vector<log_member> group;
+// A partitioned or removed member knows an old group and sees only some of the
+// entry instances. Without a fresh confirmation its group is only a place to
+// ask, and its list is ignored.
+void control_client::ApplyInstances(const wire::control_news& reply,
+                                    time_point now) {
+  std::vector<log_member> group;
+  if (reply.group() != nullptr) {
     for (const wire::control_address* address : *reply.group()) {
       log_member member;
       member.instance = ToText(address->instance());
       member.address = ToText(address->address());
       group.push_back(std::move(member));
     }
+  }
+  if (!reply.confirmed() ||
+      reply.confirmed_age_us() >
+          static_cast<std::uint64_t>(kMaxConfirmationAge.count())) {
+    if (!contacts_.Confirmed(now)) contacts_.AddHints(group);
+    return;
+  }
+  if (reply.group_digest() != group_digest_ && !group.empty()) {
     group_digest_ = reply.group_digest();
     handler_->OnControlGroup(group);
   }
@@ -298,6 +316,7 @@
   if (reply.age > kMaxConfirmationAge) return;
   poll_answered_ = true;
   fresh_at_ = sent_at;
+  contacts_.OnConfirmed(sent_at);
   poll_due_ = sent_at + (config_.interface == serving_interface::kRoutes
                              ? kRoutesPollPeriod
                              : kPollPeriod);
@@ -331,17 +350,14 @@
   return reply;
 }
 
-std::vector<instance_name> control_client::ControlNames() const {
-  if (!group_.empty()) return group_;
-  std::vector<instance_name> names = config_.initial_members;
-  names.insert(names.end(), config_.spares.begin(), config_.spares.end());
-  return names;
-}
-
 // Returns the next connected control instance after `previous`. If none is
 // connected, returns any connected peer, which relays its confirmed state.
-instance_name control_client::NextTarget(const instance_name& previous) const {
-  const std::vector<instance_name> names = ControlNames();
+instance_name control_client::NextTarget(const instance_name& previous,
+                                         time_point now) const {
+  std::vector<instance_name> names;
+  for (const control_contact& contact : contacts_.Targets(now)) {
+    names.push_back(contact.name);
+  }
   const auto at = std::find(names.begin(), names.end(), previous);
   const std::size_t start =
       at == names.end() ? 0 : static_cast<std::size_t>(at - names.begin()) + 1;
@@ -368,7 +384,8 @@
   };
   if (zone_of(poll_target_) == config_.zone) return poll_target_;
   instance_name unknown = poll_target_;
-  for (const instance_name& name : ControlNames()) {
+  for (const control_contact& contact : contacts_.Targets(now)) {
+    const instance_name& name = contact.name;
     if (!transport_->Connected(name)) continue;
     if (zone_of(name) == config_.zone) return name;
     if (!member_zones_.contains(name)) unknown = name;
@@ -398,9 +415,10 @@
 
 void control_client::StartCall(control_call new_call) {
   const std::uint64_t id = next_call_id_++;
-  new_call.target = leader_.empty() ? NextTarget("") : leader_;
+  const time_point now = Now();
+  new_call.target = leader_.empty() ? NextTarget("", now) : leader_;
   calls_[id] = std::move(new_call);
-  SendCall(id, Now());
+  SendCall(id, now);
 }
 
 void control_client::SendCall(std::uint64_t id, time_point now) {
--- a/app/control_client.h
+++ b/app/control_client.h
@@ -14,6 +14,10 @@
 // without being closed, and the instance would obey an old configuration
 // meanwhile.
 //
+// Without a fresh answer the seeds of the settings are asked as well, because
+// the whole group may have been replaced (control_contacts.h). The owner opens
+// links to all contacts.
+//
 // An instance of the routed interface prefers a member in its own zone, because
 // the replies, above all whole configurations, are billed between zones.
 //
@@ -31,6 +35,7 @@
 #include "app/message_ids.h"
 #include "app/peer_transport.h"
 #include "app/settings.h"
+#include "bilberrycourse/control_contacts.h"
 #include "bilberrycourse/control_lease.h"
 #include "bilberrycourse/control_state.h"
 #include "bilberrycourse/entry_instance_log.h"
@@ -96,8 +101,12 @@
   const published_state& published() const { return published_; }
   std::uint64_t route_version() const { return route_version_; }
   const instance_name& leader() const { return leader_; }
-  // Replaces the control instances of the settings as targets.
-  void SetGroup(std::vector<instance_name> names);
+  // Replaces the control instances of the settings as contacts. Returns false
+  // if the group is the same as before.
+  bool SetGroup(const std::vector<log_member>& members);
+  // The seeds of the settings have changed.
+  void OnSeedsChanged();
+  const control_contacts& contacts() const { return contacts_; }
 
  private:
   struct outstanding_poll {
@@ -120,18 +129,17 @@
   known_versions KnownVersions() const;
   bool ApplyRouteUpdate(time_point sent_at, const control_poll_reply& reply,
                         time_point now);
-  void ApplyInstances(const wire::control_news& reply);
+  void ApplyInstances(const wire::control_news& reply, time_point now);
   void ApplyEntries(const wire::control_news& reply);
   // Returns the target of the next poll if the current one answers: a member in
   // the own zone, or one whose zone is unknown.
   instance_name PreferredTarget(time_point now) const;
   void Poll(const instance_name& to, time_point now);
   void PollCurrentTarget(time_point now);
-  void ProbeMembers();
+  void ProbeMembers(time_point now);
   void ApplyPollReply(time_point sent_at, const control_poll_reply& reply,
                       time_point now);
-  std::vector<instance_name> ControlNames() const;
-  instance_name NextTarget(const instance_name& previous) const;
+  instance_name NextTarget(const instance_name& previous, time_point now) const;
   void StartCall(control_call new_call);
   void SendCall(std::uint64_t id, time_point now);
   void FinishCall(std::uint64_t id, const control_reply& reply, time_point now);
@@ -155,9 +163,7 @@
   std::uint64_t entry_digest_ = 0;
   std::uint64_t group_digest_ = 0;
   std::uint32_t entry_instances_ = 0;
-  // Members of the control group as last reported; used instead of those of
-  // the settings.
-  std::vector<instance_name> group_;
+  control_contacts contacts_;
   // The instance to poll; changes when a poll is not confirmed.
   instance_name poll_target_;
   time_point poll_due_{};
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -226,6 +226,7 @@
           // A group forms among the seeds of the first start only: members that
           // go by other seeds could form a second one.
           config_.bootstrap = false;
+          control_client_.OnSeedsChanged();
           if (control_service_ != nullptr) control_service_->OnSeedsChanged();
         } else if (!log_unchanged) {
           return {};
@@ -242,14 +243,21 @@
 }
 
 // The settings may change without a signal. They are read again while this
-// process knows nobody: with no seeds, or with seeds that are all gone.
+// process is not in touch with the control group: the instances that it knows
+// may all be gone, or out of the group.
 void route_daemon::CheckSeeds(time_point now) {
   settings_check_due_ = now + kSettingsCheckPeriod;
-  if (config_.seeds.empty() || transport_.connected_peers().empty()) {
+  if (config_.seeds.empty() || !InTouchWithGroup(now)) {
     Reload(/*log_unchanged=*/false);
   }
 }
 
+bool route_daemon::InTouchWithGroup(time_point now) const {
+  return control_service_ != nullptr
+             ? !control_service_->leader().empty()
+             : control_client_.contacts().Confirmed(now);
+}
+
 // Arms the timer for the next tick or the gateway's next due time, whichever is
 // earlier.
 void route_daemon::ArmTimer() {
@@ -290,8 +298,8 @@
   if (shutting_down_) CheckShutdown(now);
 }
 
-// Entry instances keep a link to every control instance and to their relays;
-// control instances keep links to each other.
+// Entry instances keep a link to every control instance of the group and to
+// their relays; control instances keep links to each other and to all seeds.
 void route_daemon::DialPeers(time_point now) {
   dial_due_ = now + kDialPeriod;
   if (control_service_ != nullptr) {
@@ -302,17 +310,17 @@
     }
   }
   std::set<std::string> addresses;
-  for (const socket_address& seed : config_.seeds) {
-    if (!group_.empty() && !group_.contains(seed.ip) && gateway_ != nullptr) {
-      continue;
-    }
-    if (seed.ip != config_.peer_advertised.ip &&
-        !transport_.Connected(seed.ip)) {
-      addresses.insert(seed.ToText());
+  if (control_service_ != nullptr) {
+    for (const socket_address& seed : config_.seeds) {
+      if (seed.ip != config_.peer_advertised.ip &&
+          !transport_.Connected(seed.ip)) {
+        addresses.insert(seed.ToText());
+      }
     }
   }
-  for (const auto& [name, address] : group_) {
-    if (name != config_.name && !transport_.Connected(name)) {
+  for (const auto& [name, address] : control_client_.contacts().Targets(now)) {
+    if (name != config_.name && !address.empty() &&
+        !transport_.Connected(name)) {
       addresses.insert(address);
     }
   }
@@ -343,19 +351,10 @@
 }
 
 void route_daemon::OnControlGroup(const std::vector<log_member>& group) {
-  std::map<instance_name, std::string> members;
-  std::vector<instance_name> names;
-  for (const log_member& member : group) {
-    members[member.instance] = member.address;
-    names.push_back(member.instance);
-  }
-  if (members == group_) return;
-  boost::json::array member_names;
-  for (const instance_name& name : names) member_names.emplace_back(name);
-  LogEvent(log_level::kInfo, "control_group",
-           {{"members", std::move(member_names)}});
-  group_ = std::move(members);
-  control_client_.SetGroup(std::move(names));
+  if (!control_client_.SetGroup(group)) return;
+  boost::json::array names;
+  for (const log_member& member : group) names.emplace_back(member.instance);
+  LogEvent(log_level::kInfo, "control_group", {{"members", std::move(names)}});
 }
 
 void route_daemon::OnEntryInstances(
@@ -369,8 +368,9 @@
   if (gateway_ == nullptr) return;
   gateway_->OnPeerConnected(peer);
   SendHello(peer);
-  if (group_.empty() || group_.contains(peer)) {
-    control_client_.OnPeerConnected(peer, Now());
+  const time_point now = Now();
+  if (control_client_.contacts().IsTarget(peer, now)) {
+    control_client_.OnPeerConnected(peer, now);
   }
 }
 
--- a/app/route_daemon.h
+++ b/app/route_daemon.h
@@ -66,6 +66,7 @@
   void AwaitSignal();
   void Reload(bool log_unchanged);
   void CheckSeeds(time_point now);
+  bool InTouchWithGroup(time_point now) const;
   void ArmTimer();
   void Tick(time_point now);
   void DialPeers(time_point now);
@@ -104,8 +105,6 @@
   instance_name evidence_leader_;
   http_server main_server_;
   std::unique_ptr<http_server> readiness_server_;
-  // Addresses of the control group's members by the latest update.
-  std::map<instance_name, std::string> group_;
   // On a control instance: the linked entry instances, as their hello frames
   // describe them.
   std::map<instance_name, entry_instance> entries_;
--- a/app/testing/control_client_test.cc
+++ b/app/testing/control_client_test.cc
@@ -250,6 +250,29 @@
   EXPECT_LT(Now() - silent_at, duration(kContactBound));
 }
 
+// Guards against an entry instance that obeys an old configuration although its
+// settings name instances of the group: all members that it knows are gone or
+// removed, but one still answers (review/9: 191 of 191 requests).
+TEST_F(control_client_test, Tick_KnownGroupReplaced_AsksNewSeed) {
+  const auto member = [](const fake_member& of, const std::string& name) {
+    return log_member{.id = kNoMember,
+                      .instance = name,
+                      .address = "127.0.0.1:" + std::to_string(of.port),
+                      .role = member_role::kVoter};
+  };
+  client_->SetGroup({member(first_, "c1"), member(second_, "c2")});
+  ASSERT_TRUE(RunUntil([&] { return client_->route_version() == 1; }));
+  fake_member successor(&context_, "c3");
+  successor.version = 2;
+  first_.confirmed = second_.confirmed = false;
+  config_.initial_members = {"c3"};
+  config_.seeds = {{"127.0.0.1", successor.port}};
+  client_->OnSeedsChanged();
+  transport_->Dial("127.0.0.1:" + std::to_string(successor.port));
+  ASSERT_TRUE(RunUntil([&] { return client_->route_version() == 2; }));
+  EXPECT_TRUE(client_->contacts().Confirmed(Now()));
+}
+
 // Guards against a configuration that returns to an older version when a member
 // that lags behind answers.
 TEST_F(control_client_test, OnPollReply_OlderVersion_IsIgnored) {
--- a/bilberrycourse/testing/planned_leave_test.cc
+++ b/bilberrycourse/testing/planned_leave_test.cc
@@ -1,3 +1,4 @@
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <string>
@@ -162,6 +163,40 @@
   }
 }
 
+// Guards against a removed member that tells its old group to instances that
+// ask it, and against one that takes itself for removed once it is back in.
+TEST_F(rolling_restart_test, Removed_KnowsGroupWithoutItself) {
+  cluster_options options;
+  options.voters = kVoters;
+  options.spares = 1;
+  consensus_cluster cluster(options);
+  cluster.Run(kRecoveryTicks);
+  const auto known_ids = [&] {
+    std::vector<member_id> ids;
+    for (const log_member& m : cluster.at(0).member->known_group()) {
+      ids.push_back(m.id);
+    }
+    return ids;
+  };
+  cluster.Leave(0);
+  cluster.Run(kRecoveryTicks);
+  EXPECT_TRUE(cluster.at(0).member->removed());
+  EXPECT_THAT(
+      known_ids(),
+      ::testing::AllOf(::testing::Contains(cluster.at(kVoters).id),
+                       ::testing::Not(::testing::Contains(cluster.at(0).id))));
+  // As a spare it replaces the next one that leaves.
+  cluster.Crash(0, 0);
+  cluster.Start(0);
+  cluster.Run(kRecoveryTicks);
+  cluster.Leave(1);
+  cluster.EndLeaving(kGraceTicks);
+  cluster.Run(100);
+  EXPECT_TRUE(cluster.oracle().membership.IsVoter(cluster.at(0).id));
+  EXPECT_FALSE(cluster.at(0).member->removed());
+  EXPECT_EQ(cluster.violation(), "");
+}
+
 // Guards against a spare that is given a vote while it shuts down itself.
 TEST_F(rolling_restart_test, SpareLeavesAsWell_IsNotUsed) {
   cluster_options options;
