--- a/app/control_service.cc
+++ b/app/control_service.cc
@@ -1,13 +1,11 @@
 #include "app/control_service.h"
 
 #include <algorithm>
-#include <boost/asio/post.hpp>
 #include <boost/endian/conversion.hpp>
 #include <charconv>
 #include <utility>
 
 #include "app/daemon_clock.h"
-#include "app/folder_set_aside.h"
 #include "app/frames.h"
 #include "app/json_log.h"
 #include "bilberrycourse/consensus_codec.h"
@@ -19,8 +17,6 @@
 // Oldest confirmation with which an instance takes its first routes.
 constexpr duration kMaxFirstRoutesAge = std::chrono::milliseconds(1200);
 constexpr duration kRepairPeriod = std::chrono::milliseconds(100);
-// Delay before a folder that failed is reopened.
-constexpr duration kReopenDelay = std::chrono::milliseconds(500);
 // With the routed interface a spare replaces a member that has been silent for
 // this long. A replaced instance counts as lost until its successor has joined,
 // and a second one may be lost seconds later.
@@ -28,15 +24,6 @@
 constexpr std::size_t kMaxHistoryEntries = 200;
 // The room on the disk is asked for after each write and this often.
 constexpr duration kRoomCheckPeriod = std::chrono::milliseconds(250);
-// Delay after a compaction for which the disk had no room.
-constexpr duration kCompactionRetryDelay = std::chrono::seconds(1);
-// Bytes of the header of one record in the log, at most.
-constexpr std::size_t kRecordBytes = 64;
-// A leader without room hands the lead over this often at most, as the disks of
-// all members may be full.
-constexpr duration kRoomTransferPeriod = std::chrono::seconds(5);
-// Log lines about a lack of room are at least this far apart.
-constexpr duration kRoomLogPeriod = std::chrono::seconds(1);
 
 // A log payload is the leader's wall clock followed by the command, so that
 // every member expires records at the same entry.
@@ -82,64 +69,17 @@
 
 void control_service::Start(time_point now) { Open(now); }
 
-void control_service::Open(time_point now) {
-  member_.reset();
-  store_.reset();
-  state_ = control_state();
-  whole_update_.clear();
-  FailProposals();
-  reads_.clear();
-  room_ = log_room();
-  compaction_position_ = 0;
-  // Destroyed first, because it holds the lock of the folder.
-  files_.reset();
-  files_ = StorageFilesFactory()(config_.data_dir);
-  if (folder_unusable_) SetAside();
-  has_set_aside_ = !SetAsideFiles(files_.get()).empty();
-  const auto completed = [executor = executor_, alive = alive_,
-                          opening = ++opening_](const log_store_event& event) {
-    boost::asio::post(executor, [alive, opening, event] {
-      if (*alive != nullptr) (*alive)->OnStoreEvent(opening, event);
-    });
-  };
-  store_ = std::make_unique<log_store>(
-      files_.get(), log_store_settings{config_.group, config_.name, 0},
-      completed);
-  log_store::open_result opened = store_->Open();
-  if (opened.code != result_code::kOk) {
-    Stop(opened.code, opened.reason);
-    return ScheduleReopen(opened.code, now);
-  }
-  if (opened.log.snapshot.has_value() &&
-      opened.log.snapshot->state != nullptr &&
-      !state_.LoadSnapshot(*opened.log.snapshot->state)) {
-    return Stop(result_code::kLogDamaged, "the log snapshot does not decode");
-  }
-  room_.Reset(opened.log.snapshot.has_value() &&
-                      opened.log.snapshot->state != nullptr
-                  ? opened.log.snapshot->state->size()
-                  : 0);
-  CheckRoom();
-  LogEvent(log_level::kInfo, "log_opened",
-           {{"member", static_cast<std::uint64_t>(opened.log.identity.id)},
-            {"created", opened.created},
-            {"torn_tail", opened.torn_tail},
-            {"sync_mark_lost", opened.sync_mark_lost},
-            {"entries", opened.log.entries.size()},
-            {"log_bytes", log_bytes()},
-            {"disk_room", room_.disk().value_or(0)},
-            {"snapshot_index",
-             opened.log.snapshot ? opened.log.snapshot->index : 0}});
+void control_service::StartMember(recovered_log log, time_point now) {
   consensus_settings options;
   options.address = config_.peer_advertised.ToText();
   options.instances = ControlInstances(config_);
   options.may_form_group = config_.bootstrap;
   // Differs between members and between starts, so that election timeouts do
   // not collide repeatedly.
-  options.seed = static_cast<std::uint64_t>(opened.log.identity.id) ^
+  options.seed = static_cast<std::uint64_t>(log.identity.id) ^
                  static_cast<std::uint64_t>(now.time_since_epoch().count());
   member_ = std::make_unique<consensus_member>(std::move(options),
-                                               std::move(opened.log), now);
+                                               std::move(log), now);
   repair_options repair;
   repair.voters = config_.initial_members.size();
   if (config_.interface == serving_interface::kRoutes) {
@@ -149,39 +89,6 @@
   repair_ = std::make_unique<member_repair>(repair);
 }
 
-// Only the routed interface recovers a folder without an operator.
-void control_service::ScheduleReopen(result_code code, time_point now) {
-  if (config_.interface != serving_interface::kRoutes) return;
-  reopen_at_ = now + kReopenDelay;
-  folder_unusable_ = code == result_code::kDataFolderForeign ||
-                     code == result_code::kLogDamaged;
-}
-
-// If this fails half-way, the folder is still recognized as unusable when it is
-// opened.
-void control_service::SetAside() {
-  folder_unusable_ = false;
-  const result_code code = SetFolderAside(files_.get());
-  boost::json::array names;
-  for (const std::string& name : SetAsideFiles(files_.get())) {
-    names.emplace_back(name);
-  }
-  LogEvent(log_level::kWarning, "folder_set_aside",
-           {{"code", bilberrycourse::Describe(code).number},
-            {"kept_files", std::move(names)}});
-}
-
-void control_service::RemoveSetAsideIfVoter() {
-  if (!has_set_aside_ || member_->membership_change_pending() ||
-      !member_->membership().IsVoter(member_->identity().id)) {
-    return;
-  }
-  has_set_aside_ = false;
-  LogEvent(log_level::kInfo, "set_aside_removed", {});
-  // A failure shows at the next opening, which finds the files again.
-  store_->RunTask([files = files_.get()] { RemoveSetAside(files); });
-}
-
 void control_service::OnSeedsChanged() {
   if (member_ != nullptr) {
     member_->SetDiscoveryTargets(ControlInstances(config_));
@@ -234,31 +141,6 @@
   Execute(std::move(effects));
 }
 
-void control_service::CheckRoom() {
-  if (files_ == nullptr) return;
-  const std::optional<std::uint64_t> room = files_->Room();
-  if (room > room_.disk()) compaction_due_ = {};
-  room_.SetDisk(room, log_bytes());
-}
-
-// Makes room if a compaction can, so that a repetition of the command fits.
-// Otherwise the disk of another member may have room.
-void control_service::RefuseForRoom(time_point now,
-                                    const control_callback& callback) {
-  if (now >= room_log_due_) {
-    room_log_due_ = now + kRoomLogPeriod;
-    LogEvent(log_level::kWarning, "command_refused",
-             {{"code", bilberrycourse::Describe(result_code::kDiskFull).number},
-              {"log_bytes", log_bytes()},
-              {"disk_room", room_.disk().value_or(0)}});
-  }
-  callback({result_code::kDiskFull, "", ""});
-  if (room_.CompactionFrees()) Compact(now);
-  if (compaction_position_ > 0 || now < room_transfer_due_) return;
-  room_transfer_due_ = now + kRoomTransferPeriod;
-  TransferLeadership(now);
-}
-
 void control_service::FailProposals() {
   const auto proposals = std::move(proposals_);
   proposals_.clear();
@@ -267,10 +149,6 @@
   }
 }
 
-std::uint64_t control_service::log_bytes() const {
-  return store_ == nullptr ? 0 : store_->log_bytes();
-}
-
 void control_service::Read(const std::string& view, const std::string& argument,
                            control_callback callback) {
   if (member_ == nullptr) return callback({stop_code_, "", ""});
@@ -414,10 +292,6 @@
   return member_->HandoverPending(repair.voters, repair.alive_within, now);
 }
 
-void control_service::Drain() {
-  if (store_ != nullptr) store_->Drain();
-}
-
 void control_service::Execute(consensus_effects effects) {
   for (consensus_effect& effect : effects) {
     std::visit([this](auto& concrete) { ExecuteEffect(concrete); }, effect);
@@ -431,20 +305,6 @@
   transport_->Send(effect.to, MakeFrame(std::move(payload)));
 }
 
-void control_service::ExecuteEffect(persist_effect& effect) {
-  if (effect.snapshot.has_value() && effect.snapshot->state != nullptr) {
-    compaction_position_ = effect.position;
-    compacted_bytes_ = effect.snapshot->state->size();
-  }
-  std::size_t bytes = kRecordBytes;
-  for (const log_entry& entry : effect.entries) {
-    bytes += kRecordBytes;
-    if (entry.payload != nullptr) bytes += entry.payload->size();
-  }
-  room_.Queue(effect.position, bytes);
-  store_->Persist(std::move(effect));
-}
-
 void control_service::ExecuteEffect(apply_entry_effect& effect) {
   control_outcome outcome;
   outcome.code = result_code::kInternal;
@@ -512,56 +372,6 @@
   ScheduleReopen(effect.code, Now());
 }
 
-void control_service::OnStoreEvent(std::uint64_t opening,
-                                   const log_store_event& event) {
-  if (member_ == nullptr || opening != opening_) return;
-  consensus_effects effects;
-  if (event.code == result_code::kOk) {
-    OnWritten(event.position);
-    member_->OnPersisted(event.position, Now(), &effects);
-  } else {
-    member_->OnPersistFailed(event.code, event.reason, &effects);
-  }
-  Execute(std::move(effects));
-}
-
-void control_service::OnWritten(std::uint64_t position) {
-  room_.Written(position);
-  if (compaction_position_ > 0 && position >= compaction_position_) {
-    compaction_position_ = 0;
-    room_.Reset(compacted_bytes_);
-  }
-  CheckRoom();
-}
-
-void control_service::CompactIfDue() {
-  if (member_ != nullptr && room_.CompactionDue(member_->compaction_due())) {
-    Compact(Now());
-  }
-}
-
-void control_service::Compact(time_point now) {
-  if (member_ == nullptr || compaction_position_ > 0 || now < compaction_due_ ||
-      member_->applied_index() <= member_->snapshot_index()) {
-    return;
-  }
-  auto state = std::make_shared<const std::string>(state_.SaveSnapshot());
-  CheckRoom();
-  if (!room_.CompactionFits(state->size())) {
-    compaction_due_ = now + kCompactionRetryDelay;
-    LogEvent(log_level::kWarning, "compaction_postponed",
-             {{"snapshot_bytes", state->size()},
-              {"log_bytes", log_bytes()},
-              {"disk_room", room_.disk().value_or(0)}});
-    return;
-  }
-  consensus_effects effects;
-  member_->Compact(member_->applied_index(), std::move(state), &effects);
-  for (consensus_effect& effect : effects) {
-    std::visit([this](auto& concrete) { ExecuteEffect(concrete); }, effect);
-  }
-}
-
 void control_service::Repair(time_point now) {
   if (!leads() || now < repair_due_) return;
   repair_due_ = now + kRepairPeriod;
--- a/app/control_service.h
+++ b/app/control_service.h
@@ -161,6 +161,7 @@
   std::string RouteUpdate(const known_versions& known,
                           const std::optional<duration>& age) const;
   void Open(time_point now);
+  void StartMember(recovered_log log, time_point now);
   void ScheduleReopen(result_code code, time_point now);
   void SetAside();
   void RemoveSetAsideIfVoter();
