Test: listen below the range of outgoing ports

serving_start_test.Serve_SettingsHalfWritten_StartsOnceTheyAreWhole failed once beside a soak: its program waited 20 s for 127.0.0.1:37967 (address_awaited), which an outgoing connection of another program had been given in the meantime. FreePort() took its port from the same range. It now takes one below it.

--- a/app/testing/loopback.h
+++ b/app/testing/loopback.h
@@ -10,14 +10,29 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <cstdint>
+#include <random>
 
 namespace bilberrycourse {
 
+// Returns a port on which a test can listen. It lies below the range from which
+// the system takes the ports of outgoing connections: one of another program
+// could otherwise take it before the test does.
 inline std::uint16_t FreePort() {
+  constexpr int kFirstPort = 10000;
+  constexpr int kLastPort = 32000;
+  constexpr int kTries = 1000;
+  static std::mt19937 random{std::random_device()()};
+  std::uniform_int_distribution<int> ports(kFirstPort, kLastPort);
   boost::asio::io_context context;
-  boost::asio::ip::tcp::acceptor acceptor(
-      context, {boost::asio::ip::make_address("127.0.0.1"), 0});
-  return acceptor.local_endpoint().port();
+  for (int i = 0; i < kTries; ++i) {
+    const auto port = static_cast<std::uint16_t>(ports(random));
+    boost::asio::ip::tcp::acceptor acceptor(context,
+                                            boost::asio::ip::tcp::v4());
+    boost::system::error_code error;
+    acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), port}, error);
+    if (!error) return port;
+  }
+  return 0;
 }
 
 // Runs `context` until `condition` returns true. Returns false after 20
