Remove the earlier identity of a wiped instance before a leaving voter

Cause: a new leader counts a voter as lost only after 1.5 s of silence since its election, although a new id of the same instance proves that the old one is gone.

Such a voter is lost at once now, and goes before any voter that leaves.

--- a/bilberrycourse/member_repair.cc
+++ b/bilberrycourse/member_repair.cc
@@ -19,6 +19,29 @@
   return view;
 }
 
+// Returns true if `voter` is the earlier identity of an instance that has lost
+// its disk and is back under a new id. It never returns, but a leader that has
+// just been elected does not know yet how long it has been silent.
+bool member_repair::IsSuperseded(const peer_status& voter,
+                                 const repair_view& view) const {
+  const auto supersedes = [&](const log_member& member,
+                              duration since_last_contact) {
+    return member.id != voter.member.id &&
+           member.instance == voter.member.instance &&
+           since_last_contact < options_.alive_within &&
+           since_last_contact < voter.since_last_contact;
+  };
+  return std::any_of(view.peers.begin(), view.peers.end(),
+                     [&](const peer_status& peer) {
+                       return supersedes(peer.member, peer.since_last_contact);
+                     }) ||
+         std::any_of(view.spares.begin(), view.spares.end(),
+                     [&](const spare_status& spare) {
+                       return supersedes(spare.member,
+                                         spare.since_last_contact);
+                     });
+}
+
 std::optional<membership_change> member_repair::Plan(
     const repair_view& view) const {
   if (view.self == kNoMember || view.change_pending || !view.quorum_confirmed) {
@@ -35,7 +58,8 @@
   const peer_status* learner = nullptr;
   for (const peer_status& peer : view.peers) {
     if (peer.member.role == member_role::kVoter) {
-      if (peer.since_last_contact >= options_.lost_after &&
+      if ((peer.since_last_contact >= options_.lost_after ||
+           IsSuperseded(peer, view)) &&
           (lost == nullptr ||
            peer.since_last_contact > lost->since_last_contact)) {
         lost = &peer;
--- a/bilberrycourse/member_repair.h
+++ b/bilberrycourse/member_repair.h
@@ -10,12 +10,13 @@
 //     member.ProposeMembership(*change, now, &out);
 //   }
 //
-// A voter without contact for `lost_after`, or one that is shutting down, is
-// replaced in three changes, one at a time: add a spare as a learner, promote
-// the learner once it has caught up and synced, remove the voter. The group
-// never has fewer voters than configured. Lost voters come before leaving ones,
-// which still vote. Without a spare nothing changes, so that a member that only
-// restarts stays in the group.
+// A voter is lost after `lost_after` without contact, or as soon as its
+// instance is back under a new id. A lost voter, or one that is shutting down,
+// is replaced in three changes, one at a time: add a spare as a learner,
+// promote the learner once it has caught up and synced, remove the voter. The
+// group never has fewer voters than configured. Lost voters come before leaving
+// ones, which still vote. Without a spare nothing changes, so that a member
+// that only restarts stays in the group.
 
 #include <optional>
 #include <vector>
@@ -55,6 +56,8 @@
   const repair_options& options() const { return options_; }
 
  private:
+  bool IsSuperseded(const peer_status& voter, const repair_view& view) const;
+
   repair_options options_;
 };
 
--- a/bilberrycourse/testing/planned_leave_test.cc
+++ b/bilberrycourse/testing/planned_leave_test.cc
@@ -106,6 +106,47 @@
                          ::testing::ValuesIn(kLeaveCases),
                          [](const auto& info) { return info.param.name; });
 
+class leave_after_lost_disk_test : public ::testing::Test {};
+
+// Guards against a group that gives up a voter that leaves in place of the lost
+// identity of a wiped instance: a new leader takes the lost identity for alive
+// until it has been silent long enough.
+TEST_F(leave_after_lost_disk_test, LeaderLeaves_LostIdentityIsRemovedFirst) {
+  constexpr std::size_t kVotersOfThree = 3;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    cluster_options options;
+    options.voters = kVotersOfThree;
+    options.spares = 2;
+    options.seed = seed;
+    consensus_cluster cluster(options);
+    cluster.Run(kRecoveryTicks);
+    const std::size_t leader = cluster.leader();
+    ASSERT_LT(leader, cluster.size());
+    const std::size_t wiped = (leader + 1) % kVotersOfThree;
+    cluster.Wipe(wiped);
+    cluster.Start(wiped);
+    // The leader leaves as soon as it has added the new identity.
+    for (std::size_t i = 0; i < kRecoveryTicks; ++i) {
+      if (cluster.oracle().membership.Find(cluster.at(wiped).id) != nullptr) {
+        break;
+      }
+      cluster.Run(1);
+    }
+    cluster.Leave(leader);
+    ASSERT_LT(cluster.EndLeaving(kGraceTicks), kGraceTicks);
+    // The wiped instance is still the only one that counts as lost.
+    cluster.Wipe(wiped);
+    const std::size_t committed = cluster.oracle().committed.size();
+    cluster.Run(kRecoveryTicks);
+    ASSERT_LT(cluster.leader(), cluster.size());
+    cluster.Propose(cluster.leader());
+    cluster.Run(20);
+    EXPECT_GT(cluster.oracle().committed.size(), committed);
+    EXPECT_EQ(cluster.violation(), "");
+  }
+}
+
 class rolling_restart_test : public ::testing::Test {
  protected:
   // Restarts all voters in turn, each 1 s after it has ended. Returns the
