Give each shard of a request one owner

Cause: a shard that had been handed to a fallback relay could still be sent by this instance. The hedge timer of an earlier attempt did not ask who searches the shard. Its reply came first, and the relay's report, whose body merges the records of several shards, was taken in part. Two more ways led there: a shard that a second relay searches was given up when the link to the first one was lost, and a report was never checked for shards named twice or not asked for.

Change: part_state::owner names who may answer a part. A part changes hands only without an attempt, and attempts start only for own parts. A report is checked as a whole before any of it is taken; one that can't be used counts as the loss of the relay and is logged (relay_report_refused). Bodies of reports are no longer stored in the reply of one of their shards.

Why it works: two answers to one shard now need two owners, which the data can't express, whatever the order of timers, replies, losses and reports.

--- a/app/route_gateway.cc
+++ b/app/route_gateway.cc
@@ -26,6 +26,8 @@
 constexpr double kRequestLimitLogsPerSecond = 10;
 // Log lines per second about replies with an invalid status.
 constexpr double kStatusLogsPerSecond = 5;
+// Log lines per second about reports of relays that are not used.
+constexpr double kReportLogsPerSecond = 5;
 // Log lines per second about attempts whose connection broke.
 constexpr double kCrashLogsPerSecond = 10;
 // Relayed requests up to this size are accepted whatever the others hold.
@@ -112,6 +114,7 @@
       retry_log_limiter_(kRetryLogsPerSecond),
       limit_log_limiter_(kLimitLogsPerSecond),
       status_log_limiter_(kStatusLogsPerSecond),
+      report_log_limiter_(kReportLogsPerSecond),
       request_limit_log_limiter_(kRequestLimitLogsPerSecond),
       crash_log_limiter_(kCrashLogsPerSecond),
       gate_(GateOptions(config)),
@@ -494,6 +497,9 @@
        "Shards that other instances were asked to search, because their "
        "searchers could not be reached.",
        counters.delegated_parts},
+      {"bilberrycourse_refused_relay_reports",
+       "Reports of other instances about shards that are not theirs.",
+       counters.refused_reports},
       {"bilberrycourse_limit_permissions_wanted",
        "Permissions wanted for searchers that limit their requests.",
        counters.permissions_wanted},
--- a/app/route_gateway.h
+++ b/app/route_gateway.h
@@ -204,6 +204,7 @@
   void ExecuteEffect(send_to_relay& effect);
   void ExecuteEffect(cancel_at_relay& effect);
   void ExecuteEffect(relay_silent& effect);
+  void ExecuteEffect(relay_report_refused& effect);
   void ExecuteEffect(route_progress& effect);
   void ExecuteEffect(attempt_lost& effect);
   void ExecuteEffect(crash_evidence_found& effect);
@@ -263,6 +264,7 @@
   log_limiter retry_log_limiter_;
   log_limiter limit_log_limiter_;
   log_limiter status_log_limiter_;
+  log_limiter report_log_limiter_;
   log_limiter request_limit_log_limiter_;
   log_limiter crash_log_limiter_;
   account_gate gate_;
--- a/app/route_gateway_relays.cc
+++ b/app/route_gateway_relays.cc
@@ -370,6 +370,14 @@
   LogEvent(log_level::kWarning, "relay_silent", {{"relay", effect.relay}});
 }
 
+void route_gateway::ExecuteEffect(relay_report_refused& effect) {
+  if (!report_log_limiter_.Allow(Now())) return;
+  LogEvent(log_level::kWarning, "relay_report_refused",
+           {{"relay", effect.relay},
+            {"problem", effect.problem},
+            {"left_out", report_log_limiter_.TakeSuppressedCount()}});
+}
+
 void route_gateway::OnRelayRequest(const instance_name& peer,
                                    const wire::relay_request& request,
                                    time_point now) {
--- a/bilberrycourse/route_effects.h
+++ b/bilberrycourse/route_effects.h
@@ -149,6 +149,12 @@
   instance_name relay;
 };
 
+// A report of the relay was not used. `problem` is a literal.
+struct relay_report_refused {
+  instance_name relay;
+  std::string_view problem;
+};
+
 // A shard that a relay has not found.
 struct failed_shard {
   // In the request to the relay.
@@ -240,12 +246,14 @@
 // requests on behalf of this one.
 struct fallback_wanted {};
 
-using route_effect = std::variant<
-    attempt_lost, crash_evidence_found, content_quarantined, isolation_changed,
-    fallback_wanted, searcher_limit_changed, searcher_resting, searcher_leaving,
-    reply_status_invalid, send_limit_request, open_searcher_connection,
-    close_searcher_connection, send_to_searcher, finish_route_request,
-    send_to_relay, cancel_at_relay, relay_silent, route_progress>;
+using route_effect =
+    std::variant<attempt_lost, crash_evidence_found, content_quarantined,
+                 isolation_changed, fallback_wanted, searcher_limit_changed,
+                 searcher_resting, searcher_leaving, reply_status_invalid,
+                 send_limit_request, open_searcher_connection,
+                 close_searcher_connection, send_to_searcher,
+                 finish_route_request, send_to_relay, cancel_at_relay,
+                 relay_silent, relay_report_refused, route_progress>;
 using route_effects = std::vector<route_effect>;
 
 }  // namespace bilberrycourse
--- a/bilberrycourse/route_engine.cc
+++ b/bilberrycourse/route_engine.cc
@@ -270,7 +270,7 @@
   const std::size_t canary_part =
       static_cast<std::uint64_t>(id) % request.parts.size();
   for (std::size_t i = 0; i < request.parts.size(); ++i) {
-    if (request.parts[i].relayed) continue;
+    if (!request.parts[i].owned_by_self()) continue;
     if (request.canary && i != canary_part) continue;
     FindOrCreateService(request.parts[i].service).budget.OnRequest();
     if (!Place(&request, i, send_reason::kFirst, now, out)) {
@@ -294,7 +294,8 @@
 void route_engine::OnHedgeDue(request_state* request, std::size_t index,
                               time_point now, route_effects* out) {
   part_state& part = request->parts[index];
-  if (part.reply != nullptr || part.failed || part.hedged) return;
+  // The timer may be older than a handover of the part.
+  if (part.ended() || part.hedged || !part.owned_by_self()) return;
   part.hedged = true;
   if (!MaySendAgain(*request, part, send_reason::kHedge, now)) return;
   // Under load a hedge would only lengthen the queues that it should avoid.
@@ -315,7 +316,7 @@
 void route_engine::OnQueueWaitExpired(request_state* request, time_point now,
                                       route_effects* out) {
   const part_state& part = request->parts.front();
-  if (part.may_have_run > 0 || part.relayed || part.reply != nullptr) return;
+  if (part.may_have_run > 0 || !part.owned_by_self() || part.ended()) return;
   if (DelegateUnsent(request, 0)) return;
   FinishFailed(request, result_code::kOverloaded, now, out);
 }
@@ -353,7 +354,7 @@
 void route_engine::FailPart(request_state* request, std::size_t index,
                             result_code code) {
   part_state& part = request->parts[index];
-  if (part.failed || part.reply != nullptr) return;
+  if (part.ended()) return;
   part.failed = true;
   part.failure = code;
   ++request->failed;
@@ -423,7 +424,8 @@
   if (request->answered == request->parts.size()) {
     evidence_.RememberSuccess(request->call.content, now);
   }
-  std::vector<std::string_view> bodies;
+  std::vector<std::string_view> bodies(request->relay_bodies.begin(),
+                                       request->relay_bodies.end());
   for (const part_state& part : request->parts) {
     if (part.reply != nullptr) {
       finish.stamps.push_back(part.reply->stamp);
--- a/bilberrycourse/route_engine.h
+++ b/bilberrycourse/route_engine.h
@@ -43,6 +43,12 @@
 // a service, lets another entry instance send (fallback relay), which never
 // hands on itself. What the relay proves not to have run counts as not run.
 //
+// Each part has one owner at a time, this instance or one relay, and only the
+// owner answers it. This instance hands a part over only while it has no
+// attempt for it, and starts none before the relay has given the part back or
+// is lost. A relay's report merges the records of several parts, so it is taken
+// in whole, or refused whole if any of these parts is not the relay's.
+//
 // A request that crashes the searchers that run it must not be sent to one
 // after the other. Its content is refused once two crashes are known
 // (crash_evidence); after the first, it gets a single attempt, and a request
@@ -236,16 +242,27 @@
     placement_decision placement;
   };
 
+  // Who searches a part and may answer it.
+  enum class part_owner : std::uint8_t {
+    // This instance, by its attempts.
+    kSelf = 0,
+    // Nobody: the part waits for a fallback relay.
+    kHandover = 1,
+    // The relay of the group `part_state::group`.
+    kRelay = 2,
+  };
+
   struct part_state {
     std::string service;
+    part_owner owner = part_owner::kSelf;
+    // In request_state::relays, while a relay owns the part.
+    std::size_t group = 0;
     // Searchers to which an attempt was assigned, with any result.
     std::vector<std::string> tried;
     std::vector<attempt_id> running;
     // Number of attempts that may have run.
     std::uint32_t may_have_run = 0;
     bool hedged = false;
-    // True while a relay searches the shard.
-    bool relayed = false;
     // Fallback relays that the part was sent to.
     std::vector<instance_name> fallbacks;
     // Included in a route_progress already.
@@ -255,6 +272,12 @@
     searcher_reply_pointer reply;
     // Error reply of a searcher, forwarded if no attempt succeeds.
     searcher_reply_pointer error_reply;
+
+    bool ended() const { return failed || reply != nullptr; }
+    bool owned_by_self() const { return owner == part_owner::kSelf; }
+    bool owned_by_relay(std::size_t relay_group) const {
+      return owner == part_owner::kRelay && group == relay_group;
+    }
   };
 
   // A group of shards that a relay searches.
@@ -273,6 +296,9 @@
     route_call call;
     std::vector<part_state> parts;
     std::vector<relay_task> relays;
+    // Bodies of the relays' reports, each with the records of all shards that
+    // its report answers.
+    std::vector<std::string> relay_bodies;
     std::size_t answered = 0;
     std::size_t failed = 0;
     time_point received{};
@@ -389,7 +415,8 @@
   void OnExpired(request_state* request, time_point now, route_effects* out);
   void OnAttemptTimeout(attempt_id id, time_point now, route_effects* out);
 
-  // Starts an attempt for the part. Returns false if no searcher is available.
+  // Starts an attempt for the part. Returns false if no searcher is available,
+  // or if this instance does not own the part.
   bool StartAttempt(request_state* request, std::size_t index,
                     send_reason reason, time_point now, route_effects* out);
   attempt_state* NextWaiting(searcher_entry* entry, time_point now);
@@ -420,6 +447,14 @@
   void SendGroup(request_state* request, std::size_t group,
                  std::uint32_t max_attempts, time_point now,
                  route_effects* out);
+  static std::string_view ReportProblem(const request_state& request,
+                                        std::size_t group,
+                                        const shard_report& report);
+  void RefuseReport(request_state* request, std::size_t group,
+                    std::string_view problem, time_point now,
+                    route_effects* out);
+  void AnswerByRelay(request_state* request, std::size_t group,
+                     const shard_report& report);
   void OnRelayFailure(request_state* request, std::size_t index,
                       const failed_shard& failure, time_point now,
                       route_effects* out);
@@ -442,6 +477,7 @@
              time_point now, route_effects* out);
   bool Delegate(request_state* request, std::size_t index, time_point now);
   bool DelegateUnsent(request_state* request, std::size_t index);
+  void HandOver(request_state* request, std::size_t index);
   void WantFallback(time_point now);
   void FlushDelegated(time_point now, route_effects* out);
   void SendDelegated(request_state* request,
--- a/bilberrycourse/route_engine_attempts.cc
+++ b/bilberrycourse/route_engine_attempts.cc
@@ -37,6 +37,7 @@
                                 send_reason reason, time_point now,
                                 route_effects* out) {
   part_state& part = request->parts[index];
+  if (!part.owned_by_self()) return false;
   searcher_entry* entry = isolated_ ? nullptr
                                     : pool_.Choose(part.service, part.tried,
                                                    now, request->priority());
@@ -224,7 +225,7 @@
                                send_reason reason, result_code code,
                                time_point now, route_effects* out) {
   part_state& part = request->parts[index];
-  if (part.reply != nullptr || part.failed || part.relayed) return;
+  if (part.ended() || !part.owned_by_self()) return;
   // Another attempt is still running and may answer.
   if (!part.running.empty()) return;
   bool retried = false;
@@ -248,7 +249,7 @@
   request_state* request = FindRequest(attempt.request);
   if (request == nullptr) return;
   part_state& part = request->parts[attempt.part];
-  if (part.reply != nullptr || part.failed || part.relayed) return;
+  if (part.ended() || !part.owned_by_self()) return;
   if (StartAttempt(request, attempt.part, attempt.reason, now, out)) return;
   if (!part.running.empty() || Delegate(request, attempt.part, now)) return;
   FailUnplaced(request, attempt.part, now);
--- a/bilberrycourse/route_engine_counters.h
+++ b/bilberrycourse/route_engine_counters.h
@@ -30,6 +30,8 @@
   // none of their searchers, and losses of all searchers.
   std::uint64_t delegated_parts = 0;
   std::uint64_t isolations = 0;
+  // Reports of relays about shards that are not theirs.
+  std::uint64_t refused_reports = 0;
   // Replies of searchers that asked for rest.
   std::uint64_t rests = 0;
   // Attempts that a request limit moved to another searcher or excluded.
--- a/bilberrycourse/route_engine_crashes.cc
+++ b/bilberrycourse/route_engine_crashes.cc
@@ -226,7 +226,7 @@
     const bool idempotent = request->call.matched_route->idempotent;
     bool running = false;
     for (part_state& part : request->parts) {
-      running = running || (part.relayed && !idempotent);
+      running = running || (!part.owned_by_self() && !idempotent);
       for (const attempt_id attempt_number : std::vector(part.running)) {
         const attempt_state* attempt = FindAttempt(attempt_number);
         if (attempt == nullptr || !attempt->sent) continue;
@@ -250,7 +250,7 @@
   request->canary = false;
   for (std::size_t i = 0; i < request->parts.size(); ++i) {
     const part_state& part = request->parts[i];
-    if (part.reply != nullptr || part.failed || !part.tried.empty()) continue;
+    if (part.ended() || !part.tried.empty()) continue;
     FindOrCreateService(part.service).budget.OnRequest();
     if (!Place(request, i, send_reason::kFirst, now, out)) {
       FailUnplaced(request, i, now);
--- a/bilberrycourse/route_engine_isolation.cc
+++ b/bilberrycourse/route_engine_isolation.cc
@@ -153,18 +153,26 @@
 // Returns false if the part can't be given to another instance.
 bool route_engine::Delegate(request_state* request, std::size_t index,
                             time_point now) {
-  part_state& part = request->parts[index];
-  if (request->call.streamed() || part.relayed) return false;
+  const part_state& part = request->parts[index];
+  if (request->call.streamed() || !part.owned_by_self()) return false;
+  // The reply of an attempt could come beside that of the relay.
+  if (!part.running.empty()) return false;
   if (part.fallbacks.size() >= kMaxFallbacks) return false;
   if (pool_.Evacuated(part.service)) return false;
   if (!isolated_ && !pool_.Unreachable(part.service)) return false;
   WantFallback(now);
   if (fallback_relays_.empty() && now >= fallback_due_) return false;
-  part.relayed = true;
-  delegated_[request->call.id].push_back(index);
+  HandOver(request, index);
   return true;
 }
 
+// Lets the next Flush() give the part, which has no attempt, to a fallback
+// relay.
+void route_engine::HandOver(request_state* request, std::size_t index) {
+  request->parts[index].owner = part_owner::kHandover;
+  delegated_[request->call.id].push_back(index);
+}
+
 // Gives a part to another instance that waits for the first connection to its
 // searcher.
 bool route_engine::DelegateUnsent(request_state* request, std::size_t index) {
@@ -181,8 +189,7 @@
   }
   const std::vector<attempt_id> running = part.running;
   for (const attempt_id id : running) EndAttempt(id);
-  part.relayed = true;
-  delegated_[request->call.id].push_back(index);
+  HandOver(request, index);
   return true;
 }
 
@@ -244,7 +251,7 @@
   }
   if (relay == nullptr) {
     for (const std::size_t index : parts) {
-      request->parts[index].relayed = false;
+      request->parts[index].owner = part_owner::kSelf;
       FailPart(request, index, result_code::kNoServingReplica);
     }
     return false;
@@ -268,10 +275,9 @@
                                   const failed_shard& failure, time_point now,
                                   route_effects* out) {
   part_state& part = request->parts[index];
-  if (part.failed || part.reply != nullptr) return;
+  part.owner = part_owner::kSelf;
   if (failure.not_run) {
     if (part.may_have_run > 0) --part.may_have_run;
-    part.relayed = false;
     const bool unserved = failure.code == result_code::kNoServingReplica;
     // A relay that stops refuses what the origin may still search, as does one
     // whose configuration lacks the key of the request.
--- a/bilberrycourse/route_engine_limits.cc
+++ b/bilberrycourse/route_engine_limits.cc
@@ -92,7 +92,7 @@
                                   route_effects* out) {
   std::size_t ready = 0;
   for (const part_state& part : request->parts) {
-    bool part_ready = part.relayed;
+    bool part_ready = !part.owned_by_self();
     for (const attempt_id id : part.running) {
       attempt_state* attempt = FindAttempt(id);
       searcher_entry* entry = pool_.Find(attempt->searcher, attempt->serial);
--- a/bilberrycourse/route_engine_relays.cc
+++ b/bilberrycourse/route_engine_relays.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include "bilberrycourse/route_engine.h"
@@ -27,6 +28,7 @@
 // Returns the report with the failure of the searcher in place of its reply.
 shard_report WithoutInvalidReply(shard_report report) {
   report.reply = nullptr;
+  report.stamps.clear();
   for (const std::size_t position : std::exchange(report.answered, {})) {
     report.failed.push_back({position, {}, false});
   }
@@ -66,7 +68,8 @@
   effect.single = !request->fan_out();
   for (const std::size_t index : task.group.parts) {
     part_state& part = request->parts[index];
-    part.relayed = true;
+    part.owner = part_owner::kRelay;
+    part.group = group;
     // The relay may send the request at any time from now on.
     ++part.may_have_run;
     effect.fallback = !part.fallbacks.empty();
@@ -83,9 +86,7 @@
                                  route_effects* out) {
   request_state* request = FindRequest(id);
   if (request == nullptr || group >= request->relays.size()) return;
-  // After the link was lost, the origin searches the shards itself. A report
-  // carries the merged records of all its shards, so it can only be used as a
-  // whole.
+  // After the link was lost, the origin searches the shards itself.
   relay_task& task = request->relays[group];
   if (task.done) return;
   if (HasInvalidReply(report)) {
@@ -95,41 +96,88 @@
     }
     return OnRelayReport(id, group, WithoutInvalidReply(report), now, out);
   }
-  // Copied, because a shard that takes another way adds a task.
-  const std::vector<std::size_t> positions = task.group.parts;
+  const std::string_view problem = ReportProblem(*request, group, report);
+  if (!problem.empty()) {
+    return RefuseReport(request, group, problem, now, out);
+  }
   task.reported = true;
   task.done = report.final;
   request->attempts += report.attempts;
   request->hedges += report.hedges;
-  for (std::size_t i = 0; i < report.answered.size(); ++i) {
-    if (report.answered[i] >= positions.size() || i >= report.stamps.size()) {
-      continue;
+  AnswerByRelay(request, group, report);
+  // Copied, because a shard that takes another way adds a task.
+  const std::vector<std::size_t> positions = task.group.parts;
+  for (const failed_shard& failure : report.failed) {
+    if (!request->fan_out() && report.reply != nullptr) {
+      request->parts.front().error_reply = report.reply;
+    }
+    OnRelayFailure(request, positions[failure.position], failure, now, out);
+  }
+  // The relay sends nothing more about shards that it has left out.
+  if (report.final) return SearchInsteadOfRelay(request, group, now, out);
+  CheckDone(request, now, out);
+}
+
+// Returns why the report can't be used, or nothing if it can. Each shard that
+// it names must be one of the group that has no result yet, and must be named
+// once: the body holds the records of all of them and can't be divided.
+std::string_view route_engine::ReportProblem(const request_state& request,
+                                             std::size_t group,
+                                             const shard_report& report) {
+  const std::vector<std::size_t>& positions = request.relays[group].group.parts;
+  if (report.stamps.size() != report.answered.size()) {
+    return "not one signature for each answered shard";
+  }
+  if (!request.fan_out() && !report.answered.empty() &&
+      report.reply == nullptr) {
+    return "an answered request without its reply";
+  }
+  std::vector<std::size_t> named = report.answered;
+  for (const failed_shard& failure : report.failed) {
+    named.push_back(failure.position);
+  }
+  std::vector<bool> seen(positions.size(), false);
+  for (const std::size_t position : named) {
+    if (position >= positions.size()) return "an unknown shard";
+    if (seen[position]) return "a shard named twice";
+    seen[position] = true;
+    const part_state& part = request.parts[positions[position]];
+    if (part.ended() || !part.owned_by_relay(group)) {
+      return "a shard that is not the relay's any more";
     }
+  }
+  return {};
+}
+
+// Goes on as if the link to the relay were lost.
+void route_engine::RefuseReport(request_state* request, std::size_t group,
+                                std::string_view problem, time_point now,
+                                route_effects* out) {
+  ++counters_.refused_reports;
+  const instance_name& relay = request->relays[group].group.relay;
+  out->push_back(relay_report_refused{relay, problem});
+  out->push_back(cancel_at_relay{request->call.id, group, relay, false});
+  SearchInsteadOfRelay(request, group, now, out);
+}
+
+// Takes over the answered shards of a report that ReportProblem() has passed.
+void route_engine::AnswerByRelay(request_state* request, std::size_t group,
+                                 const shard_report& report) {
+  const std::vector<std::size_t>& positions =
+      request->relays[group].group.parts;
+  for (std::size_t i = 0; i < report.answered.size(); ++i) {
     part_state& part = request->parts[positions[report.answered[i]]];
-    if (part.reply != nullptr || part.failed) continue;
+    ++request->answered;
     if (!request->fan_out()) {
       // The whole reply is forwarded unchanged.
-      if (report.reply == nullptr) continue;
       part.reply = report.reply;
-      ++request->answered;
       continue;
     }
     auto reply = std::make_shared<searcher_reply>();
     reply->stamp = report.stamps[i];
-    // The body holds the records of all shards of the report; the first reply
-    // carries it.
-    if (i == 0) reply->body = report.body;
     part.reply = std::move(reply);
-    ++request->answered;
   }
-  for (const failed_shard& failure : report.failed) {
-    if (failure.position >= positions.size()) continue;
-    if (!request->fan_out() && report.reply != nullptr) {
-      request->parts.front().error_reply = report.reply;
-    }
-    OnRelayFailure(request, positions[failure.position], failure, now, out);
-  }
-  CheckDone(request, now, out);
+  if (request->fan_out()) request->relay_bodies.push_back(report.body);
 }
 
 // The relay may merely be slow. Searching its shards again could exceed the
@@ -170,8 +218,9 @@
   const std::vector<std::size_t> parts = request->relays[group].group.parts;
   for (const std::size_t index : parts) {
     part_state& part = request->parts[index];
-    if (part.reply != nullptr || part.failed || !part.relayed) continue;
-    part.relayed = false;
+    // Another relay may search what this one has given back.
+    if (part.ended() || !part.owned_by_relay(group)) continue;
+    part.owner = part_owner::kSelf;
     // A fallback relay was granted all attempts.
     const bool may_search = HasReservedAttempt(matched_route) &&
                             part.fallbacks.empty() &&
