Give an evacuation order the version known before it was sent

Cause: an order carries no version, and got the one that the instance knew when it handled the order, and after a conflict the newest one. Both may include later orders of the same sender.

Change: http_request::sent_after is a time before the request was sent: the listen queue was empty then, or the previous answer was not written yet. An order gets the version of the list that was known before that time (version_history). It is refused with 503 if the zone has had an order since that left it otherwise (zone_order_history, view zone_orders of the leader). Connections are accepted in one place, where the queue is seen to be empty.

Why it works: no duration is compared, only the order of events in one process. It holds whether the instance catches up with the log first, whether the caller has closed its connection, and for a leader like for a follower. Orders about other zones, repeats and orders for what holds already are still acknowledged.

--- a/app/control_service.cc
+++ b/app/control_service.cc
@@ -395,6 +395,7 @@
   if (view == "history") return state_.HistoryView(kMaxHistoryEntries);
   if (view == "exceptions") return state_.ExceptionsView(WallNow());
   if (view == "request") return RequestView(argument);
+  if (view == "zone_orders") return state_.ZoneOrdersView(argument);
   if (view == "group") return boost::json::serialize(Describe(Now()));
   if (view == "requests") {
     wall_time_ms since = 0;
--- a/app/control_service.h
+++ b/app/control_service.h
@@ -103,7 +103,7 @@
   // Answers kNotLeader with a hint unless this member leads.
   void Propose(const std::string& command, control_callback callback);
   // Linearizable read of the views config, history, exceptions, requests,
-  // request and group.
+  // request, group and zone_orders.
   void Read(const std::string& view, const std::string& argument,
             control_callback callback);
   // Returns what the poller lacks; `known` are the versions that it has.
@@ -113,6 +113,8 @@
   // returns those that a member has reported to it.
   std::vector<log_member> Group() const;
   const control_state& state() const { return state_; }
+  // Changes when state() begins anew from the data folder.
+  std::uint64_t opening() const { return opening_; }
 
   bool leads() const;
   instance_name leader() const;
--- a/app/http_server.cc
+++ b/app/http_server.cc
@@ -135,7 +135,7 @@
   boost::leaf::result<void> Listen();
   void Accept();
   void AcceptLater();
-  void AcceptQueued();
+  beast::error_code AcceptQueued();
   void Start(tcp::socket socket);
 
   asio::any_io_executor executor;
@@ -148,6 +148,8 @@
   // Receives input that is dropped.
   std::array<char, 4096> discard_buffer{};
   std::set<std::shared_ptr<session>> sessions;
+  // The latest time at which the listen queue was empty for certain.
+  time_point queue_empty_at = Now();
   std::size_t pending = 0;
   bool draining = false;
   bool stopping = false;
@@ -162,7 +164,8 @@
         timer_(server_->executor),
         holder_(&server_->budget, [this] { GiveMemoryUp(); }),
         reader_(ReadLimits(server_->options), &holder_),
-        accepted_at_(std::chrono::steady_clock::now()) {
+        accepted_at_(std::chrono::steady_clock::now()),
+        sent_after_(server_->queue_empty_at) {
     boost::system::error_code ignored;
     stream_.socket().set_option(tcp::no_delay(true), ignored);
   }
@@ -381,6 +384,7 @@
     target_ = target;
     request.host = Field(message, "Host");
     request.received_at = received_at_;
+    request.sent_after = sent_after_;
     request.first_on_connection = !request_received_;
     request_received_ = true;
     head_request_ = message.method() == http::verb::head;
@@ -431,6 +435,7 @@
       return Close();
     }
     stream_.expires_after(server_->options.read_timeout);
+    answered_at_ = Now();
     http::async_write(
         stream_, response_,
         [self = shared_from_this()](const beast::error_code& error,
@@ -472,10 +477,21 @@
     if (!keep_alive) {
       return CloseGracefully(session_state::kDelivering);
     }
+    UpdateSentAfter();
     Read();
     if (server_->stopping) CloseIfIdle();
   }
 
+  // The caller sends its next request after it has received this answer, unless
+  // bytes of that request have arrived already.
+  void UpdateSentAfter() {
+    if (!server_->options.bound_send_times) return;
+    beast::error_code error;
+    const std::size_t unread = stream_.socket().available(error);
+    if (error || unread > 0 || reader_.has_unread_bytes()) return;
+    sent_after_ = answered_at_;
+  }
+
   // Closing a socket with unread input resets the connection, and the caller
   // could lose the response. Further input is read and dropped, within limits
   // of time and size.
@@ -527,6 +543,10 @@
   memory_holder holder_;
   http_message_reader<true> reader_;
   const std::chrono::steady_clock::time_point accepted_at_;
+  // See http_request::sent_after.
+  time_point sent_after_;
+  // Time at which the latest answer was about to be written.
+  time_point answered_at_{};
   http::response<http::string_body> response_;
   std::shared_ptr<std::function<void()>> on_disconnect_;
   std::chrono::steady_clock::time_point received_at_;
@@ -541,21 +561,26 @@
 };
 
 boost::leaf::result<void> http_server::impl::Listen() {
+  queue_empty_at = Now();
   BOOST_LEAF_CHECK(BindAndListen(options.listen, &acceptor));
+  boost::system::error_code ignored;
+  acceptor.non_blocking(true, ignored);
   Accept();
   return {};
 }
 
+// Waits for connections and accepts them in AcceptQueued(). An asynchronous
+// accept would take a connection off the queue some time before its handler
+// runs, and queue_empty_at could be set in between.
 void http_server::impl::Accept() {
-  acceptor.async_accept(
-      [self = shared_from_this()](const boost::system::error_code& error,
-                                  tcp::socket socket) {
-        // The connection may have been accepted just before StopAccepting().
-        if (!error && !self->closed) self->Start(std::move(socket));
-        if (self->stopping) return;
-        if (IsResourceShortage(error)) return self->AcceptLater();
-        self->Accept();
-      });
+  acceptor.async_wait(tcp::acceptor::wait_read,
+                      [self = shared_from_this()](beast::error_code error) {
+                        if (self->stopping) return;
+                        if (!error) error = self->AcceptQueued();
+                        if (IsResourceShortage(error))
+                          return self->AcceptLater();
+                        self->Accept();
+                      });
 }
 
 void http_server::impl::AcceptLater() {
@@ -575,15 +600,18 @@
   if (stopping) new_session->CloseIfIdle();
 }
 
-// Accepts the connections in the listen queue. Closing the acceptor would reset
-// them, although their callers may have sent requests already.
-void http_server::impl::AcceptQueued() {
-  boost::system::error_code error;
-  acceptor.non_blocking(true, error);
-  while (!error) {
+// Accepts the connections in the listen queue. Returns why it stopped: the
+// queue is empty, or the system can't accept more.
+beast::error_code http_server::impl::AcceptQueued() {
+  while (true) {
+    // Read first: the process may be frozen between the two calls.
+    const time_point before = Now();
     tcp::socket socket(executor);
+    beast::error_code error;
     acceptor.accept(socket, error);
-    if (!error) Start(std::move(socket));
+    if (error == asio::error::would_block) queue_empty_at = before;
+    if (error) return error;
+    Start(std::move(socket));
   }
 }
 
@@ -596,12 +624,18 @@
 
 boost::leaf::result<void> http_server::Listen() { return impl_->Listen(); }
 
+void http_server::AcceptPending() {
+  if (!impl_->stopping) impl_->AcceptQueued();
+}
+
 void http_server::BeginDrain() { impl_->draining = true; }
 
 void http_server::StopAccepting() {
   if (impl_->stopping) return;
   impl_->draining = true;
   impl_->stopping = true;
+  // Closing the acceptor would reset the connections in the listen queue,
+  // although their callers may have sent requests already.
   impl_->AcceptQueued();
   boost::system::error_code ignored;
   impl_->acceptor.close(ignored);
--- a/app/http_server.h
+++ b/app/http_server.h
@@ -18,6 +18,11 @@
 // that is still being read is refused as not run, an answer that its caller
 // does not read is cut off. A request that has been handed to the handler
 // stays.
+//
+// A request may have waited for a long time when its handler runs: this process
+// may have been frozen, or a partition may have held up its bytes. Nothing in
+// its bytes tells, so http_request::sent_after bounds its age. The bound is
+// tight only if AcceptPending() is called often.
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/json.hpp>
@@ -33,6 +38,7 @@
 
 #include "app/settings.h"
 #include "bilberrycourse/result_code.h"
+#include "bilberrycourse/types.h"
 
 namespace bilberrycourse {
 
@@ -48,6 +54,12 @@
   header_list headers;
   // Time at which the first byte arrived.
   std::chrono::steady_clock::time_point received_at;
+  // A time before the caller sent the request: for the first one on a
+  // connection, the listen queue was empty then; for a later one, the answer to
+  // the previous one had not been written. A request that was sent before that
+  // answer has the bound of the previous one. Filled if
+  // http_server_options::bound_send_times is set.
+  time_point sent_after{};
   // True for the first request on a connection.
   bool first_on_connection = false;
   // Path without the query string.
@@ -90,6 +102,7 @@
   std::uint64_t max_connections = 10000;
   std::chrono::milliseconds read_timeout{10000};
   bool keep_headers = false;
+  bool bound_send_times = false;
   std::uint32_t max_header_bytes = 8192;
   // A request may have this many bytes on the wire beyond the limits of its
   // head and body, for chunk framing and trailers.
@@ -121,6 +134,10 @@
   ~http_server();
 
   boost::leaf::result<void> Listen();
+  // Accepts the connections in the listen queue. Needed only for a tight
+  // http_request::sent_after: without it, the queue is known to be empty only
+  // when the previous connection was accepted.
+  void AcceptPending();
   // Adds `Connection: close` to all further responses. Called some time before
   // StopAccepting(), so that no connection is closed while its caller sends the
   // next request on it.
--- a/app/route_daemon.cc
+++ b/app/route_daemon.cc
@@ -79,6 +79,7 @@
   options.max_buffered_bytes = MemoryShares(config).callers;
   options.read_timeout = config.read_timeout;
   options.keep_headers = config.entry;
+  options.bound_send_times = config.control;
   options.max_header_bytes = kMaxHeaderBytes;
   return options;
 }
@@ -285,7 +286,10 @@
   if (control_service_ != nullptr) control_service_->Tick(now);
   control_client_.Tick(now);
   if (gateway_ != nullptr) gateway_->RefreshRelays(now);
-  if (registry_ != nullptr) registry_->Tick(now);
+  if (registry_ != nullptr) {
+    registry_->Tick(now);
+    main_server_.AcceptPending();
+  }
   if (limits_ != nullptr) limits_->Tick(entries_, now);
   if (quotas_ != nullptr) quotas_->Tick(now);
   ExchangeCrashEvidence(now);
--- a/app/route_registry.cc
+++ b/app/route_registry.cc
@@ -15,6 +15,8 @@
 // Proposals of one evacuation order. Each further one takes another order that
 // was committed in between; with 8, one of 16 orders sent at once got 503.
 constexpr int kEvacuationTries = 32;
+// By then a member that is in touch has applied what the leader has committed.
+constexpr double kSupersededRetrySeconds = 0.1;
 
 http_response Accepted() { return {200, "application/json", "{}"}; }
 
@@ -24,6 +26,17 @@
   return response;
 }
 
+// Answer to an order whose sender may have given a later one meanwhile.
+http_response Superseded() {
+  http_response response = ProblemResponse(
+      result_code::kVersionConflict,
+      "another order about the zone was accepted after this one may have been "
+      "sent; send it again if it is still wanted");
+  response.status = 503;
+  response.retry_after = kSupersededRetrySeconds;
+  return response;
+}
+
 // Returns what the command has done if it was committed, otherwise the failure.
 control_outcome OutcomeOf(const control_reply& reply) {
   control_outcome outcome;
@@ -47,12 +60,12 @@
   const registry_call call = protocol_->ReadCall(request);
   std::visit(
       [&](const auto& typed_call) {
-        HandleCall(typed_call, std::move(respond));
+        HandleCall(typed_call, request.sent_after, std::move(respond));
       },
       call);
 }
 
-void route_registry::HandleCall(const invalid_call& call,
+void route_registry::HandleCall(const invalid_call& call, time_point,
                                 http_responder respond) {
   if (log_limiter_.Allow(Now())) {
     LogEvent(log_level::kWarning, "call_refused",
@@ -63,7 +76,7 @@
   respond(ProblemResponse(call.code, call.problem));
 }
 
-void route_registry::HandleCall(const put_routes_call& call,
+void route_registry::HandleCall(const put_routes_call& call, time_point,
                                 http_responder respond) {
   std::string problem;
   const auto config = protocol_->ReadRoutes(call.document, &problem);
@@ -90,7 +103,7 @@
       });
 }
 
-void route_registry::HandleCall(const get_routes_call&,
+void route_registry::HandleCall(const get_routes_call&, time_point,
                                 http_responder respond) {
   client_->Read("routes", "", Now() + kCallTimeout,
                 [respond](const control_reply& reply) {
@@ -111,12 +124,12 @@
   return known_record->report.state >= report.state;
 }
 
-void route_registry::HandleCall(const searcher_call& call,
+void route_registry::HandleCall(const searcher_call& call, time_point,
                                 http_responder respond) {
   const std::string_view problem = CheckSearcherReport(call.report);
   if (!problem.empty()) {
     return HandleCall(
-        invalid_call{result_code::kInvalidField, std::string(problem)},
+        invalid_call{result_code::kInvalidField, std::string(problem)}, {},
         std::move(respond));
   }
   if (IsRenewal(call.report)) return respond(Accepted());
@@ -124,50 +137,96 @@
 }
 
 void route_registry::HandleCall(const evacuation_call& call,
-                                http_responder respond) {
+                                time_point sent_after, http_responder respond) {
   if (!IsZoneName(call.zone)) {
     return HandleCall(
         invalid_call{result_code::kInvalidField,
                      "a zone is 1 to 128 letters, digits, '-', '_' and '.'"},
-        std::move(respond));
+        sent_after, std::move(respond));
   }
-  ProposeEvacuation(
-      {call.zone, call.evacuated, local_->state().evacuations().version},
-      Now() + kCallTimeout, kEvacuationTries, respond);
+  ObserveVersions();
+  const auto order = std::make_shared<evacuation_order>();
+  order->zone = call.zone;
+  order->evacuated = call.evacuated;
+  order->known_version = evacuation_versions_.KnownBefore(sent_after);
+  order->opening = opening_;
+  order->deadline = Now() + kCallTimeout;
+  order->tries_left = kEvacuationTries;
+  order->respond = std::move(respond);
+  ProposeEvacuation(order, local_->state().ZoneOrders(call.zone));
 }
 
-// Proposes the order on the newest version of the list. Another order may be
-// committed first, and this member may be behind; the order is then proposed
-// again on the version that the leader names.
-void route_registry::ProposeEvacuation(const zone_evacuation& order,
-                                       time_point deadline, int tries_left,
-                                       const http_responder& respond) {
-  client_->Propose(
-      EncodeCommand(order), deadline,
-      [this, order, deadline, tries_left, respond](const control_reply& reply) {
-        const control_outcome outcome = OutcomeOf(reply);
-        LogEvent(log_level::kInfo, "evacuation_proposed",
-                 {{"zone", order.zone},
-                  {"evacuated", order.evacuated},
-                  {"version", outcome.version},
-                  {"code", Describe(outcome.code).number},
-                  {"reason", Describe(outcome.code).name}});
-        if (outcome.code == result_code::kOk) return respond(Accepted());
-        if (outcome.code == result_code::kVersionConflict && tries_left > 1 &&
-            Now() < deadline) {
-          zone_evacuation next = order;
-          next.base_version = outcome.version;
-          return ProposeEvacuation(next, deadline, tries_left - 1, respond);
+// The data folder may have been replaced, and the versions of the new state may
+// be those of another group.
+void route_registry::ObserveVersions() {
+  if (opening_ != local_->opening()) evacuation_versions_.Clear();
+  opening_ = local_->opening();
+  evacuation_versions_.Observe(local_->state().evacuations().version, Now());
+}
+
+// Proposes the order on the version of `state`, unless a later order of its
+// sender may be part of that.
+void route_registry::ProposeEvacuation(const evacuation_order_pointer& order,
+                                       const zone_order_state& state) {
+  if (order->opening != local_->opening() ||
+      MayBeSuperseded(order->evacuated, order->known_version, state)) {
+    LogEvent(log_level::kInfo, "evacuation_refused",
+             {{"zone", order->zone},
+              {"evacuated", order->evacuated},
+              {"known_version", order->known_version},
+              {"latest_order", state.latest_order}});
+    return order->respond(Superseded());
+  }
+  --order->tries_left;
+  client_->Propose(EncodeCommand(zone_evacuation{order->zone, order->evacuated,
+                                                 state.version}),
+                   order->deadline, [this, order](const control_reply& reply) {
+                     OnEvacuationProposed(order, reply);
+                   });
+}
+
+void route_registry::OnEvacuationProposed(const evacuation_order_pointer& order,
+                                          const control_reply& reply) {
+  const control_outcome outcome = OutcomeOf(reply);
+  LogEvent(log_level::kInfo, "evacuation_proposed",
+           {{"zone", order->zone},
+            {"evacuated", order->evacuated},
+            {"version", outcome.version},
+            {"code", Describe(outcome.code).number},
+            {"reason", Describe(outcome.code).name}});
+  if (outcome.code == result_code::kOk) return order->respond(Accepted());
+  if (outcome.code == result_code::kVersionConflict && order->tries_left > 0 &&
+      Now() < order->deadline) {
+    return ProposeEvacuationAgain(order);
+  }
+  // The name has been checked, so too many zones are evacuated.
+  order->respond(
+      outcome.code == result_code::kInvalidField
+          ? ProblemResponse(outcome.code, "256 zones are evacuated already")
+          : Unavailable(outcome.code));
+}
+
+// Another order was committed first, or this member is behind. The leader tells
+// whether that order was about the same zone.
+void route_registry::ProposeEvacuationAgain(
+    const evacuation_order_pointer& order) {
+  client_->Read(
+      "zone_orders", order->zone, order->deadline,
+      [this, order](const control_reply& reply) {
+        const auto state = reply.code == result_code::kOk
+                               ? ParseZoneOrdersView(reply.body)
+                               : std::nullopt;
+        if (!state.has_value()) {
+          return order->respond(Unavailable(reply.code == result_code::kOk
+                                                ? result_code::kVersionConflict
+                                                : reply.code));
         }
-        // The name has been checked, so too many zones are evacuated.
-        respond(outcome.code == result_code::kInvalidField
-                    ? ProblemResponse(outcome.code,
-                                      "256 zones are evacuated already")
-                    : Unavailable(outcome.code));
+        ProposeEvacuation(order, *state);
       });
 }
 
 void route_registry::Tick(time_point now) {
+  ObserveVersions();
   if (pending_.empty()) return;
   const auto batch =
       std::make_shared<std::vector<pending_report>>(std::move(pending_));
--- a/app/route_registry.h
+++ b/app/route_registry.h
@@ -16,8 +16,15 @@
 // a committed order raises the version of the list, which refuses earlier
 // orders that are still on their way. Without that, an order that was sent
 // again could undo a later one that has been acknowledged.
+//
+// An order has no version of its own, and may have waited while this instance
+// was frozen or cut off. It gets the version that this instance knew before the
+// order was sent (http_request::sent_after), and is refused with 503 if the
+// zone has had an order since that left it otherwise. Its sender repeats it if
+// it is still wanted.
 
-#include <string>
+#include <cstdint>
+#include <memory>
 #include <vector>
 
 #include "app/control_client.h"
@@ -25,6 +32,9 @@
 #include "app/edge_protocol.h"
 #include "app/http_server.h"
 #include "app/log_limiter.h"
+#include "bilberrycourse/evacuated_zones.h"
+#include "bilberrycourse/types.h"
+#include "bilberrycourse/version_history.h"
 
 namespace bilberrycourse {
 
@@ -42,19 +52,45 @@
     http_responder respond;
   };
 
-  void HandleCall(const put_routes_call& call, http_responder respond);
-  void HandleCall(const get_routes_call& call, http_responder respond);
-  void HandleCall(const searcher_call& call, http_responder respond);
-  void HandleCall(const evacuation_call& call, http_responder respond);
-  void HandleCall(const invalid_call& call, http_responder respond);
-  void ProposeEvacuation(const zone_evacuation& order, time_point deadline,
-                         int tries_left, const http_responder& respond);
+  // An evacuation order until it is answered.
+  struct evacuation_order {
+    availability_zone zone;
+    bool evacuated = false;
+    // Version of the list that was known before the order was sent.
+    std::uint64_t known_version = 0;
+    // control_service::opening() at that time.
+    std::uint64_t opening = 0;
+    time_point deadline{};
+    int tries_left = 0;
+    http_responder respond;
+  };
+  using evacuation_order_pointer = std::shared_ptr<evacuation_order>;
+
+  void HandleCall(const put_routes_call& call, time_point sent_after,
+                  http_responder respond);
+  void HandleCall(const get_routes_call& call, time_point sent_after,
+                  http_responder respond);
+  void HandleCall(const searcher_call& call, time_point sent_after,
+                  http_responder respond);
+  void HandleCall(const evacuation_call& call, time_point sent_after,
+                  http_responder respond);
+  void HandleCall(const invalid_call& call, time_point sent_after,
+                  http_responder respond);
+  void ObserveVersions();
+  void ProposeEvacuation(const evacuation_order_pointer& order,
+                         const zone_order_state& state);
+  void OnEvacuationProposed(const evacuation_order_pointer& order,
+                            const control_reply& reply);
+  void ProposeEvacuationAgain(const evacuation_order_pointer& order);
   bool IsRenewal(const searcher_report& report) const;
 
   const edge_protocol* protocol_;
   control_service* local_;
   control_client* client_;
   std::vector<pending_report> pending_;
+  // Versions of the evacuation_list, while the state is that of `opening_`.
+  version_history evacuation_versions_;
+  std::uint64_t opening_ = 0;
   log_limiter log_limiter_;
 };
 
--- a/app/testing/control_service_test.cc
+++ b/app/testing/control_service_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <filesystem>
 #include <fstream>
@@ -10,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "app/control_client.h"
 #include "app/daemon_clock.h"
@@ -289,9 +291,10 @@
 
   std::unique_ptr<edge_protocol> protocol_ = MakePlatformProtocol();
   std::unique_ptr<control_service> service_ = Start(Now());
-  control_client client_{config_, transport_.get(), service_.get(), this};
+  std::unique_ptr<control_client> client_ = std::make_unique<control_client>(
+      config_, transport_.get(), service_.get(), this);
   std::unique_ptr<route_registry> registry_ = std::make_unique<route_registry>(
-      protocol_.get(), service_.get(), &client_);
+      protocol_.get(), service_.get(), client_.get());
 };
 
 // Guards against entries of another writer that are replicated although the
@@ -311,6 +314,141 @@
   EXPECT_EQ(Heartbeat("i1", "zone", "\"a\""), 0u);
 }
 
+// A group of one member, whose registry gets evacuation orders.
+class evacuation_registry_test : public route_registry_test {
+ protected:
+  void SetUp() override {
+    config_.initial_members = {config_.name};
+    registry_.reset();
+    service_->Drain();
+    service_.reset();
+    std::filesystem::remove_all(folder_);
+    service_ = Start(Now());
+    client_ = std::make_unique<control_client>(config_, transport_.get(),
+                                               service_.get(), this);
+    registry_ = std::make_unique<route_registry>(protocol_.get(),
+                                                 service_.get(), client_.get());
+    ASSERT_TRUE(Run([&] { return service_->leads(); }));
+  }
+
+  template <typename Condition>
+  bool Run(Condition condition) {
+    return RunContextUntil(&context_, condition, [&] {
+      service_->Tick(Now());
+      client_->Tick(Now());
+      registry_->Tick(Now());
+    });
+  }
+
+  // Hands an order over that its sender sent after `sent_after`.
+  void Send(const std::string& method, const std::string& zone,
+            time_point sent_after) {
+    http_request request;
+    request.method = method;
+    request.path = "/v1/evacuations/" + zone;
+    request.sent_after = sent_after;
+    const std::size_t index = statuses_.size();
+    statuses_.push_back(0);
+    registry_->Handle(request, [this, index](http_response answer) {
+      statuses_[index] = answer.status;
+    });
+  }
+  bool RunUntilAnswered() {
+    return Run(
+        [&] { return std::ranges::find(statuses_, 0u) == statuses_.end(); });
+  }
+  // Gives an order and returns the status of its answer.
+  unsigned Order(const std::string& method, const std::string& zone,
+                 time_point sent_after) {
+    Send(method, zone, sent_after);
+    EXPECT_TRUE(RunUntilAnswered());
+    return statuses_.back();
+  }
+  unsigned Order(const std::string& method, const std::string& zone) {
+    return Order(method, zone, Settled());
+  }
+  // Returns a time at which the registry knows all orders so far.
+  time_point Settled() {
+    const time_point end = Now() + std::chrono::milliseconds(2);
+    Run([&] { return Now() > end; });
+    return Now();
+  }
+  bool Evacuated(const std::string& zone) const {
+    return service_->state().ZoneOrders(zone).evacuated;
+  }
+
+  std::vector<unsigned> statuses_;
+};
+
+// Guards against an order that waited in the socket of a frozen instance and
+// undoes a later one that another instance has acknowledged, in both directions
+// (EVAC in review/11).
+TEST_F(evacuation_registry_test, Handle_SentBeforeLaterOrder_ChangesNothing) {
+  ASSERT_EQ(Order("POST", "a"), 200u);
+  const time_point before = Settled();
+  ASSERT_EQ(Order("DELETE", "a"), 200u);
+  ASSERT_EQ(Order("POST", "a"), 200u);
+  EXPECT_EQ(Order("DELETE", "a", before), 503u);
+  EXPECT_TRUE(Evacuated("a"));
+
+  const time_point before_end = Settled();
+  ASSERT_EQ(Order("DELETE", "a"), 200u);
+  EXPECT_EQ(Order("POST", "a", before_end), 503u);
+  EXPECT_FALSE(Evacuated("a"));
+}
+
+// Guards against refusing orders that waited but can't undo anything.
+TEST_F(evacuation_registry_test, Handle_NoLaterOpposite_IsAcknowledged) {
+  ASSERT_EQ(Order("POST", "a"), 200u);
+  const time_point before = Settled();
+  ASSERT_EQ(Order("POST", "b"), 200u);
+  EXPECT_EQ(Order("DELETE", "a", before), 200u);
+  EXPECT_FALSE(Evacuated("a"));
+  EXPECT_EQ(Order("POST", "b", before), 200u);
+  EXPECT_TRUE(Evacuated("b"));
+}
+
+// Guards against refusing orders that only meet orders about other zones, and
+// repeats of one another.
+TEST_F(evacuation_registry_test, Handle_SeveralAtOnce_AllAreAcknowledged) {
+  ASSERT_EQ(Order("DELETE", "z"), 200u);
+  statuses_.clear();
+  const time_point now = Settled();
+  for (const char* zone : {"a", "b", "c", "a"}) Send("POST", zone, now);
+  ASSERT_TRUE(RunUntilAnswered());
+  EXPECT_EQ(statuses_, std::vector<unsigned>(4, 200u));
+  EXPECT_EQ(service_->state().evacuations().zones.size(), 3u);
+}
+
+// Guards against an order that is proposed again on a version that includes an
+// opposite order: both were sent, and only one can be the last word.
+TEST_F(evacuation_registry_test, Handle_OppositeAtOnce_OneIsRefused) {
+  ASSERT_EQ(Order("DELETE", "a"), 200u);
+  statuses_.clear();
+  const time_point now = Settled();
+  Send("POST", "a", now);
+  Send("DELETE", "a", now);
+  ASSERT_TRUE(RunUntilAnswered());
+  EXPECT_EQ(statuses_, (std::vector<unsigned>{200, 503}));
+  EXPECT_TRUE(Evacuated("a"));
+  // The sender repeats it if it is still wanted.
+  EXPECT_EQ(Order("DELETE", "a"), 200u);
+  EXPECT_FALSE(Evacuated("a"));
+}
+
+// Guards against versions of the data folder before, which may be those of
+// another group.
+TEST_F(evacuation_registry_test, Handle_FolderReopened_KnowsNothingOfBefore) {
+  ASSERT_EQ(Order("POST", "a"), 200u);
+  const time_point before = Settled();
+  service_->Drain();
+  service_->Start(Now());
+  ASSERT_TRUE(Run([&] { return service_->leads() && Evacuated("a"); }));
+  EXPECT_EQ(Order("DELETE", "a", before), 503u);
+  EXPECT_TRUE(Evacuated("a"));
+  EXPECT_EQ(Order("DELETE", "a"), 200u);
+}
+
 // Guards against a frame of a peer that ends the process: the argument of the
 // view `request` is a JSON array of two strings, but a peer may send anything.
 TEST(request_argument_test, ParseRequestKey_WrongTypes_AreRefused) {
--- a/app/testing/e2e/routed.py
+++ b/app/testing/e2e/routed.py
@@ -80,6 +80,9 @@
     def running(self):
         return self.process.poll() is None
 
+    def signal(self, number):
+        self.process.send_signal(number)
+
     def peak_memory_mb(self):
         with open(f"/proc/{self.process.pid}/status") as status:
             return int(re.search(r"VmHWM:\s+(\d+) kB", status.read()).group(1)) / 1024
@@ -160,21 +163,25 @@
 
 
 class RoutedTier:
-    def __init__(self, build):
+    def __init__(self, build, controls=1):
         self.folder = tempfile.mkdtemp(prefix="routed-")
         peer_ports, (self.control_port, self.entry_port, self.readiness_port) = free_ports(2), free_ports(3)
+        control_ips = [f"127.0.0.{2 + index}" for index in range(controls)]
+        self.control_addresses = [f"{ip}:{self.control_port}" for ip in control_ips]
         with open(os.path.join(ROOT, "platform", "settings.ini")) as template:
             self.template = template.read()
-        control_address = f"127.0.0.2:{self.control_port}"
-        common = {"zone": "z", "bootstrap": True, "seeds": [control_address],
-                  "faultTolerance": {"machines": 0},
+        common = {"zone": "z", "bootstrap": True, "seeds": self.control_addresses,
+                  "faultTolerance": {"machines": (controls - 1) // 2},
                   "bounds": {"retryBudgetRatio": 0.2, "retryBudgetSlack": 50}}
         self.searcher = StandInSearcher()
         self.endless_searchers = []
-        self.control = Process(build, self.folder, "control", render(self.template, dict(
-            common, nodeName="c1", ip="127.0.0.2", internalPortRange=[peer_ports[0], peer_ports[0]],
-            listenAddrs={"controlPlane": control_address}, dataDir=os.path.join(self.folder, "data"),
-            limits={"memoryMb": CONTROL_MEMORY_MB})))
+        self.controls = []
+        for number, ip in enumerate(control_ips, 1):
+            self.controls.append(Process(build, self.folder, f"control{number}", render(self.template, dict(
+                common, nodeName=f"c{number}", ip=ip, internalPortRange=[peer_ports[0], peer_ports[0]],
+                listenAddrs={"controlPlane": f"{ip}:{self.control_port}"},
+                dataDir=os.path.join(self.folder, f"data{number}"), limits={"memoryMb": CONTROL_MEMORY_MB}))))
+        self.control = self.controls[0]
         self.entry = Process(build, self.folder, "entry", render(self.template, dict(
             common, nodeName="e1", ip="127.0.0.1", internalPortRange=[peer_ports[0], peer_ports[0]],
             listenAddrs={"frontend": f"127.0.0.1:{self.entry_port}",
@@ -186,7 +193,7 @@
         return self
 
     def __exit__(self, *unused):
-        for process in (self.entry, self.control):
+        for process in (self.entry, *self.controls):
             process.end()
         for searcher in [self.searcher, *self.endless_searchers]:
             searcher.end()
@@ -225,17 +232,23 @@
                 "slots": 64, "state": "ready", "warmupLeftMs": 0, "sequence": self.sequence, "born": 1}
         return self.call(f"127.0.0.2:{self.control_port}", "PUT", f"/v1/instances/{name}", json.dumps(body))
 
-    def evacuate(self, zone, method="POST", seconds=10):
+    def evacuate(self, zone, method="POST", seconds=10, control=0):
         """Repeats the call, as an operator does, until it is not answered 503.
         Returns the status."""
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            answer = self.call(f"127.0.0.2:{self.control_port}", method, f"/v1/evacuations/{zone}")
+            answer = self.call(self.control_addresses[control], method, f"/v1/evacuations/{zone}")
             if answer is not None and answer[0] != 503:
                 return answer[0]
             time.sleep(0.1)
         return 503
 
+    def send_order(self, control, zone, method):
+        """Sends an order on a new connection, which is returned open."""
+        connection = http.client.HTTPConnection(self.control_addresses[control], timeout=10)
+        connection.request(method, f"/v1/evacuations/{zone}", headers={"Host": HOST})
+        return connection
+
     def add_endless_searchers(self, count):
         """Returns whether the entry instance sends to them within 20 s."""
         for number in range(count):
--- a/app/testing/http_server_test.cc
+++ b/app/testing/http_server_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -15,6 +16,8 @@
 #include <thread>
 #include <vector>
 
+#include "app/daemon_clock.h"
+
 namespace bilberrycourse {
 namespace {
 
@@ -38,9 +41,11 @@
     options.max_request_bytes = 2048;
     options.read_timeout = std::chrono::milliseconds(200);
     options.keep_headers = true;
+    options.bound_send_times = true;
     server_ = std::make_unique<http_server>(
         context_.get_executor(), options,
         [this](http_request request, http_responder respond) {
+          sent_after_.push_back(request.sent_after);
           if (request.path == "/slow") {
             pending_responders_.push_back(std::move(respond));
             return;
@@ -105,15 +110,122 @@
   std::uint16_t port_ = 0;
   std::unique_ptr<http_server> server_;
   std::vector<http_responder> pending_responders_;
+  // Of all requests; written by thread_.
+  std::vector<time_point> sent_after_;
   std::thread thread_;
 };
 
+// Requests that wait because the process stands still.
+class http_server_age_test : public http_server_test {
+ protected:
+  // Lets the server stand still until the result is set, and returns once it
+  // does.
+  std::promise<void> Freeze() {
+    std::promise<void> thaw;
+    std::promise<void> frozen;
+    asio::post(context_, [&frozen, wait = thaw.get_future().share()] {
+      frozen.set_value();
+      wait.wait();
+    });
+    frozen.get_future().wait();
+    return thaw;
+  }
+
+  // Runs the function between two events of the server.
+  void Post(const std::function<void()>& function) {
+    std::promise<void> done;
+    asio::post(context_, [&] {
+      function();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  tcp::socket Connect() {
+    tcp::socket socket(client_context_);
+    socket.connect({asio::ip::make_address("127.0.0.1"), port_});
+    return socket;
+  }
+  static void Send(tcp::socket* socket) {
+    asio::write(
+        *socket,
+        asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: a\r\n\r\n")));
+  }
+  static void Receive(tcp::socket* socket) {
+    std::string answer;
+    asio::read_until(*socket, asio::dynamic_buffer(answer), "GET");
+  }
+
+  asio::io_context client_context_;
+};
+
 TEST_F(http_server_test, Request_Valid_ReachesHandler) {
   const std::string answer = Exchange(
       "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi", "POSThi");
   EXPECT_EQ(answer.substr(0, 15), "HTTP/1.1 200 OK");
 }
 
+// Guards against taking a request for a new one that waited in the listen queue
+// or in its socket while the process stood still.
+TEST_F(http_server_age_test, SentAfter_ServerStoodStill_IsBeforeTheRequest) {
+  tcp::socket kept = Connect();
+  Send(&kept);
+  Receive(&kept);
+  std::promise<void> thaw = Freeze();
+  tcp::socket queued = Connect();
+  Send(&queued);
+  Send(&kept);
+  const time_point sent = Now();
+  std::this_thread::sleep_for(std::chrono::milliseconds(30));
+  // The tick of the daemon runs first when the process goes on.
+  asio::post(context_, [&] { server_->AcceptPending(); });
+  thaw.set_value();
+  Receive(&queued);
+  Receive(&kept);
+  Post([&] {
+    ASSERT_EQ(sent_after_.size(), 3u);
+    EXPECT_LT(sent_after_[1], sent);
+    EXPECT_LT(sent_after_[2], sent);
+  });
+}
+
+// Guards against a bound that is useless because it is far in the past.
+TEST_F(http_server_age_test, SentAfter_QueueWasEmpty_IsRecent) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(30));
+  time_point empty;
+  Post([&] {
+    empty = Now();
+    server_->AcceptPending();
+  });
+  tcp::socket first = Connect();
+  Send(&first);
+  Receive(&first);
+  Post([&] { EXPECT_GE(sent_after_.at(0), empty); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(30));
+  Send(&first);
+  Receive(&first);
+  Post([&] { EXPECT_GT(sent_after_.at(1), sent_after_.at(0)); });
+}
+
+// Guards against the time of the answer as a bound for a request that was sent
+// before the answer.
+TEST_F(http_server_age_test, SentAfter_TwoRequestsAtOnce_IsThatOfTheFirst) {
+  tcp::socket socket = Connect();
+  asio::write(socket,
+              asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+                                       "GET /x HTTP/1.1\r\nHost: a\r\n\r\n")));
+  std::string answers;
+  asio::read_until(socket, asio::dynamic_buffer(answers), "GET");
+  while (answers.rfind("GET") == answers.find("GET")) {
+    asio::read(socket, asio::dynamic_buffer(answers),
+               asio::transfer_at_least(1));
+  }
+  Post([&] {
+    ASSERT_EQ(sent_after_.size(), 2u);
+    EXPECT_EQ(sent_after_[0], sent_after_[1]);
+  });
+}
+
 // Guards against closing a connection without a numbered error. The handler
 // gets none of these requests.
 TEST_F(http_server_test, Request_BadInput_GetsNumberedProblem) {
--- a/bilberrycourse/control_state.cc
+++ b/bilberrycourse/control_state.cc
@@ -339,9 +339,18 @@
                      "256 evacuated zones");
   }
   outcome.version = evacuations_.version;
+  if (outcome.code == result_code::kOk) {
+    zone_orders_.OnOrder(command.zone, outcome.version);
+  }
   return outcome;
 }
 
+zone_order_state control_state::ZoneOrders(
+    const availability_zone& zone) const {
+  return {evacuations_.version, zone_orders_.LatestOrder(zone),
+          std::ranges::binary_search(evacuations_.zones, zone)};
+}
+
 control_outcome control_state::ApplyCommand(const request_begin& command) {
   if (!HasLengthUpTo(command.caller, kMaxCallerBytes) ||
       !HasLengthUpTo(command.key, kMaxKeyBytes) ||
--- a/bilberrycourse/control_state.h
+++ b/bilberrycourse/control_state.h
@@ -157,6 +157,7 @@
   const route_document& routes() const { return routes_; }
   const searcher_directory& searchers() const { return searchers_; }
   const evacuation_list& evacuations() const { return evacuations_; }
+  zone_order_state ZoneOrders(const availability_zone& zone) const;
   // Serializes what has changed since the given versions, for
   // LoadRouteUpdate(). Returns an empty string if nothing has changed.
   // Receivers of earlier builds know no version of the evacuated zones and get
@@ -169,6 +170,8 @@
   std::string ConfigView() const;
   std::string HistoryView(std::size_t newest) const;
   std::string ExceptionsView(wall_time_ms wall_now) const;
+  // ParseZoneOrdersView() reads it.
+  std::string ZoneOrdersView(const availability_zone& zone) const;
   // Returns at most `limit` requests issued at or after `since`, oldest first.
   // The field `state` is answered, unanswered, unknown or running.
   std::string RequestsView(wall_time_ms since, wall_time_ms wall_now,
@@ -228,8 +231,13 @@
   route_document routes_;
   searcher_directory searchers_;
   evacuation_list evacuations_;
+  zone_order_history zone_orders_;
 };
 
+// Returns nullopt if the text is not that of ZoneOrdersView(), as from a member
+// of an earlier build.
+std::optional<zone_order_state> ParseZoneOrdersView(std::string_view text);
+
 // Incremental update of the routes and searchers of an entry instance.
 struct route_update {
   // Version 0 if the receiver has the newest configuration.
--- a/bilberrycourse/control_state_snapshot.cc
+++ b/bilberrycourse/control_state_snapshot.cc
@@ -250,6 +250,7 @@
   if (in.evacuations != nullptr) {
     loaded.evacuations_ = FromWire(*in.evacuations);
   }
+  loaded.zone_orders_.Reset(loaded.evacuations_.version);
   *this = std::move(loaded);
   return true;
 }
--- a/bilberrycourse/control_state_views.cc
+++ b/bilberrycourse/control_state_views.cc
@@ -139,4 +139,32 @@
                                       {"requests", std::move(items)}});
 }
 
+std::string control_state::ZoneOrdersView(const availability_zone& zone) const {
+  const zone_order_state state = ZoneOrders(zone);
+  return json::serialize(json::object{{"version", state.version},
+                                      {"latest_order", state.latest_order},
+                                      {"evacuated", state.evacuated}});
+}
+
+std::optional<zone_order_state> ParseZoneOrdersView(std::string_view text) {
+  boost::system::error_code error;
+  const json::value parsed = json::parse(text, error);
+  if (error || !parsed.is_object()) return std::nullopt;
+  const json::object& from = parsed.get_object();
+  const json::value* version = from.if_contains("version");
+  const json::value* latest = from.if_contains("latest_order");
+  const json::value* evacuated = from.if_contains("evacuated");
+  if (version == nullptr || latest == nullptr || evacuated == nullptr ||
+      !version->is_number() || !latest->is_number() || !evacuated->is_bool()) {
+    return std::nullopt;
+  }
+  zone_order_state state;
+  state.version = version->to_number<std::uint64_t>(error);
+  if (error) return std::nullopt;
+  state.latest_order = latest->to_number<std::uint64_t>(error);
+  if (error) return std::nullopt;
+  state.evacuated = evacuated->get_bool();
+  return state;
+}
+
 }  // namespace bilberrycourse
--- a/bilberrycourse/evacuated_zones.cc
+++ b/bilberrycourse/evacuated_zones.cc
@@ -10,8 +10,37 @@
          (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
 }
 
+// Zones whose latest order is known. More are forgotten together.
+constexpr std::size_t kMaxKnownZones = 4 * kMaxEvacuatedZones;
+
 }  // namespace
 
+void zone_order_history::OnOrder(const availability_zone& zone,
+                                 std::uint64_t version) {
+  if (latest_.size() >= kMaxKnownZones && !latest_.contains(zone)) {
+    Reset(version - 1);
+  }
+  latest_[zone] = version;
+}
+
+void zone_order_history::Reset(std::uint64_t version) {
+  unknown_up_to_ = version;
+  latest_.clear();
+}
+
+std::uint64_t zone_order_history::LatestOrder(
+    const availability_zone& zone) const {
+  const auto found = latest_.find(zone);
+  return found == latest_.end() ? unknown_up_to_ : found->second;
+}
+
+bool MayBeSuperseded(bool evacuated, std::uint64_t known_version,
+                     const zone_order_state& state) {
+  if (state.evacuated == evacuated) return false;
+  // A list that is older than what was known belongs to another group.
+  return state.latest_order > known_version || state.version < known_version;
+}
+
 bool IsZoneName(std::string_view zone) {
   return !zone.empty() && zone.size() <= kMaxZoneNameBytes &&
          std::ranges::all_of(zone, IsZoneCharacter);
--- a/bilberrycourse/testing/evacuated_zones_test.cc
+++ b/bilberrycourse/testing/evacuated_zones_test.cc
@@ -148,5 +148,64 @@
   EXPECT_TRUE(next->evacuations.zones.empty());
 }
 
+// Guards against an order that undoes a later one of the same sender, and
+// against refusing one that can't.
+TEST(zone_order_test, MayBeSuperseded_AnyState_RefusesOnlyDoubtfulChanges) {
+  const struct {
+    const char* what;
+    bool order;
+    std::uint64_t known;
+    zone_order_state state;
+    bool superseded;
+  } cases[] = {
+      {"no order since", false, 5, {5, 5, true}, false},
+      {"orders about other zones since", false, 5, {9, 4, true}, false},
+      {"an opposite order since", false, 5, {7, 7, true}, true},
+      {"an opposite order among others", true, 5, {9, 6, false}, true},
+      {"what holds already", true, 5, {7, 7, true}, false},
+      {"first order", true, 0, {0, 0, false}, false},
+      {"nothing known", true, 0, {4, 4, false}, true},
+      {"the list of another group", true, 9, {2, 1, false}, true},
+  };
+  for (const auto& c : cases) {
+    EXPECT_EQ(MayBeSuperseded(c.order, c.known, c.state), c.superseded)
+        << c.what;
+  }
+}
+
+// Guards against an order that seems the latest one after a restart or after
+// many zones, because the later ones are not known.
+TEST_F(evacuated_zones_test, ZoneOrders_HistoryIncomplete_IsUpperBound) {
+  Order("a", true);
+  Order("b", true);
+  EXPECT_EQ(state_.ZoneOrders("a"), (zone_order_state{2, 1, true}));
+  EXPECT_EQ(state_.ZoneOrders("c"), (zone_order_state{2, 0, false}));
+  control_state restored;
+  ASSERT_TRUE(restored.LoadSnapshot(state_.SaveSnapshot()));
+  EXPECT_EQ(restored.ZoneOrders("a"), (zone_order_state{2, 2, true}));
+  EXPECT_EQ(restored.ZoneOrders("c"), (zone_order_state{2, 2, false}));
+  zone_order_history history;
+  for (std::uint64_t i = 1; i <= 3000; ++i) {
+    history.OnOrder("z" + std::to_string(i), i);
+  }
+  EXPECT_EQ(history.LatestOrder("z3000"), 3000u);
+  EXPECT_GE(history.LatestOrder("z1"), 1u);
+}
+
+// Guards against an answer of a member of an earlier build that is taken for
+// one about the zone.
+TEST_F(evacuated_zones_test, ParseZoneOrdersView_AnyText_ReadsOnlyTheView) {
+  Order("a", true);
+  EXPECT_EQ(ParseZoneOrdersView(state_.ZoneOrdersView("a")),
+            state_.ZoneOrders("a"));
+  for (const char* text :
+       {"", "{}", "[]", "{\"version\":1}",
+        "{\"version\":-1,\"latest_order\":1,\"evacuated\":true}",
+        "{\"version\":1,\"latest_order\":\"1\",\"evacuated\":true}",
+        "{\"version\":1,\"latest_order\":1,\"evacuated\":1}"}) {
+    EXPECT_FALSE(ParseZoneOrdersView(text).has_value()) << text;
+  }
+}
+
 }  // namespace
 }  // namespace bilberrycourse
