Name the process that a searcher's leave without a start time is about

What was wrong: a DELETE without a body that waited in the socket of a frozen control instance marked the searcher as gone that had started again under its id meanwhile, and its heartbeats were acknowledged without effect.

Change: the leave gets the start time of the process that the instance knew before the leave was sent (searcher_starts), and is refused with 503 if it has learned of that process later. It is acknowledged once the instance sees that the searcher is gone, because one that is behind may name an earlier process.

--- a/app/route_registry.cc
+++ b/app/route_registry.cc
@@ -26,12 +26,10 @@
   return response;
 }
 
-// Answer to an order whose sender may have given a later one meanwhile.
-http_response Superseded() {
-  http_response response = ProblemResponse(
-      result_code::kVersionConflict,
-      "another order about the zone was accepted after this one may have been "
-      "sent; send it again if it is still wanted");
+// Answer to a call that a later one of the same sender may have superseded.
+http_response Superseded(std::string_view detail) {
+  http_response response =
+      ProblemResponse(result_code::kVersionConflict, detail);
   response.status = 503;
   response.retry_after = kSupersededRetrySeconds;
   return response;
@@ -124,8 +122,8 @@
   return known_record->report.state >= report.state;
 }
 
-void route_registry::HandleCall(const searcher_call& call, time_point,
-                                http_responder respond) {
+void route_registry::HandleCall(const searcher_call& call,
+                                time_point sent_after, http_responder respond) {
   const std::string_view problem = CheckSearcherReport(call.report);
   if (!problem.empty()) {
     return HandleCall(
@@ -133,7 +131,24 @@
         std::move(respond));
   }
   if (IsRenewal(call.report)) return respond(Accepted());
-  pending_.push_back({call.report, std::move(respond)});
+  pending_report pending{call.report, false, std::move(respond)};
+  searcher_report& report = pending.report;
+  // An unknown searcher may be known to the other members.
+  if (report.state == searcher_state::kGone && report.started_at_ms == 0 &&
+      local_->state().searchers().Find(report.id) != nullptr) {
+    ObserveState();
+    const auto started_at_ms =
+        searcher_starts_.KnownBefore(report.id, sent_after);
+    if (!started_at_ms.has_value()) {
+      LogEvent(log_level::kInfo, "leave_refused", {{"searcher", report.id}});
+      return pending.respond(Superseded(
+          "the searcher has started after it may have sent this; send it again "
+          "if it still leaves"));
+    }
+    report.started_at_ms = *started_at_ms;
+    pending.start_inferred = true;
+  }
+  pending_.push_back(std::move(pending));
 }
 
 void route_registry::HandleCall(const evacuation_call& call,
@@ -144,7 +159,7 @@
                      "a zone is 1 to 128 letters, digits, '-', '_' and '.'"},
         sent_after, std::move(respond));
   }
-  ObserveVersions();
+  ObserveState();
   const auto order = std::make_shared<evacuation_order>();
   order->zone = call.zone;
   order->evacuated = call.evacuated;
@@ -158,10 +173,15 @@
 
 // The data folder may have been replaced, and the versions of the new state may
 // be those of another group.
-void route_registry::ObserveVersions() {
-  if (opening_ != local_->opening()) evacuation_versions_.Clear();
+void route_registry::ObserveState() {
+  if (opening_ != local_->opening()) {
+    evacuation_versions_.Clear();
+    searcher_starts_.Clear();
+  }
   opening_ = local_->opening();
-  evacuation_versions_.Observe(local_->state().evacuations().version, Now());
+  const time_point now = Now();
+  evacuation_versions_.Observe(local_->state().evacuations().version, now);
+  searcher_starts_.Observe(local_->state().searchers(), now);
 }
 
 // Proposes the order on the version of `state`, unless a later order of its
@@ -175,7 +195,9 @@
               {"evacuated", order->evacuated},
               {"known_version", order->known_version},
               {"latest_order", state.latest_order}});
-    return order->respond(Superseded());
+    return order->respond(Superseded(
+        "another order about the zone was accepted after this one may have "
+        "been sent; send it again if it is still wanted"));
   }
   --order->tries_left;
   client_->Propose(EncodeCommand(zone_evacuation{order->zone, order->evacuated,
@@ -226,7 +248,8 @@
 }
 
 void route_registry::Tick(time_point now) {
-  ObserveVersions();
+  ObserveState();
+  AnswerLeaves(now);
   if (pending_.empty()) return;
   const auto batch =
       std::make_shared<std::vector<pending_report>>(std::move(pending_));
@@ -235,22 +258,49 @@
   for (const pending_report& pending : *batch) {
     command.reports.push_back(pending.report);
   }
-  client_->Propose(EncodeCommand(command), now + kCallTimeout,
-                   [batch](const control_reply& reply) {
-                     for (const pending_report& pending : *batch) {
-                       LogEvent(
-                           log_level::kInfo, "searcher_reported",
-                           {{"searcher", pending.report.id},
-                            {"service", pending.report.service},
-                            {"state", ToString(pending.report.state)},
-                            {"started_at_ms", pending.report.started_at_ms},
-                            {"sequence", pending.report.sequence},
-                            {"code", Describe(reply.code).number}});
-                       pending.respond(reply.code == result_code::kOk
-                                           ? Accepted()
-                                           : Unavailable(reply.code));
-                     }
+  const time_point deadline = now + kCallTimeout;
+  client_->Propose(EncodeCommand(command), deadline,
+                   [this, batch, deadline](const control_reply& reply) {
+                     OnReportsProposed(batch.get(), reply.code, deadline);
                    });
 }
 
+void route_registry::OnReportsProposed(std::vector<pending_report>* batch,
+                                       result_code code, time_point deadline) {
+  for (pending_report& pending : *batch) {
+    LogEvent(log_level::kInfo, "searcher_reported",
+             {{"searcher", pending.report.id},
+              {"service", pending.report.service},
+              {"state", ToString(pending.report.state)},
+              {"started_at_ms", pending.report.started_at_ms},
+              {"sequence", pending.report.sequence},
+              {"code", Describe(code).number}});
+    if (code != result_code::kOk) {
+      pending.respond(Unavailable(code));
+    } else if (!pending.start_inferred || IsGone(pending.report.id)) {
+      pending.respond(Accepted());
+    } else {
+      leaves_.push_back(
+          {pending.report.id, deadline, std::move(pending.respond)});
+    }
+  }
+}
+
+// Answers the leaves that this member has applied, and those that it does not
+// apply in time.
+void route_registry::AnswerLeaves(time_point now) {
+  std::erase_if(leaves_, [&](const committed_leave& leave) {
+    const bool gone = IsGone(leave.id);
+    if (!gone && now < leave.deadline) return false;
+    leave.respond(gone ? Accepted()
+                       : Unavailable(result_code::kVersionConflict));
+    return true;
+  });
+}
+
+bool route_registry::IsGone(const std::string& id) const {
+  const searcher_record* record = local_->state().searchers().Find(id);
+  return record == nullptr || record->report.state == searcher_state::kGone;
+}
+
 }  // namespace bilberrycourse
--- a/app/route_registry.h
+++ b/app/route_registry.h
@@ -22,9 +22,15 @@
 // order was sent (http_request::sent_after), and is refused with 503 if the
 // zone has had an order since that left it otherwise. Its sender repeats it if
 // it is still wanted.
+//
+// A searcher's leave without a start time gets that of the process that this
+// instance knew before the leave was sent. It is acknowledged once this
+// instance sees that the searcher is gone: an instance that is behind may have
+// named an earlier process.
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "app/control_client.h"
@@ -33,6 +39,7 @@
 #include "app/http_server.h"
 #include "app/log_limiter.h"
 #include "bilberrycourse/evacuated_zones.h"
+#include "bilberrycourse/searcher_starts.h"
 #include "bilberrycourse/types.h"
 #include "bilberrycourse/version_history.h"
 
@@ -49,6 +56,15 @@
  private:
   struct pending_report {
     searcher_report report;
+    // The start time was not stated by the searcher.
+    bool start_inferred = false;
+    http_responder respond;
+  };
+
+  // A committed leave whose effect this member has not seen yet.
+  struct committed_leave {
+    std::string id;
+    time_point deadline{};
     http_responder respond;
   };
 
@@ -76,7 +92,11 @@
                   http_responder respond);
   void HandleCall(const invalid_call& call, time_point sent_after,
                   http_responder respond);
-  void ObserveVersions();
+  void ObserveState();
+  void OnReportsProposed(std::vector<pending_report>* batch, result_code code,
+                         time_point deadline);
+  void AnswerLeaves(time_point now);
+  bool IsGone(const std::string& id) const;
   void ProposeEvacuation(const evacuation_order_pointer& order,
                          const zone_order_state& state);
   void OnEvacuationProposed(const evacuation_order_pointer& order,
@@ -88,6 +108,8 @@
   control_service* local_;
   control_client* client_;
   std::vector<pending_report> pending_;
+  std::vector<committed_leave> leaves_;
+  searcher_starts searcher_starts_;
   // Versions of the evacuation_list, while the state is that of `opening_`.
   version_history evacuation_versions_;
   std::uint64_t opening_ = 0;
--- a/app/testing/control_service_test.cc
+++ b/app/testing/control_service_test.cc
@@ -314,8 +314,8 @@
   EXPECT_EQ(Heartbeat("i1", "zone", "\"a\""), 0u);
 }
 
-// A group of one member, whose registry gets evacuation orders.
-class evacuation_registry_test : public route_registry_test {
+// A group of one member.
+class committing_registry_test : public route_registry_test {
  protected:
   void SetUp() override {
     config_.initial_members = {config_.name};
@@ -340,12 +340,12 @@
     });
   }
 
-  // Hands an order over that its sender sent after `sent_after`.
-  void Send(const std::string& method, const std::string& zone,
-            time_point sent_after) {
+  // Hands a request over that its sender sent after `sent_after`.
+  void SendRequest(const std::string& method, const std::string& path,
+                   time_point sent_after) {
     http_request request;
     request.method = method;
-    request.path = "/v1/evacuations/" + zone;
+    request.path = path;
     request.sent_after = sent_after;
     const std::size_t index = statuses_.size();
     statuses_.push_back(0);
@@ -357,6 +357,22 @@
     return Run(
         [&] { return std::ranges::find(statuses_, 0u) == statuses_.end(); });
   }
+  // Returns a time at which the registry knows all orders so far.
+  time_point Settled() {
+    const time_point end = Now() + std::chrono::milliseconds(2);
+    Run([&] { return Now() > end; });
+    return Now();
+  }
+
+  std::vector<unsigned> statuses_;
+};
+
+class evacuation_registry_test : public committing_registry_test {
+ protected:
+  void Send(const std::string& method, const std::string& zone,
+            time_point sent_after) {
+    SendRequest(method, "/v1/evacuations/" + zone, sent_after);
+  }
   // Gives an order and returns the status of its answer.
   unsigned Order(const std::string& method, const std::string& zone,
                  time_point sent_after) {
@@ -367,17 +383,9 @@
   unsigned Order(const std::string& method, const std::string& zone) {
     return Order(method, zone, Settled());
   }
-  // Returns a time at which the registry knows all orders so far.
-  time_point Settled() {
-    const time_point end = Now() + std::chrono::milliseconds(2);
-    Run([&] { return Now() > end; });
-    return Now();
-  }
   bool Evacuated(const std::string& zone) const {
     return service_->state().ZoneOrders(zone).evacuated;
   }
-
-  std::vector<unsigned> statuses_;
 };
 
 // Guards against an order that waited in the socket of a frozen instance and
@@ -449,6 +457,65 @@
   EXPECT_EQ(Order("DELETE", "a"), 200u);
 }
 
+class leave_registry_test : public committing_registry_test {
+ protected:
+  // A heartbeat of the process of s1 that started then.
+  void Start(const std::string& started_at_ms) {
+    Heartbeat("s1", "born", started_at_ms);
+  }
+  // A leave of s1 without a start time.
+  void Leave(time_point sent_after) {
+    SendRequest("DELETE", "/v1/instances/s1", sent_after);
+  }
+  const searcher_report& Report() const {
+    return service_->state().searchers().Find("s1")->report;
+  }
+  bool Registered(wall_time_ms started_at_ms) {
+    return Run([&] {
+      const auto* record = service_->state().searchers().Find("s1");
+      return record != nullptr && record->report.started_at_ms == started_at_ms;
+    });
+  }
+};
+
+// Guards against a leave without a start time that is not carried out.
+TEST_F(leave_registry_test, Handle_LeaveWithoutStart_SearcherIsGone) {
+  Start("100");
+  ASSERT_TRUE(Registered(100));
+  Leave(Settled());
+  ASSERT_TRUE(RunUntilAnswered());
+  EXPECT_EQ(statuses_, (std::vector<unsigned>{200}));
+  EXPECT_EQ(Report().state, searcher_state::kGone);
+  EXPECT_EQ(Report().started_at_ms, 100);
+}
+
+// Guards against a leave that waited in the socket of a frozen instance and
+// marks the next process of the searcher as gone.
+TEST_F(leave_registry_test, Handle_LeaveSentBeforeRestart_IsRefused) {
+  Start("100");
+  ASSERT_TRUE(Registered(100));
+  const time_point before = Settled();
+  Start("200");
+  ASSERT_TRUE(Registered(200));
+  Leave(before);
+  ASSERT_TRUE(RunUntilAnswered());
+  EXPECT_EQ(statuses_, (std::vector<unsigned>{503}));
+  EXPECT_EQ(Report().state, searcher_state::kServing);
+}
+
+// The same if this instance has not learned of the next process yet.
+TEST_F(leave_registry_test, Handle_RestartNotYetKnown_NewProcessIsKept) {
+  Start("100");
+  ASSERT_TRUE(Registered(100));
+  const time_point before = Settled();
+  Start("200");
+  Leave(before);
+  ASSERT_TRUE(RunUntilAnswered());
+  EXPECT_EQ(statuses_, (std::vector<unsigned>{503}));
+  EXPECT_EQ(Report().started_at_ms, 200);
+  EXPECT_EQ(Report().state, searcher_state::kServing);
+}
+
 // Guards against a frame of a peer that ends the process: the argument of the
 // view `request` is a JSON array of two strings, but a peer may send anything.
 TEST(request_argument_test, ParseRequestKey_WrongTypes_AreRefused) {
