State where the bound on a request's age does not hold

A pipelined request that a partition holds up until the previous answer has been written gets a later bound than it should.

--- a/app/http_server.h
+++ b/app/http_server.h
@@ -56,9 +56,10 @@
   std::chrono::steady_clock::time_point received_at;
   // A time before the caller sent the request: for the first one on a
   // connection, the listen queue was empty then; for a later one, the answer to
-  // the previous one had not been written. A request that was sent before that
-  // answer has the bound of the previous one. Filled if
-  // http_server_options::bound_send_times is set.
+  // the previous one had not been written. If bytes of a request arrive before
+  // that answer, the request has the bound of the previous one; a pipelined
+  // request that a partition holds up beyond that answer is taken for a newer
+  // one. Filled if http_server_options::bound_send_times is set.
   time_point sent_after{};
   // True for the first request on a connection.
   bool first_on_connection = false;
