Make the test of preconnecting without a known tier able to fail

SetRoutes_InstancesUnknown_OpensNoConnection left the connection limit at 50, which is below the size that is assumed for an unknown tier, so no connection was opened for that reason alone. With a limit of 200, the test fails when the check of instances_known_ is taken out of searcher_pool::ShouldPreconnect(), and passes with it.

--- a/bilberrycourse/testing/route_engine_rig.h
+++ b/bilberrycourse/testing/route_engine_rig.h
@@ -77,6 +77,12 @@
     Apply();
   }
 
+  // Sets how many connections a searcher of the service accepts; 50 at first.
+  void SetConnectionLimit(const std::string& service, std::uint32_t limit) {
+    config_.services.at(service).connection_limit = limit;
+    Apply();
+  }
+
   route* Route(const std::string& name) {
     for (route& entry : config_.routes) {
       if (entry.name == name) return &entry;
--- a/bilberrycourse/testing/route_engine_test.cc
+++ b/bilberrycourse/testing/route_engine_test.cc
@@ -375,6 +375,8 @@
   rig.connect = false;
   for (const char* id : {"n1", "n2", "n3"}) rig.AddSearcher("near", id);
   rig.AddRoute("near", 0, true);
+  // Enough for a tier of the size that is assumed.
+  rig.SetConnectionLimit("near", 200);
   EXPECT_TRUE(rig.opened.empty());
   rig.SetInstances(295);
   EXPECT_TRUE(rig.opened.empty());
