Make the model of relays depend on its seed alone

SendOverLink() kept the result of std::minmax(), a pair of references to its own parameters, in a lambda that ran later. The link is now a pair of values.

--- a/bilberrycourse/testing/relay_tier.h
+++ b/bilberrycourse/testing/relay_tier.h
@@ -84,6 +84,8 @@
 
  private:
   using connection_key = std::pair<std::size_t, connection_id>;
+  // Two instances, the lower index first.
+  using link_key = std::pair<std::size_t, std::size_t>;
 
   struct searcher_state {
     std::string service;
@@ -353,19 +355,23 @@
     }
   }
 
+  // Not the result of std::minmax(), which refers to its arguments.
+  static link_key LinkOf(std::size_t one, std::size_t other) {
+    return {std::min(one, other), std::max(one, other)};
+  }
   bool Linked(std::size_t one, std::size_t other) const {
-    return !broken_links_.contains(std::minmax(one, other));
+    return !broken_links_.contains(LinkOf(one, other));
   }
 
   void BreakLink(std::size_t one, std::size_t other, duration time) {
     if (one == other || !Linked(one, other)) return;
-    broken_links_.insert(std::minmax(one, other));
-    ++link_epoch_[std::minmax(one, other)];
+    broken_links_.insert(LinkOf(one, other));
+    ++link_epoch_[LinkOf(one, other)];
     UpdateLinks();
     LoseRelay(one, other);
     LoseRelay(other, one);
     After(time, [this, one, other] {
-      broken_links_.erase(std::minmax(one, other));
+      broken_links_.erase(LinkOf(one, other));
       UpdateLinks();
     });
   }
@@ -406,7 +412,7 @@
   void SendOverLink(std::size_t from, std::size_t to,
                     std::function<void()> deliver) {
     if (!Linked(from, to)) return;
-    const auto link = std::minmax(from, to);
+    const link_key link = LinkOf(from, to);
     time_point& last = link_busy_until_[{from, to}];
     last = std::max(last, now_ + Delay());
     At(last,
@@ -657,8 +663,9 @@
   std::map<std::string, searcher_state> searchers_;
   std::set<connection_key> opening_;
   std::map<connection_key, std::string> open_;
-  std::set<std::pair<std::size_t, std::size_t>> broken_links_;
-  std::map<std::pair<std::size_t, std::size_t>, std::uint64_t> link_epoch_;
+  std::set<link_key> broken_links_;
+  std::map<link_key, std::uint64_t> link_epoch_;
+  // By sender and receiver.
   std::map<std::pair<std::size_t, std::size_t>, time_point> link_busy_until_;
   // Requests that have not been answered yet.
   std::map<std::uint64_t, const route*> pending_;
