--- a/app/testing/control_service_test.cc
+++ b/app/testing/control_service_test.cc
@@ -283,10 +283,11 @@
       request.body += name + "\":" + text;
     }
     request.body += "}";
-    unsigned status = 0;
-    registry_->Handle(request,
-                      [&](http_response answer) { status = answer.status; });
-    return status;
+    // The answer may come later.
+    const auto status = std::make_shared<unsigned>(0);
+    registry_->Handle(
+        request, [status](http_response answer) { *status = answer.status; });
+    return *status;
   }
 
   std::unique_ptr<edge_protocol> protocol_ = MakePlatformProtocol();
